--- /dev/null
+++ b/crates/crosspath_fakes/src/log_store.rs
@@ -0,0 +1,102 @@
+//! The log.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crosspath_log::{Page, Record};
+use crosspath_state::record::Revision;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::fault::LogFault;
+
+const PAGE: usize = 500;
+const HANG: Duration = Duration::from_secs(3600);
+
+/// Records, the oldest of which expire.
+#[derive(Debug)]
+pub(crate) struct LogStore {
+    records: Mutex<VecDeque<Record>>,
+    last: watch::Sender<Revision>,
+    fault: Mutex<LogFault>,
+    latency: Duration,
+    retention: usize,
+}
+
+impl LogStore {
+    pub(crate) fn new(latency: Duration, retention: usize) -> Self {
+        Self {
+            records: Mutex::default(),
+            last: watch::Sender::default(),
+            fault: Mutex::default(),
+            latency,
+            retention,
+        }
+    }
+
+    pub(crate) fn set_fault(&self, fault: LogFault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        // Whoever waits looks again.
+        self.last.send_modify(|_| ());
+    }
+
+    fn fault(&self) -> LogFault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        let loses = fault.lose_answers > 0;
+        fault.lose_answers -= u32::from(loses);
+        loses
+    }
+
+    /// Appends; none when the log is down and nothing was appended.
+    pub(crate) async fn append(&self, data: String) -> Option<Revision> {
+        let slow = Duration::from_millis(self.fault().slow_ms);
+        tokio::time::sleep(self.latency + slow).await;
+        if self.fault().down {
+            return None;
+        }
+        let offset = self.push(data);
+        if self.loses_answer() {
+            tokio::time::sleep(HANG).await;
+        }
+        Some(offset)
+    }
+
+    fn push(&self, data: String) -> Revision {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let offset = self.last.borrow().next();
+        records.push_back(Record { offset, data });
+        if records.len() > self.retention {
+            records.pop_front();
+        }
+        self.last.send_replace(offset);
+        offset
+    }
+
+    /// Reads, waiting for the first record; none when the log is down.
+    pub(crate) async fn read(&self, after: Revision, wait: Duration) -> Option<Page> {
+        let mut last = self.last.subscribe();
+        let until = Instant::now() + wait;
+        tokio::time::sleep(Duration::from_millis(self.fault().slow_ms)).await;
+        let news = last.wait_for(|last| *last > after || self.fault().down);
+        let _ = tokio::time::timeout_at(until, news).await;
+        if self.fault().down {
+            return None;
+        }
+        Some(self.page(after))
+    }
+
+    fn page(&self, after: Revision) -> Page {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = *self.last.borrow();
+        let first = records.front().map_or(last.next(), |record| record.offset);
+        let skip = after.next().0.saturating_sub(first.0);
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let records = records.iter().skip(skip).take(PAGE).cloned().collect();
+        Page { records, first, last }
+    }
+}
--- /dev/null
+++ b/crates/crosspath_fakes/src/platform.rs
@@ -0,0 +1,269 @@
+//! The platform's interfaces over HTTP, and orders to the stand-ins themselves under `/fakes`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_http::Body;
+use crosspath_http::body;
+use crosspath_http::server::{self, Limits, Stage};
+use crosspath_log::{Append, Appended};
+use crosspath_state::name::{JobName, VmName};
+use crosspath_state::record::Revision;
+use crosspath_vm_list::Entry;
+use crosspath_worker::JobState;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::config::{Config, VmConfig};
+use crate::ledger::Ledger;
+use crate::log_store::LogStore;
+use crate::upstream::{self, Shared};
+use crate::vm::{Audit, Vm};
+
+const MAX_BODY: u64 = 16 * 1024 * 1024;
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// The stand-ins could not start.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}: {source}"))]
+pub struct StartError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// Running stand-ins; they stop when this is dropped.
+#[derive(Debug)]
+pub struct Fakes {
+    /// Where the platform's interfaces are.
+    pub platform: SocketAddr,
+    /// Where each VM takes requests.
+    pub vms: BTreeMap<VmName, SocketAddr>,
+    inner: Arc<Inner>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+    _stop: watch::Sender<Stage>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    log: LogStore,
+    vms: BTreeMap<VmName, Arc<Vm>>,
+    shared: Arc<Shared>,
+    reboot: Duration,
+    list_lag: Duration,
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(StartSnafu { address })
+}
+
+impl Fakes {
+    /// Starts the stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when an address is taken.
+    pub async fn start(config: &Config) -> Result<Self, StartError> {
+        let service = config.service_ms.iter();
+        let service = service.map(|(name, ms)| (name.clone(), Duration::from_millis(*ms)));
+        let shared = Arc::new(Shared { ledger: Ledger::default(), service: service.collect() });
+        let mut tasks = Vec::new();
+        let mut vms = BTreeMap::new();
+        for vm in &config.vms {
+            let (vm, task) = start_vm(vm, &shared).await?;
+            vms.insert(vm.name.clone(), vm);
+            tasks.push(task);
+        }
+        let latency = Duration::from_millis(config.log_latency_ms);
+        let addresses = vms.iter().map(|(name, vm)| (name.clone(), vm.address)).collect();
+        let inner = Arc::new(Inner {
+            log: LogStore::new(latency, config.log_retention),
+            vms,
+            shared,
+            reboot: Duration::from_millis(config.reboot_ms),
+            list_lag: Duration::from_millis(config.vm_list_lag_ms),
+        });
+        let listener = bind(config.platform).await?;
+        let platform = listener.local_addr().context(StartSnafu { address: config.platform })?;
+        let (stop, stopped) = watch::channel(Stage::Serving);
+        let serving = Arc::clone(&inner);
+        let answer = move |request: Request<Incoming>, _: SocketAddr| {
+            let inner = Arc::clone(&serving);
+            async move { inner.answer(request).await }
+        };
+        let serve = server::serve(listener, Limits::default(), stopped, answer);
+        tasks.push(tokio::spawn(serve));
+        Ok(Self { platform, vms: addresses, inner, tasks, _stop: stop })
+    }
+
+    /// What upstreams ran.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.inner.shared.ledger
+    }
+
+    /// What was seen of every VM.
+    #[must_use]
+    pub fn audits(&self) -> Vec<Audit> {
+        self.inner.vms.values().map(|vm| vm.audit()).collect()
+    }
+
+    /// Sets the log's faults.
+    pub fn set_log_fault(&self, fault: crate::fault::LogFault) {
+        self.inner.log.set_fault(fault);
+    }
+
+    /// Sets a VM's faults; an unknown VM has none.
+    pub fn set_vm_fault(&self, vm: &VmName, fault: crate::fault::VmFault) {
+        if let Some(vm) = self.inner.vms.get(vm) {
+            vm.set_fault(fault);
+        }
+    }
+
+    /// Takes a VM down or brings it up.
+    pub fn set_up(&self, vm: &VmName, up: bool) {
+        if let Some(vm) = self.inner.vms.get(vm) {
+            vm.set_up(up);
+        }
+    }
+}
+
+impl Drop for Fakes {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn start_vm(
+    config: &VmConfig,
+    shared: &Arc<Shared>,
+) -> Result<(Arc<Vm>, tokio::task::JoinHandle<()>), StartError> {
+    let listener = bind(config.address).await?;
+    let address = listener.local_addr().context(StartSnafu { address: config.address })?;
+    let vm = Arc::new(Vm::new(config.name.clone(), address, config.slots));
+    let task = tokio::spawn(upstream::serve(listener, Arc::clone(&vm), Arc::clone(shared)));
+    Ok((vm, task))
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(body::full("null"));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn ok(value: &impl serde::Serialize) -> Response<Body> {
+    body::json(StatusCode::OK, value)
+}
+
+impl Inner {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (parts, incoming) = request.into_parts();
+        let Ok(bytes) = body::read(incoming, MAX_BODY, BODY_TIME).await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let path = parts.uri.path().to_owned();
+        let segments: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        let query = parts.uri.query().unwrap_or_default();
+        match (&parts.method, &segments[..]) {
+            (&Method::POST, ["log"]) => self.append(&bytes).await,
+            (&Method::GET, ["log"]) => self.read(query).await,
+            (&Method::GET, ["vms"]) => ok(&self.list()),
+            (&Method::GET, ["fakes", "audit"]) => {
+                ok(&self.vms.values().map(|vm| vm.audit()).collect::<Vec<_>>())
+            }
+            (&Method::GET, ["fakes", "ledger"]) => ok(&self.shared.ledger.runs()),
+            (&Method::PUT, ["fakes", "log"]) => with(&bytes, |fault| self.log.set_fault(fault)),
+            (method, [scope @ ("fakes" | "workers"), vm, rest @ ..]) => {
+                let vm = VmName::new(vm).ok().and_then(|vm| self.vms.get(&vm).cloned());
+                let Some(vm) = vm else {
+                    return status(StatusCode::NOT_FOUND);
+                };
+                self.vm(method, scope, vm, rest, &bytes)
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn vm(
+        &self,
+        method: &Method,
+        scope: &str,
+        vm: Arc<Vm>,
+        rest: &[&str],
+        bytes: &[u8],
+    ) -> Response<Body> {
+        match (method, scope, rest) {
+            (&Method::GET, "workers", []) => ok(&vm.report()),
+            (&Method::PUT, "workers", ["drained"]) => {
+                with(bytes, |drained| vm.set_drained(drained))
+            }
+            (&Method::PUT, "workers", ["reboot"]) => with(bytes, |ticket| self.reboot(&vm, ticket)),
+            (&Method::PUT, "workers", ["jobs", job]) => {
+                let Ok(job) = JobName::new(job) else {
+                    return status(StatusCode::BAD_REQUEST);
+                };
+                with(bytes, |state: JobState| vm.set_job(job, state))
+            }
+            (&Method::PUT, "fakes", ["fault"]) => with(bytes, |fault| vm.set_fault(fault)),
+            (&Method::PUT, "fakes", ["up"]) => with(bytes, |up| vm.set_up(up)),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn reboot(&self, vm: &Arc<Vm>, ticket: String) {
+        if !vm.begin_reboot(ticket) {
+            return;
+        }
+        let (vm, time) = (Arc::clone(vm), self.reboot);
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            vm.set_up(true);
+        });
+    }
+
+    async fn append(&self, bytes: &[u8]) -> Response<Body> {
+        let Ok(append) = serde_json::from_slice::<Append>(bytes) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        match self.log.append(append.data).await {
+            Some(offset) => ok(&Appended { offset }),
+            None => status(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    async fn read(&self, query: &str) -> Response<Body> {
+        let number = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse().ok())
+        };
+        let after = Revision(number("after").unwrap_or_default());
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+        match self.log.read(after, wait).await {
+            Some(page) => ok(&page),
+            None => status(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    fn list(&self) -> Vec<Entry> {
+        let entry =
+            |vm: &Arc<Vm>| Entry { vm: vm.name.clone(), liveness: vm.liveness(self.list_lag) };
+        self.vms.values().map(entry).collect()
+    }
+}
+
+fn with<T: DeserializeOwned>(bytes: &[u8], act: impl FnOnce(T)) -> Response<Body> {
+    match serde_json::from_slice(bytes) {
+        Ok(value) => {
+            act(value);
+            ok(&())
+        }
+        Err(_) => status(StatusCode::BAD_REQUEST),
+    }
+}
--- /dev/null
+++ b/crates/crosspath_fakes/src/upstream.rs
@@ -0,0 +1,140 @@
+//! The upstream side of a VM.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crosspath_http::Body;
+use crosspath_http::body::{self, BoxError};
+use futures::StreamExt as _;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+use crate::ledger::{Ledger, PAYMENT_ID, Receipt};
+use crate::vm::Vm;
+
+/// Header by which an upstream says that it refused a request before running it.
+pub(crate) const NOT_RUN: &str = "request-not-run";
+
+const MAX_BODY: u64 = 16 * 1024 * 1024;
+const BODY_TIME: Duration = Duration::from_secs(30);
+
+/// What all upstreams share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) ledger: Ledger,
+    pub(crate) service: BTreeMap<String, Duration>,
+}
+
+/// Serves one VM until the process ends.
+pub(crate) async fn serve(listener: TcpListener, vm: Arc<Vm>, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if vm.is_up() {
+            let downs = vm.downs.subscribe();
+            tokio::spawn(connection(stream, Arc::clone(&vm), Arc::clone(&shared), downs));
+        }
+    }
+}
+
+/// Leaves the VM when a request ends, however it ends.
+struct Running(Arc<Vm>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    vm: Arc<Vm>,
+    shared: Arc<Shared>,
+    mut downs: watch::Receiver<u32>,
+) {
+    let _ = stream.set_nodelay(true);
+    let (breaker, mut broken) = mpsc::channel::<()>(1);
+    let service = service_fn(move |request| {
+        let (vm, shared, breaker) = (Arc::clone(&vm), Arc::clone(&shared), breaker.clone());
+        async move { Ok::<_, Infallible>(answer(request, vm, &shared, breaker).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new();
+    let connection = connection.serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = connection => {}
+        _ = downs.changed() => {}
+        _ = broken.recv() => {}
+    }
+}
+
+async fn break_connection(breaker: &mpsc::Sender<()>) -> Response<Body> {
+    let _ = breaker.send(()).await;
+    // The connection ends before this is answered.
+    std::future::pending().await
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    vm: Arc<Vm>,
+    shared: &Shared,
+    breaker: mpsc::Sender<()>,
+) -> Response<Body> {
+    let fault = vm.fault();
+    if fault.break_before {
+        return break_connection(&breaker).await;
+    }
+    if fault.fail {
+        return body::json(StatusCode::INTERNAL_SERVER_ERROR, &"failed");
+    }
+    if !vm.enter() {
+        return refusal();
+    }
+    let _running = Running(Arc::clone(&vm));
+    let id = request.headers().get(PAYMENT_ID).and_then(|id| id.to_str().ok());
+    let payment = id.unwrap_or_default().to_owned();
+    let first = request.uri().path().split('/').nth(1).unwrap_or_default();
+    let service = shared.service.get(first).copied().unwrap_or_default();
+    let read = body::read(request.into_body(), MAX_BODY, BODY_TIME).await;
+    if read.is_err() {
+        return body::json(StatusCode::BAD_REQUEST, &"body");
+    }
+    shared.ledger.run(&payment);
+    tokio::time::sleep(service + Duration::from_millis(fault.late_ms)).await;
+    if fault.break_after {
+        return break_connection(&breaker).await;
+    }
+    let receipt = Receipt { payment, vm: vm.name.to_string() };
+    if fault.half_answer {
+        return half(&receipt);
+    }
+    body::json(StatusCode::OK, &receipt)
+}
+
+fn refusal() -> Response<Body> {
+    let mut answer = body::json(StatusCode::SERVICE_UNAVAILABLE, &"draining");
+    let headers = answer.headers_mut();
+    headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
+/// An answer that breaks in the middle.
+fn half(receipt: &Receipt) -> Response<Body> {
+    let whole = serde_json::to_vec(receipt).unwrap_or_default();
+    let part = Bytes::copy_from_slice(&whole[..whole.len() / 2]);
+    let frames = [Ok(Frame::data(part)), Err(BoxError::from("broken on purpose"))];
+    let stream = futures::stream::iter(frames).then(|frame| async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        frame
+    });
+    Response::new(StreamBody::new(stream).boxed_unsync())
+}
--- /dev/null
+++ b/crates/crosspath_fakes/src/vm.rs
@@ -0,0 +1,199 @@
+//! Workers: what each VM does.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crosspath_state::name::{JobName, VmName};
+use crosspath_vm_list::Liveness;
+use crosspath_worker::{JobReport, JobState, Report};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::fault::VmFault;
+
+/// What the stand-in saw of a VM, for checks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Audit {
+    /// Which VM.
+    pub vm: VmName,
+    /// Whether it is up.
+    pub up: bool,
+    /// Whether it refuses requests.
+    pub drained: bool,
+    /// Reboots so far.
+    pub reboots: u32,
+    /// Requests that reboots cut off.
+    pub cut_off: u32,
+    /// Most requests at one time.
+    pub max_in_flight: u32,
+    /// Its slots.
+    pub slots: u32,
+    /// Job starts so far, resumptions not among them.
+    pub job_starts: u32,
+    /// Jobs that a reboot ended while they ran.
+    pub jobs_cut_off: u32,
+    /// Time since a request last came in, in ms.
+    pub last_request_ms_ago: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    up: bool,
+    drained: bool,
+    in_flight: u32,
+    reboot: Option<String>,
+    jobs: BTreeMap<JobName, JobState>,
+    fault: VmFault,
+    audit: Audit,
+    last_request: Option<Instant>,
+    history: Vec<(Instant, bool)>,
+}
+
+/// One VM.
+#[derive(Debug)]
+pub(crate) struct Vm {
+    pub(crate) name: VmName,
+    pub(crate) address: SocketAddr,
+    inner: Mutex<Inner>,
+    /// Counts the times that the VM went down; each ends its connections.
+    pub(crate) downs: watch::Sender<u32>,
+}
+
+impl Vm {
+    pub(crate) fn new(name: VmName, address: SocketAddr, slots: u32) -> Self {
+        let audit = Audit {
+            vm: name.clone(),
+            up: true,
+            drained: false,
+            reboots: 0,
+            cut_off: 0,
+            max_in_flight: 0,
+            slots,
+            job_starts: 0,
+            jobs_cut_off: 0,
+            last_request_ms_ago: None,
+        };
+        let inner = Inner {
+            up: true,
+            drained: false,
+            in_flight: 0,
+            reboot: None,
+            jobs: BTreeMap::new(),
+            fault: VmFault::default(),
+            audit,
+            last_request: None,
+            history: vec![(Instant::now(), true)],
+        };
+        Self { name, address, inner: Mutex::new(inner), downs: watch::Sender::default() }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn report(&self) -> Report {
+        let inner = self.inner();
+        let jobs = inner.jobs.iter().map(|(job, state)| JobReport {
+            job: job.clone(),
+            state: *state,
+            used_millicores: 0,
+        });
+        Report {
+            up: inner.up,
+            drained: inner.drained,
+            in_flight: inner.in_flight,
+            reboot: inner.reboot.clone(),
+            jobs: jobs.collect(),
+        }
+    }
+
+    pub(crate) fn audit(&self) -> Audit {
+        let inner = self.inner();
+        let last = inner.last_request.map(|last| last.elapsed().as_millis());
+        let last_request_ms_ago = last.and_then(|last| u64::try_from(last).ok());
+        let (up, drained) = (inner.up, inner.drained);
+        Audit { up, drained, last_request_ms_ago, ..inner.audit.clone() }
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.inner().up
+    }
+
+    pub(crate) fn set_drained(&self, drained: bool) {
+        self.inner().drained = drained;
+    }
+
+    pub(crate) fn fault(&self) -> VmFault {
+        self.inner().fault
+    }
+
+    pub(crate) fn set_fault(&self, fault: VmFault) {
+        self.inner().fault = fault;
+    }
+
+    /// Whether a new ticket came, so that the VM reboots now.
+    pub(crate) fn begin_reboot(&self, ticket: String) -> bool {
+        let mut inner = self.inner();
+        if inner.reboot.as_ref() == Some(&ticket) {
+            return false;
+        }
+        inner.reboot = Some(ticket);
+        inner.audit.reboots += 1;
+        inner.audit.cut_off += inner.in_flight;
+        let running = inner.jobs.values().filter(|state| **state == JobState::Running).count();
+        inner.audit.jobs_cut_off += u32::try_from(running).unwrap_or(u32::MAX);
+        inner.jobs.retain(|_, state| *state == JobState::Suspended);
+        drop(inner);
+        self.set_up(false);
+        true
+    }
+
+    pub(crate) fn set_up(&self, up: bool) {
+        let mut inner = self.inner();
+        inner.up = up;
+        inner.history.push((Instant::now(), up));
+        if !up {
+            self.downs.send_modify(|downs| *downs += 1);
+        }
+    }
+
+    /// What the list says, `lag` late.
+    pub(crate) fn liveness(&self, lag: Duration) -> Liveness {
+        let inner = self.inner();
+        let seen = inner.history.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        match seen {
+            Some((_, false)) => Liveness::Down,
+            _ => Liveness::Live,
+        }
+    }
+
+    pub(crate) fn set_job(&self, job: JobName, state: JobState) {
+        let mut inner = self.inner();
+        let before = inner.jobs.get(&job).copied();
+        let starts = state == JobState::Running && before.is_none();
+        inner.audit.job_starts += u32::from(starts);
+        match state {
+            JobState::Absent => drop(inner.jobs.remove(&job)),
+            JobState::Running | JobState::Suspended => drop(inner.jobs.insert(job, state)),
+        }
+    }
+
+    /// Takes a request in unless the VM refuses it.
+    pub(crate) fn enter(&self) -> bool {
+        let mut inner = self.inner();
+        if inner.drained || !inner.up {
+            return false;
+        }
+        inner.last_request = Some(Instant::now());
+        inner.in_flight += 1;
+        inner.audit.max_in_flight = inner.audit.max_in_flight.max(inner.in_flight);
+        true
+    }
+
+    pub(crate) fn leave(&self) {
+        let mut inner = self.inner();
+        inner.in_flight = inner.in_flight.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/crosspath_metrics/src/lib.rs
@@ -0,0 +1,170 @@
+//! The daemon's metrics, as OpenMetrics text.
+//!
+//! Labels have bounded values: classes, reasons, and callers, of which the state holds a bounded
+//! number.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use crosspath_state::job::Class;
+use crosspath_state::name::CallerName;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+const BUCKETS: u16 = 16;
+const FIRST_BUCKET_SECONDS: f64 = 0.0005;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Request {
+    class: &'static str,
+    caller: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Verdict {
+    class: &'static str,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Labelled {
+    reason: String,
+}
+
+type Histograms = Family<Request, Histogram, fn() -> Histogram>;
+
+/// Every metric of the daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    latency: Histograms,
+    wait: Histograms,
+    in_flight: Family<Request, Gauge>,
+    answers: Family<Verdict, Counter>,
+    rejected: Family<Labelled, Counter>,
+    retries: Counter,
+    applied: Gauge<u64, AtomicU64>,
+    appends: Family<Labelled, Counter>,
+    beats: Family<Labelled, Counter>,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
+}
+
+fn histograms() -> Histograms {
+    Family::new_with_constructor(histogram as fn() -> Histogram)
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("crosspath")),
+            latency: histograms(),
+            wait: histograms(),
+            in_flight: Family::default(),
+            answers: Family::default(),
+            rejected: Family::default(),
+            retries: Counter::default(),
+            applied: Gauge::default(),
+            appends: Family::default(),
+            beats: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let seconds = || Unit::Seconds;
+        let latency = "Time from a request to its final answer, by class and caller";
+        registry.register_with_unit("request_latency", latency, seconds(), self.latency.clone());
+        let wait = "Time that a request waited for a slot, by class and caller";
+        registry.register_with_unit("request_wait", wait, seconds(), self.wait.clone());
+        let in_flight = "Requests in flight, by class and caller";
+        registry.register("requests_in_flight", in_flight, self.in_flight.clone());
+        let answers = "Final answers, by class, outcome and reason";
+        registry.register("answers", answers, self.answers.clone());
+        let rejected = "Requests turned away before they were read whole, by reason";
+        registry.register("rejected", rejected, self.rejected.clone());
+        let retries = "Attempts after the first one of a request";
+        registry.register("retries", retries, self.retries.clone());
+        let applied = "Offset of the last folded record";
+        registry.register("applied_revision", applied, self.applied.clone());
+        let appends = "Appends to the log, by result";
+        registry.register("log_appends", appends, self.appends.clone());
+        let beats = "Heartbeats sent to peers, by result";
+        registry.register("peer_beats", beats, self.beats.clone());
+    }
+
+    /// A request came in.
+    pub fn entered(&self, class: Class, caller: &CallerName) {
+        self.in_flight.get_or_create(&request(class, caller)).inc();
+    }
+
+    /// A request got its final answer.
+    pub fn left(&self, class: Class, caller: &CallerName, latency: Duration) {
+        let labels = request(class, caller);
+        self.in_flight.get_or_create(&labels).dec();
+        self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
+    }
+
+    /// A request waited for a slot.
+    pub fn waited(&self, class: Class, caller: &CallerName, wait: Duration) {
+        self.wait.get_or_create(&request(class, caller)).observe(wait.as_secs_f64());
+    }
+
+    /// A final answer was given.
+    pub fn answered(&self, class: Class, outcome: &'static str, reason: &'static str) {
+        self.answers.get_or_create(&Verdict { class: class.label(), outcome, reason }).inc();
+    }
+
+    /// A request was turned away.
+    pub fn rejected(&self, reason: impl Into<String>) {
+        self.rejected.get_or_create(&Labelled { reason: reason.into() }).inc();
+    }
+
+    /// A request is tried again.
+    pub fn retried(&self) {
+        self.retries.inc();
+    }
+
+    /// A record was folded.
+    pub fn applied(&self, offset: u64) {
+        self.applied.set(offset);
+    }
+
+    /// An append ended.
+    pub fn appended(&self, result: &'static str) {
+        self.appends.get_or_create(&Labelled { reason: result.to_owned() }).inc();
+    }
+
+    /// A heartbeat ended.
+    pub fn beat(&self, result: &'static str) {
+        self.beats.get_or_create(&Labelled { reason: result.to_owned() }).inc();
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+fn request(class: Class, caller: &CallerName) -> Request {
+    Request { class: class.label(), caller: caller.to_string() }
+}
--- /dev/null
+++ b/crates/crosspath_operator/src/answer.rs
@@ -0,0 +1,129 @@
+//! Errors of the API and their form.
+
+use crosspath_http::Body;
+use crosspath_http::body::{self, BodyError};
+use crosspath_state::Conflict;
+use crosspath_state::record::Revision;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+use snafu::Snafu;
+
+use crate::CommitError;
+use crate::model::Problem;
+
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Error {
+    #[snafu(display("no valid bearer token"))]
+    Unauthorized,
+    #[snafu(display("this operator has no right to do that"))]
+    Forbidden,
+    #[snafu(display("no such path; see the list of kinds in docs/operators/api.md"))]
+    NoPath,
+    #[snafu(display("{what} does not exist"))]
+    NotFound { what: String },
+    #[snafu(display("method is not allowed here"))]
+    Method,
+    #[snafu(display("{what} is not valid: {detail}"))]
+    Query { what: &'static str, detail: String },
+    #[snafu(display("{source}"))]
+    Body { source: BodyError },
+    #[snafu(display("field {field}: {detail}"))]
+    Field { field: String, detail: String },
+    #[snafu(display("revision {from} is too old to watch from; list again"))]
+    TooOld { from: Revision },
+    #[snafu(display("{source}"))]
+    Commit { source: CommitError },
+}
+
+impl Error {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::Forbidden => StatusCode::FORBIDDEN,
+            Self::NoPath | Self::NotFound { .. } => StatusCode::NOT_FOUND,
+            Self::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Query { .. } => StatusCode::BAD_REQUEST,
+            Self::Field { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::TooOld { .. } => StatusCode::GONE,
+            Self::Body { source: BodyError::TooLarge { .. } } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body { source: BodyError::TooSlow { .. } } => StatusCode::REQUEST_TIMEOUT,
+            Self::Body { source: BodyError::Cut } => StatusCode::BAD_REQUEST,
+            Self::Commit { source } => commit_status(source),
+        }
+    }
+
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::Unauthorized => "unauthorized",
+            Self::Forbidden => "forbidden",
+            Self::NoPath | Self::NotFound { .. } => "not_found",
+            Self::Method => "method",
+            Self::Query { .. } => "query",
+            Self::Body { .. } => "body",
+            Self::Field { .. } => "field",
+            Self::TooOld { .. } => "too_old",
+            Self::Commit { source: CommitError::Rejected { .. } } => "conflict",
+            Self::Commit { source: CommitError::NotAccepted } => "not_accepted",
+            Self::Commit { source: CommitError::Unknown { .. } } => "unknown",
+        }
+    }
+
+    pub(crate) fn answer(&self) -> Response<Body> {
+        let mut problem = Problem {
+            reason: self.reason().to_owned(),
+            message: self.to_string(),
+            field: None,
+            conflict: None,
+            change: None,
+        };
+        let mut revision = None;
+        match self {
+            Self::Field { field, .. } => problem.field = Some(field.clone()),
+            Self::Commit { source: CommitError::Rejected { conflict } } => {
+                problem.conflict = Some(conflict.clone());
+                revision = current(conflict);
+            }
+            Self::Commit { source: CommitError::Unknown { change } } => {
+                problem.change = Some(change.clone());
+            }
+            _ => {}
+        }
+        let answer = body::json(self.status(), &problem);
+        match revision {
+            Some(revision) => tagged(answer, revision),
+            None => answer,
+        }
+    }
+}
+
+fn commit_status(error: &CommitError) -> StatusCode {
+    match error {
+        CommitError::Rejected { conflict: Conflict::Stale { .. } } => {
+            StatusCode::PRECONDITION_FAILED
+        }
+        CommitError::Rejected { conflict: Conflict::NotFound { .. } } => StatusCode::NOT_FOUND,
+        CommitError::Rejected { .. } => StatusCode::CONFLICT,
+        CommitError::NotAccepted => StatusCode::SERVICE_UNAVAILABLE,
+        CommitError::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+fn current(conflict: &Conflict) -> Option<Revision> {
+    match conflict {
+        Conflict::Stale { current, .. } => Some(*current),
+        _ => None,
+    }
+}
+
+pub(crate) fn ok(value: &impl Serialize) -> Response<Body> {
+    body::json(StatusCode::OK, value)
+}
+
+pub(crate) fn tagged(mut answer: Response<Body>, revision: Revision) -> Response<Body> {
+    let tag = HeaderValue::try_from(format!("\"{revision}\""));
+    if let Ok(tag) = tag {
+        answer.headers_mut().insert(header::ETAG, tag);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/crosspath_operator/src/watch.rs
@@ -0,0 +1,85 @@
+//! Watches: one JSON line for each change of a kind, from a revision on.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use crosspath_http::Body;
+use crosspath_http::body::BoxError;
+use crosspath_http::server::Stage;
+use crosspath_state::State;
+use crosspath_state::record::Revision;
+use crosspath_state::resource::{Id, Kind};
+use futures::StreamExt as _;
+use http::{HeaderValue, Response, header};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::Frame;
+use snafu::OptionExt as _;
+use tokio::sync::watch as channel;
+
+use crate::Handler;
+use crate::answer::{Error, TooOldSnafu};
+use crate::model::{Event, Resource};
+
+struct Watch {
+    states: channel::Receiver<Arc<State>>,
+    stop: channel::Receiver<Stage>,
+    kind: Kind,
+    seen: Arc<State>,
+    first: bool,
+}
+
+/// Streams changes after `from`, until the watcher goes or the daemon stops. A change may come
+/// twice when `from` lies between two states that the daemon kept.
+pub(crate) fn stream<H: Handler>(
+    handler: &H,
+    kind: Kind,
+    from: Revision,
+    stop: channel::Receiver<Stage>,
+) -> Result<Response<Body>, Error> {
+    let seen = handler.state_at(from).context(TooOldSnafu { from })?;
+    let watch = Watch { states: handler.state(), stop, kind, seen, first: true };
+    let lines = futures::stream::unfold(watch, Watch::next);
+    let frames = lines.map(|lines| Ok::<_, BoxError>(Frame::data(Bytes::from(lines))));
+    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+    let kind = HeaderValue::from_static("application/jsonl");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    Ok(answer)
+}
+
+impl Watch {
+    async fn next(mut self) -> Option<(String, Self)> {
+        loop {
+            if !self.first {
+                tokio::select! {
+                    changed = self.states.changed() => changed.ok()?,
+                    _ = self.stop.wait_for(|stage| *stage >= Stage::Finishing) => return None,
+                }
+            }
+            self.first = false;
+            let state = self.states.borrow_and_update().clone();
+            let lines = lines(self.kind, &self.seen, &state);
+            self.seen = state;
+            if !lines.is_empty() {
+                return Some((lines, self));
+            }
+        }
+    }
+}
+
+/// One line for each resource of the kind that differs between two states.
+fn lines(kind: Kind, before: &State, after: &State) -> String {
+    let names = before.names(kind).into_iter().chain(after.names(kind));
+    let names: BTreeSet<_> = names.collect();
+    let ids = names.into_iter().map(|name| Id::new(kind, name));
+    let changed = ids.filter(|id| before.revision(id) != after.revision(id));
+    let lines = changed.filter_map(|id| serde_json::to_string(&event(after, id)).ok());
+    lines.map(|line| line + "\n").collect()
+}
+
+fn event(state: &State, id: Id) -> Event {
+    match Resource::of(state, &id) {
+        Some(resource) => Event::Changed { resource },
+        None => Event::Deleted { id, revision: state.applied },
+    }
+}
--- /dev/null
+++ b/crates/crosspath_peer/src/link.rs
@@ -0,0 +1,94 @@
+//! A peer over JSON-RPC.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use crosspath_route::claim::Verdict;
+use http::{HeaderMap, HeaderValue, header};
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::api::ApiClient as _;
+use crate::message::{Beat, BeatAnswer, Claim, LookUp, Settle, StateCopy, Transfer};
+use crate::{Link, Unanswered};
+
+const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+
+/// Settings with which no client can be made.
+#[derive(Debug, Snafu)]
+pub enum BuildError {
+    /// The token cannot stand in a header.
+    #[snafu(display("peer_token has characters that cannot stand in a header"))]
+    Token {
+        /// What the library says.
+        source: header::InvalidHeaderValue,
+    },
+    /// The library refuses.
+    #[snafu(display("no client for {address}"))]
+    Client {
+        /// The peer.
+        address: SocketAddr,
+        /// What the library says.
+        #[snafu(source(from(ClientError, Box::new)))]
+        source: Box<ClientError>,
+    },
+}
+
+/// A peer at one address.
+#[derive(Debug, Clone)]
+pub struct RpcLink {
+    client: HttpClient,
+}
+
+impl RpcLink {
+    /// Makes a link; each call takes at most `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// [`BuildError`] when the token or the address cannot be used.
+    pub fn new(address: SocketAddr, token: &str, timeout: Duration) -> Result<Self, BuildError> {
+        let mut bearer = HeaderValue::from_str(&format!("Bearer {token}")).context(TokenSnafu)?;
+        bearer.set_sensitive(true);
+        let headers = HeaderMap::from_iter([(header::AUTHORIZATION, bearer)]);
+        let builder = HttpClientBuilder::default();
+        let builder = builder.request_timeout(timeout).set_headers(headers);
+        let builder = builder.max_request_size(MAX_MESSAGE_BYTES);
+        let builder = builder.max_response_size(MAX_MESSAGE_BYTES);
+        let client = builder.build(format!("http://{address}"));
+        let client = client.context(ClientSnafu { address })?;
+        Ok(Self { client })
+    }
+}
+
+fn unanswered(error: ClientError) -> Unanswered {
+    Unanswered { detail: error.to_string() }
+}
+
+#[async_trait]
+impl Link for RpcLink {
+    async fn beat(&self, beat: Beat) -> Result<BeatAnswer, Unanswered> {
+        self.client.beat(beat).await.map_err(unanswered)
+    }
+
+    async fn claim(&self, claim: Claim) -> Result<Verdict, Unanswered> {
+        self.client.claim(claim).await.map_err(unanswered)
+    }
+
+    async fn settle(&self, settle: Settle) -> Result<(), Unanswered> {
+        self.client.settle(settle).await.map_err(unanswered)
+    }
+
+    async fn look_up(&self, look_up: LookUp) -> Result<Option<Verdict>, Unanswered> {
+        self.client.look_up(look_up).await.map_err(unanswered)
+    }
+
+    async fn take_over(&self, transfer: Transfer) -> Result<bool, Unanswered> {
+        self.client.take_over(transfer).await.map_err(unanswered)
+    }
+
+    async fn state(&self) -> Result<StateCopy, Unanswered> {
+        self.client.state().await.map_err(unanswered)
+    }
+}
--- /dev/null
+++ b/crates/crosspath_peer/src/server.rs
@@ -0,0 +1,126 @@
+//! The listener for peers.
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use crosspath_http::Body;
+use crosspath_http::body;
+use crosspath_http::server::{self, Limits, Stage};
+use crosspath_route::claim::Verdict;
+use crosspath_settings::token::Hash;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::server::{Methods, Server, ServerConfig, StopHandle, stop_channel};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tower::Service as _;
+
+use crate::Handler;
+use crate::api::ApiServer;
+use crate::message::{Beat, BeatAnswer, Claim, LookUp, Settle, StateCopy, Transfer};
+
+const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+
+/// Who is let in.
+#[derive(Debug, Clone)]
+pub struct Access {
+    /// Hash of the shared token.
+    pub token: Hash,
+    /// Addresses of the peers.
+    pub addresses: BTreeSet<IpAddr>,
+}
+
+impl Access {
+    fn admits(&self, request: &Request<Incoming>, peer: SocketAddr) -> bool {
+        let value = request.headers().get(header::AUTHORIZATION);
+        let value = value.and_then(|value| value.to_str().ok());
+        let token = value.and_then(|value| value.strip_prefix("Bearer "));
+        self.addresses.contains(&peer.ip()) && token.is_some_and(|token| self.token.matches(token))
+    }
+}
+
+struct Methodset<H>(Arc<H>);
+
+#[async_trait]
+impl<H: Handler> ApiServer for Methodset<H> {
+    async fn beat(&self, beat: Beat) -> RpcResult<BeatAnswer> {
+        Ok(self.0.beat(beat).await)
+    }
+
+    async fn claim(&self, claim: Claim) -> RpcResult<Verdict> {
+        Ok(self.0.claim(claim).await)
+    }
+
+    async fn settle(&self, settle: Settle) -> RpcResult<()> {
+        self.0.settle(settle).await;
+        Ok(())
+    }
+
+    async fn look_up(&self, look_up: LookUp) -> RpcResult<Option<Verdict>> {
+        Ok(self.0.look_up(look_up).await)
+    }
+
+    async fn take_over(&self, transfer: Transfer) -> RpcResult<bool> {
+        Ok(self.0.take_over(transfer).await)
+    }
+
+    async fn state(&self) -> RpcResult<StateCopy> {
+        Ok(self.0.state().await)
+    }
+}
+
+/// Answers peers on `listener` until the stop says otherwise.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: watch::Receiver<Stage>,
+    access: Access,
+    handler: Arc<H>,
+) {
+    let (stop_handle, _keep) = stop_channel();
+    let methods: Methods = Methodset(handler).into_rpc().into();
+    let access = Arc::new(access);
+    let answer = move |request: Request<Incoming>, peer: SocketAddr| {
+        let (methods, stop_handle) = (methods.clone(), stop_handle.clone());
+        let admitted = access.admits(&request, peer);
+        async move {
+            if !admitted {
+                log::warn!("event=peer_refused peer={peer}");
+                return empty(StatusCode::UNAUTHORIZED);
+            }
+            call(methods, stop_handle, request).await
+        }
+    };
+    server::serve(listener, limits, stop, answer).await;
+}
+
+async fn call(
+    methods: Methods,
+    stop_handle: StopHandle,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .http_only()
+        .build();
+    let builder = Server::builder().set_config(config).to_service_builder();
+    let mut service = builder.build(methods, stop_handle);
+    match service.call(request).await {
+        Ok(answer) => answer.map(|body| body.map_err(Into::into).boxed_unsync()),
+        Err(error) => {
+            log::warn!("event=peer_call_failed error={error}");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(body::full(""));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/crosspath_plan/src/bound.rs
@@ -0,0 +1,37 @@
+//! How fast a wave can be at best.
+//!
+//! At most `max_unavailable - reserve` VMs of a pool are out at one time and each is out for at
+//! least the service time, so a pool of `n` VMs takes at least `ceil(n / width)` service times; with
+//! a canary, one service time for the first VM alone. Pools go on side by side, so the wave takes at
+//! least as long as its slowest pool.
+
+use std::time::Duration;
+
+use crosspath_state::{State, wave};
+
+/// Lower bound of the time for `wave`, given the time that each VM is out at least.
+///
+/// None when a pool's budget lets no VM be taken out.
+#[must_use]
+pub fn wave_time(state: &State, wave: &wave::Spec, service: Duration) -> Option<Duration> {
+    let mut slowest = Duration::ZERO;
+    for name in &wave.pools {
+        let pool = &state.pools.get(name)?.spec;
+        let width = pool.max_unavailable.saturating_sub(pool.reserve);
+        let vms = u32::try_from(state.vms_of(name).count()).ok()?;
+        let rounds = rounds(vms, width, wave.canary)?;
+        slowest = slowest.max(service * rounds);
+    }
+    Some(slowest)
+}
+
+fn rounds(vms: u32, width: u32, canary: bool) -> Option<u32> {
+    if vms == 0 {
+        return Some(0);
+    }
+    if width == 0 {
+        return None;
+    }
+    let alone = u32::from(canary);
+    Some(alone + (vms - alone).div_ceil(width))
+}
--- /dev/null
+++ b/crates/crosspath_plan/src/evacuate.rs
@@ -0,0 +1,85 @@
+//! Empties a VM that drains: suspends what can be checkpointed, moves the rest.
+//!
+//! A suspended job keeps its place across the reboot and is no move. A job that must move goes to a
+//! VM that the wave serviced already, where it stays for the rest of the wave; only when none has
+//! room does it go to one that is still due.
+
+use std::collections::BTreeMap;
+
+use crosspath_state::name::{JobName, VmName, WaveName};
+use crosspath_state::record::{Change, JobAction};
+use crosspath_state::{State, job};
+
+use crate::place;
+use crate::room::{self, Free};
+
+/// Changes that empty `vm` for `wave`; jobs that find no room are not among them.
+#[must_use]
+pub fn vm(state: &State, vm: &VmName, wave: &WaveName) -> Vec<Change> {
+    let Some(stored) = state.vms.get(vm) else {
+        return Vec::new();
+    };
+    let mut rooms = room::of_pool(state, &stored.spec.pool);
+    rooms.remove(vm);
+    let running = state.jobs_on(vm).filter(|(_, job)| is_running(&job.status));
+    let mut running: Vec<_> = running.collect();
+    running.sort_by_key(|(_, job)| std::cmp::Reverse((job.spec.cores, job.spec.memory_mb)));
+    let mut changes = Vec::new();
+    for (name, job) in running {
+        if job.spec.checkpointable {
+            changes.push(suspend(name));
+            continue;
+        }
+        let Some(to) = target(state, &rooms, wave, &job.spec) else {
+            continue;
+        };
+        if let Some(free) = rooms.get_mut(&to) {
+            *free = free.less(&job.spec);
+        }
+        changes.push(place::place(name, to));
+    }
+    changes
+}
+
+/// Jobs on a VM that only a move to another VM can take out of the way of a reboot.
+pub fn fixed_jobs<'a>(
+    state: &'a State,
+    vm: &'a VmName,
+) -> impl Iterator<Item = (&'a JobName, &'a job::Spec)> {
+    let fixed = state.jobs_on(vm).filter(|(_, job)| !job.spec.checkpointable);
+    fixed.map(|(name, job)| (name, &job.spec))
+}
+
+/// Changes that resume what is suspended on VMs that take work again.
+#[must_use]
+pub fn resume(state: &State) -> Vec<Change> {
+    let resumable = state.jobs.iter().filter(|(_, job)| match &job.status.phase {
+        job::Phase::Suspended { vm } => state.vms.get(vm).is_some_and(|vm| vm.status.takes_work()),
+        job::Phase::Pending | job::Phase::Running { .. } => false,
+    });
+    let action = JobAction::Resume;
+    resumable.map(|(job, _)| Change::Job { job: job.clone(), action: action.clone() }).collect()
+}
+
+fn is_running(status: &job::Status) -> bool {
+    matches!(status.phase, job::Phase::Running { .. })
+}
+
+fn suspend(job: &JobName) -> Change {
+    Change::Job { job: job.clone(), action: JobAction::Suspend }
+}
+
+/// The fullest serviced VM with room, or else the fullest of those that are due.
+fn target(
+    state: &State,
+    rooms: &BTreeMap<VmName, Free>,
+    wave: &WaveName,
+    job: &job::Spec,
+) -> Option<VmName> {
+    let wave = state.waves.get(wave).map(|wave| &wave.status);
+    let due = |vm: &VmName| {
+        wave.is_some_and(|wave| wave.targets.contains(vm) && !wave.serviced.contains(vm))
+    };
+    let fitting = rooms.iter().filter(|(_, free)| free.fits(job));
+    fitting.min_by_key(|(vm, free)| (due(vm), free.cores)).map(|(vm, _)| vm.clone())
+}
--- /dev/null
+++ b/crates/crosspath_plan/src/place.rs
@@ -0,0 +1,157 @@
+//! Finds VMs for jobs that wait.
+//!
+//! Urgent jobs first, then large before small. Each goes where its team and kind are spread over
+//! racks and data centres, and among those to the fullest VM that still has room, so that whole
+//! VMs stay free for what is large. A job that runs is never moved here.
+
+use std::collections::BTreeMap;
+
+use crosspath_state::name::{DataCentre, JobName, PoolName, Rack, TeamName, VmName};
+use crosspath_state::record::{Change, JobAction};
+use crosspath_state::{State, job};
+use serde::Serialize;
+
+use crate::room::{self, Free};
+
+/// Why a job has no VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(tag = "reason", rename_all = "snake_case")]
+pub enum Obstacle {
+    /// No VM of the pool is large enough, even empty.
+    NeverFits {
+        /// What no VM has enough of.
+        what: &'static str,
+    },
+    /// The team's quota is smaller than the job.
+    NeverWithinQuota,
+    /// No VM of the pool has room now.
+    NoRoomNow,
+    /// The team has used its quota.
+    QuotaUsed,
+}
+
+/// Where jobs go, and why others wait.
+#[derive(Debug, Default)]
+pub struct Placement {
+    /// Changes for the log.
+    pub changes: Vec<Change>,
+    /// Jobs that wait.
+    pub obstacles: BTreeMap<JobName, Obstacle>,
+}
+
+/// Places every job that waits and that fits.
+#[must_use]
+pub fn pending(state: &State) -> Placement {
+    let mut placement = Placement::default();
+    let waiting = state.jobs.iter().filter(|(_, job)| job.status.phase == job::Phase::Pending);
+    let mut waiting: Vec<_> = waiting.map(|(name, job)| (name, &job.spec)).collect();
+    if waiting.is_empty() {
+        return placement;
+    }
+    waiting.sort_by_key(|(_, job)| (job.class, std::cmp::Reverse((job.cores, job.memory_mb))));
+    let mut planner = Planner::new(state);
+    for (name, spec) in waiting {
+        match planner.place(spec) {
+            Ok(vm) => placement.changes.push(place(name, vm)),
+            Err(obstacle) => drop(placement.obstacles.insert(name.clone(), obstacle)),
+        }
+    }
+    placement
+}
+
+/// The change that places a job.
+#[must_use]
+pub fn place(job: &JobName, vm: VmName) -> Change {
+    Change::Job { job: job.clone(), action: JobAction::Place { vm } }
+}
+
+/// Why a job waits; none when it does not wait or could be placed.
+#[must_use]
+pub fn obstacle(state: &State, job: &JobName) -> Option<Obstacle> {
+    let job = state.jobs.get(job).filter(|job| job.status.phase == job::Phase::Pending)?;
+    Planner::new(state).place(&job.spec).err()
+}
+
+type Spread = BTreeMap<(TeamName, PoolName, DataCentre, Rack), u32>;
+
+struct Planner<'a> {
+    state: &'a State,
+    rooms: BTreeMap<PoolName, BTreeMap<VmName, Free>>,
+    cores_of: BTreeMap<TeamName, u32>,
+    spread: Spread,
+}
+
+impl<'a> Planner<'a> {
+    fn new(state: &'a State) -> Self {
+        let mut cores_of: BTreeMap<TeamName, u32> = BTreeMap::new();
+        let mut spread = Spread::new();
+        for job in state.jobs.values() {
+            let Some(vm) = job.status.phase.vm().and_then(|vm| state.vms.get(vm)) else {
+                continue;
+            };
+            *cores_of.entry(job.spec.team.clone()).or_default() += job.spec.cores;
+            *spread.entry(domain(&job.spec, &vm.spec)).or_default() += 1;
+        }
+        Self { state, rooms: BTreeMap::new(), cores_of, spread }
+    }
+
+    fn place(&mut self, job: &job::Spec) -> Result<VmName, Obstacle> {
+        self.check_ever(job)?;
+        let state = self.state;
+        let quota = state.teams.get(&job.team).map_or(0, |team| team.spec.max_cores);
+        let used = self.cores_of.entry(job.team.clone()).or_default();
+        if *used + job.cores > quota {
+            return Err(Obstacle::QuotaUsed);
+        }
+        let rooms = self.rooms.entry(job.pool.clone());
+        let rooms = rooms.or_insert_with(|| room::of_pool(state, &job.pool));
+        let spread = &self.spread;
+        let cost = |vm: &VmName, free: &Free| {
+            let spec = state.vms.get(vm).map(|vm| &vm.spec);
+            let nearby = spec.and_then(|spec| spread.get(&domain(job, spec)));
+            (nearby.copied().unwrap_or_default(), free.cores, free.memory_mb)
+        };
+        let fitting = rooms.iter().filter(|(_, free)| free.fits(job));
+        let best = fitting.min_by_key(|(vm, free)| cost(vm, free));
+        let vm = best.map(|(vm, _)| vm.clone()).ok_or(Obstacle::NoRoomNow)?;
+        *used += job.cores;
+        if let Some(free) = rooms.get_mut(&vm) {
+            *free = free.less(job);
+        }
+        if let Some(spec) = state.vms.get(&vm).map(|vm| &vm.spec) {
+            *self.spread.entry(domain(job, spec)).or_default() += 1;
+        }
+        Ok(vm)
+    }
+
+    /// Whether the job could run on an empty pool with an unused quota.
+    fn check_ever(&self, job: &job::Spec) -> Result<(), Obstacle> {
+        let quota = self.state.teams.get(&job.team).map_or(0, |team| team.spec.max_cores);
+        if job.cores > quota {
+            return Err(Obstacle::NeverWithinQuota);
+        }
+        let vms = || self.state.vms_of(&job.pool).map(|(_, vm)| &vm.spec);
+        let whole = |vm: &crosspath_state::vm::Spec| Free {
+            cores: vm.cores,
+            memory_mb: vm.memory_mb,
+            accelerators: vm.accelerators,
+        };
+        if vms().any(|vm| whole(vm).fits(job)) {
+            return Ok(());
+        }
+        let what = match () {
+            () if vms().all(|vm| vm.cores < job.cores) => "cores",
+            () if vms().all(|vm| vm.memory_mb < job.memory_mb) => "memory",
+            () if vms().all(|vm| vm.accelerators < job.accelerators) => "accelerators",
+            () => "cores, memory and accelerators together",
+        };
+        Err(Obstacle::NeverFits { what })
+    }
+}
+
+fn domain(
+    job: &job::Spec,
+    vm: &crosspath_state::vm::Spec,
+) -> (TeamName, PoolName, DataCentre, Rack) {
+    (job.team.clone(), job.pool.clone(), vm.data_centre.clone(), vm.rack.clone())
+}
--- /dev/null
+++ b/crates/crosspath_plan/src/wave.rs
@@ -0,0 +1,190 @@
+//! Takes VMs through a maintenance wave.
+//!
+//! A wave starts a VM whenever the pool's budget has room, so that a slow VM holds up none of the
+//! others. Which VM comes first decides how often jobs move: those without jobs that must move come
+//! first, since the VMs already serviced are where such jobs go, and then the ones whose jobs fit
+//! there.
+
+use std::collections::BTreeMap;
+
+use crosspath_state::budget::Usage;
+use crosspath_state::name::{PoolName, VmName, WaveName};
+use crosspath_state::record::{Change, Step};
+use crosspath_state::{State, Stored, vm, wave};
+use serde::Serialize;
+
+use crate::evacuate;
+use crate::room;
+
+/// What was observed of a VM that is out for maintenance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Observed {
+    /// Every member has stopped choosing it and has nothing in flight there.
+    pub daemons_done: bool,
+    /// Its worker refuses new requests, runs none, and runs no job.
+    pub worker_idle: bool,
+    /// Its worker is up after the reboot that was ordered for this step.
+    pub rebooted: bool,
+}
+
+/// Why a VM does not go on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(tag = "reason", rename_all = "snake_case")]
+pub enum Obstacle {
+    /// The pool's budget is used up.
+    Budget {
+        /// Which pool.
+        pool: PoolName,
+        /// What its VMs do.
+        usage: Usage,
+        /// Its budget.
+        max_unavailable: u32,
+        /// Kept free for failures.
+        reserve: u32,
+    },
+    /// The wave is paused.
+    Paused {
+        /// Why.
+        cause: wave::Cause,
+    },
+    /// The canary of the pool is not back yet.
+    Canary {
+        /// Which VM.
+        vm: VmName,
+    },
+    /// Some daemon may still send to it.
+    DaemonsNotDone,
+    /// Its worker still runs something.
+    WorkerBusy,
+    /// The platform has not brought it back.
+    Rebooting,
+}
+
+/// VMs to drain next, for every running wave.
+#[must_use]
+pub fn starts(state: &State) -> Vec<Change> {
+    let running = state.waves.iter().filter(|(_, wave)| wave.status.phase == wave::Phase::Running);
+    running.flat_map(|(name, wave)| starts_of(state, name, wave)).collect()
+}
+
+type Wave = Stored<wave::Spec, wave::Status>;
+
+fn starts_of(state: &State, name: &WaveName, wave: &Wave) -> Vec<Change> {
+    let pools = wave.spec.pools.iter();
+    let chosen = pools.flat_map(|pool| chosen_of_pool(state, wave, pool));
+    chosen.map(|vm| Change::Step { vm, step: Step::Drain { wave: name.clone() } }).collect()
+}
+
+fn chosen_of_pool(state: &State, wave: &Wave, pool: &PoolName) -> Vec<VmName> {
+    let Some(spec) = state.pools.get(pool).map(|pool| &pool.spec) else {
+        return Vec::new();
+    };
+    let usage = Usage::of(state, pool);
+    let free = usage.free(spec) as usize;
+    let free = match canary(state, wave, pool) {
+        Canary::Passed => free,
+        Canary::Wanted => free.min(1),
+        Canary::Out(_) => 0,
+    };
+    if free == 0 {
+        return Vec::new();
+    }
+    ordered(state, wave, pool).into_iter().take(free).collect()
+}
+
+enum Canary {
+    Passed,
+    Wanted,
+    Out(VmName),
+}
+
+fn canary(state: &State, wave: &Wave, pool: &PoolName) -> Canary {
+    let of_pool = |vm: &&VmName| state.vms.get(*vm).is_some_and(|vm| vm.spec.pool == *pool);
+    if !wave.spec.canary || wave.status.serviced.iter().any(|vm| of_pool(&vm)) {
+        return Canary::Passed;
+    }
+    let out = state.vms_of(pool).find(|(_, vm)| vm.status.wave().is_some());
+    out.map_or(Canary::Wanted, |(vm, _)| Canary::Out(vm.clone()))
+}
+
+/// VMs of the pool that are due and serving, the best to take out first.
+fn ordered(state: &State, wave: &Wave, pool: &PoolName) -> Vec<VmName> {
+    let in_pool = |vm: &&VmName| {
+        let vm = state.vms.get(*vm);
+        vm.is_some_and(|vm| vm.spec.pool == *pool && vm.status.takes_work())
+    };
+    let due: Vec<_> = wave.status.due().filter(in_pool).cloned().collect();
+    let rooms = room::of_pool(state, pool);
+    let serviced = rooms.iter().filter(|(vm, _)| wave.status.serviced.contains(*vm));
+    let room: u32 = serviced.map(|(_, free)| free.cores).sum();
+    let mut keyed: Vec<_> = due.into_iter().map(|vm| (burden(state, &vm, room), vm)).collect();
+    keyed.sort();
+    keyed.into_iter().map(|(_, vm)| vm).collect()
+}
+
+/// Whether jobs would have to move to VMs that are still due, and how large they are.
+fn burden(state: &State, vm: &VmName, room: u32) -> (bool, u32) {
+    let cores = evacuate::fixed_jobs(state, vm).map(|(_, job)| job.cores).sum();
+    (cores > room, cores)
+}
+
+/// Next changes for the VMs that are out, given what was observed of each.
+#[must_use]
+pub fn advance(state: &State, observed: &BTreeMap<VmName, Observed>) -> Vec<Change> {
+    let out = state.vms.iter().filter(|(_, vm)| vm.status.wave().is_some());
+    let changes = out.flat_map(|(name, vm)| {
+        let seen = observed.get(name).copied().unwrap_or_default();
+        advance_vm(state, name, &vm.status, seen)
+    });
+    changes.collect()
+}
+
+fn advance_vm(state: &State, name: &VmName, phase: &vm::Phase, seen: Observed) -> Vec<Change> {
+    let step = |step| vec![Change::Step { vm: name.clone(), step }];
+    match phase {
+        vm::Phase::Draining { wave } if is_cancelled(state, wave) => step(Step::Undrain),
+        vm::Phase::Draining { wave } => {
+            let changes = evacuate::vm(state, name, wave);
+            let ready = changes.is_empty() && seen.daemons_done && seen.worker_idle;
+            if ready { step(Step::Reboot) } else { changes }
+        }
+        vm::Phase::Rebooting { .. } if seen.rebooted => step(Step::Return),
+        _ => Vec::new(),
+    }
+}
+
+fn is_cancelled(state: &State, wave: &WaveName) -> bool {
+    let phase = state.waves.get(wave).map(|wave| &wave.status.phase);
+    phase.is_none_or(|phase| *phase == wave::Phase::Cancelled)
+}
+
+/// Why `vm` does not go on; none when it is not due, or can go on.
+#[must_use]
+pub fn obstacle(state: &State, vm: &VmName, seen: Observed) -> Option<Obstacle> {
+    let stored = state.vms.get(vm)?;
+    match &stored.status {
+        vm::Phase::Draining { .. } if !seen.daemons_done => Some(Obstacle::DaemonsNotDone),
+        vm::Phase::Draining { .. } if !seen.worker_idle => Some(Obstacle::WorkerBusy),
+        vm::Phase::Rebooting { .. } if !seen.rebooted => Some(Obstacle::Rebooting),
+        vm::Phase::Serving => {
+            let mut open = state.waves.values().filter(|wave| !wave.status.phase.is_final());
+            let wave = open.find(|wave| wave.status.due().any(|due| due == vm))?;
+            start_obstacle(state, wave, &stored.spec.pool)
+        }
+        _ => None,
+    }
+}
+
+fn start_obstacle(state: &State, wave: &Wave, pool: &PoolName) -> Option<Obstacle> {
+    if let wave::Phase::Paused { cause } = wave.status.phase {
+        return Some(Obstacle::Paused { cause });
+    }
+    if let Canary::Out(vm) = canary(state, wave, pool) {
+        return Some(Obstacle::Canary { vm });
+    }
+    let spec = &state.pools.get(pool)?.spec;
+    let usage = Usage::of(state, pool);
+    let (max_unavailable, reserve) = (spec.max_unavailable, spec.reserve);
+    let blocked = usage.free(spec) == 0;
+    blocked.then(|| Obstacle::Budget { pool: pool.clone(), usage, max_unavailable, reserve })
+}
--- /dev/null
+++ b/crates/crosspath_route/src/dispatch.rs
@@ -0,0 +1,377 @@
+//! Which request gets which slot of which VM of one pool.
+//!
+//! A request gets a free slot at once or waits. Those that wait are served urgent first, with a
+//! floor for batch and in turn between callers. Batch never takes the last slots. A request that
+//! cannot be answered before its deadline is refused when it arrives, before anything was sent.
+//!
+//! A VM is chosen as the better of two taken at random, by requests in flight over its slots, in
+//! this daemon's own data centre while a slot is free there.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crosspath_state::job::Class;
+use crosspath_state::name::{CallerName, VmName};
+use crosspath_state::time::Monotonic;
+use rand::{Rng, RngExt as _};
+
+use crate::answer::{Final, NotRun};
+use crate::line::Line;
+use crate::outlier::{Health, MAX_OUT_DIVISOR};
+
+const SLOW_START: Duration = Duration::from_secs(2);
+const SMOOTHING: f64 = 0.1;
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Marks one waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A VM as this daemon may use it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Which VM.
+    pub vm: VmName,
+    /// This daemon's part of its slots.
+    pub slots: u32,
+    /// Whether it is in this daemon's data centre.
+    pub local: bool,
+}
+
+/// A request for a slot.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its ticket.
+    pub ticket: Ticket,
+    /// Who sent it.
+    pub caller: CallerName,
+    /// How urgent it is.
+    pub class: Class,
+    /// When its final answer is due.
+    pub deadline: Monotonic,
+}
+
+/// Answer to a request for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// It has a slot of this VM.
+    Assigned(VmName),
+    /// It waits; a [`Grant`] follows, or its ticket expires.
+    Waiting,
+    /// It is refused.
+    Refused(Final),
+}
+
+/// A slot for a request that waited.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// Whose.
+    pub ticket: Ticket,
+    /// Of this VM.
+    pub vm: VmName,
+    /// For a request of this class.
+    pub class: Class,
+}
+
+/// How the use of a slot ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Use {
+    /// The upstream answered after this time.
+    Answered(Duration),
+    /// The upstream failed.
+    Failed,
+    /// The upstream says that it takes no requests.
+    Refused,
+    /// The caller went away, or the slot was not used.
+    Abandoned,
+}
+
+/// Bounds of a pool's queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Requests that may wait.
+    pub queue: usize,
+    /// Percent of the slots that batch may take.
+    pub batch_ceiling_percent: u32,
+    /// One of this many grants goes to batch that waits.
+    pub batch_floor_every: u32,
+}
+
+#[derive(Debug)]
+struct Backend {
+    slots: u32,
+    local: bool,
+    active: bool,
+    since: Monotonic,
+    in_flight: u32,
+    health: Health,
+}
+
+impl Backend {
+    fn usable(&self, now: Monotonic) -> u32 {
+        let age = now.since(self.since);
+        if age >= SLOW_START || !self.active {
+            return self.slots * u32::from(self.active);
+        }
+        let part = age.as_secs_f64() / SLOW_START.as_secs_f64();
+        // A part of a few slots; the first one is free at once.
+        ((f64::from(self.slots) * part).ceil() as u32).clamp(1.min(self.slots), self.slots)
+    }
+
+    fn is_free(&self, now: Monotonic) -> bool {
+        self.in_flight < self.usable(now)
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.in_flight + self.health.weight() + 1) / f64::from(self.slots.max(1))
+    }
+}
+
+/// Slots and waiting requests of one pool at this daemon.
+#[derive(Debug)]
+pub struct Dispatch {
+    bounds: Bounds,
+    backends: BTreeMap<VmName, Backend>,
+    urgent: Line,
+    batch: Line,
+    batch_in_flight: u32,
+    grants_since_batch: u32,
+    service: Option<Duration>,
+}
+
+impl Dispatch {
+    /// Makes a pool without VMs.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            backends: BTreeMap::new(),
+            urgent: Line::default(),
+            batch: Line::default(),
+            batch_in_flight: 0,
+            grants_since_batch: 0,
+            service: None,
+        }
+    }
+
+    /// Says which VMs take work from now on. A VM that is no longer among them gets nothing more;
+    /// what it runs is still counted.
+    pub fn set_targets(
+        &mut self,
+        targets: &[Target],
+        now: Monotonic,
+        rng: &mut impl Rng,
+    ) -> Vec<Grant> {
+        for backend in self.backends.values_mut() {
+            backend.active = false;
+        }
+        let first = self.backends.is_empty();
+        for target in targets {
+            let warm = if first { Monotonic(0) } else { now };
+            let known = self.backends.get(&target.vm);
+            let since = known.filter(|known| known.slots > 0).map_or(warm, |known| known.since);
+            let backend = self.backends.entry(target.vm.clone()).or_insert_with(|| Backend {
+                slots: 0,
+                local: target.local,
+                active: false,
+                since,
+                in_flight: 0,
+                health: Health::default(),
+            });
+            backend.slots = target.slots;
+            backend.local = target.local;
+            backend.active = true;
+            backend.since = since;
+        }
+        for backend in self.backends.values_mut().filter(|backend| !backend.active) {
+            backend.slots = 0;
+        }
+        self.backends.retain(|_, backend| backend.active || backend.in_flight > 0);
+        self.grant(now, rng)
+    }
+
+    /// Requests that run on a VM.
+    #[must_use]
+    pub fn in_flight(&self, vm: &VmName) -> u32 {
+        self.backends.get(vm).map_or(0, |backend| backend.in_flight)
+    }
+
+    /// Requests that wait, by class.
+    #[must_use]
+    pub fn waiting(&self, class: Class) -> usize {
+        match class {
+            Class::Urgent => self.urgent.len(),
+            Class::Batch => self.batch.len(),
+        }
+    }
+
+    /// Asks for a slot at `now`.
+    pub fn offer(&mut self, ask: Ask, now: Monotonic, rng: &mut impl Rng) -> Offer {
+        if let Some(refusal) = self.refusal(&ask, now) {
+            return Offer::Refused(refusal);
+        }
+        let skips_none = self.waiting(ask.class) == 0;
+        let starts = skips_none && self.may_start(ask.class);
+        let chosen = starts.then(|| self.choose(now, rng)).flatten();
+        if let Some(vm) = chosen {
+            self.start(&vm, ask.class);
+            return Offer::Assigned(vm);
+        }
+        match ask.class {
+            Class::Urgent => self.urgent.push(ask),
+            Class::Batch => self.batch.push(ask),
+        }
+        Offer::Waiting
+    }
+
+    fn refusal(&self, ask: &Ask, now: Monotonic) -> Option<Final> {
+        let slots = self.slots();
+        if slots == 0 {
+            return Some(Final::not_run(NotRun::NoUpstream, MIN_RETRY_AFTER));
+        }
+        let waiting = self.urgent.len() + self.batch.len();
+        let wait = self.wait(ask, slots);
+        let retry_after = wait.max(MIN_RETRY_AFTER);
+        if waiting >= self.bounds.queue {
+            return Some(Final::not_run(NotRun::QueueFull, retry_after));
+        }
+        let due = now.after(wait + self.service.unwrap_or_default());
+        (due >= ask.deadline).then(|| Final::not_run(NotRun::TooLate, retry_after))
+    }
+
+    /// How long the request is expected to wait.
+    fn wait(&self, ask: &Ask, slots: u32) -> Duration {
+        let urgent = self.urgent.len();
+        let (ahead, slots) = match ask.class {
+            Class::Urgent => (self.urgent.ahead_of(&ask.caller), slots),
+            Class::Batch => (urgent + self.batch.ahead_of(&ask.caller), self.batch_ceiling()),
+        };
+        let rounds = ahead as f64 / f64::from(slots.max(1));
+        self.service.unwrap_or_default().mul_f64(rounds)
+    }
+
+    /// Says how the use of a slot ended; the slot may go to requests that wait.
+    pub fn release(
+        &mut self,
+        vm: &VmName,
+        class: Class,
+        end: Use,
+        now: Monotonic,
+        rng: &mut impl Rng,
+    ) -> Vec<Grant> {
+        self.batch_in_flight -= u32::from(class == Class::Batch).min(self.batch_in_flight);
+        let may_go_out = self.may_go_out(now);
+        if let Some(backend) = self.backends.get_mut(vm) {
+            backend.in_flight = backend.in_flight.saturating_sub(1);
+            match end {
+                Use::Answered(_) => backend.health.succeeded(),
+                Use::Failed => backend.health.failed(may_go_out, now),
+                Use::Refused => backend.health.refused(now),
+                Use::Abandoned => {}
+            }
+            let gone = !backend.active && backend.in_flight == 0;
+            if gone {
+                self.backends.remove(vm);
+            }
+        }
+        if let Use::Answered(time) = end {
+            self.learn(time);
+        }
+        self.grant(now, rng)
+    }
+
+    fn learn(&mut self, time: Duration) {
+        let known = self.service.unwrap_or(time);
+        self.service = Some(known.mul_f64(1.0 - SMOOTHING) + time.mul_f64(SMOOTHING));
+    }
+
+    /// Takes a request out that no longer waits for its slot.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.urgent.remove(|ask| ask.ticket == ticket);
+        self.batch.remove(|ask| ask.ticket == ticket);
+    }
+
+    /// Takes out the requests whose deadline has come.
+    pub fn expire(&mut self, now: Monotonic) -> Vec<Ticket> {
+        let mut expired = self.urgent.expired(now);
+        expired.extend(self.batch.expired(now));
+        expired
+    }
+
+    /// Gives free slots to requests that wait, as after slow start or the return of an outlier.
+    pub fn grant(&mut self, now: Monotonic, rng: &mut impl Rng) -> Vec<Grant> {
+        let mut grants = Vec::new();
+        while let Some(class) = self.next_class() {
+            let Some(vm) = self.choose(now, rng) else {
+                break;
+            };
+            let line = match class {
+                Class::Urgent => &mut self.urgent,
+                Class::Batch => &mut self.batch,
+            };
+            let Some(ask) = line.pop() else { break };
+            self.start(&vm, class);
+            grants.push(Grant { ticket: ask.ticket, vm, class });
+        }
+        grants
+    }
+
+    fn next_class(&self) -> Option<Class> {
+        let batch_waits = self.batch.len() > 0 && self.may_start(Class::Batch);
+        let batch_due = self.grants_since_batch + 1 >= self.bounds.batch_floor_every;
+        match (self.urgent.len() > 0, batch_waits) {
+            (true, true) if batch_due => Some(Class::Batch),
+            (true, _) => Some(Class::Urgent),
+            (false, true) => Some(Class::Batch),
+            (false, false) => None,
+        }
+    }
+
+    fn may_start(&self, class: Class) -> bool {
+        class == Class::Urgent || self.batch_in_flight < self.batch_ceiling()
+    }
+
+    fn batch_ceiling(&self) -> u32 {
+        (self.slots() * self.bounds.batch_ceiling_percent / 100).max(1)
+    }
+
+    fn slots(&self) -> u32 {
+        self.backends.values().map(|backend| backend.slots).sum()
+    }
+
+    fn start(&mut self, vm: &VmName, class: Class) {
+        if let Some(backend) = self.backends.get_mut(vm) {
+            backend.in_flight += 1;
+        }
+        match class {
+            Class::Urgent => self.grants_since_batch = self.grants_since_batch.saturating_add(1),
+            Class::Batch => {
+                self.grants_since_batch = 0;
+                self.batch_in_flight += 1;
+            }
+        }
+    }
+
+    fn may_go_out(&self, now: Monotonic) -> bool {
+        let active = self.backends.values().filter(|backend| backend.active);
+        let out = active.clone().filter(|backend| backend.health.is_out(now)).count();
+        (out + 1) * MAX_OUT_DIVISOR <= active.count()
+    }
+
+    fn choose(&self, now: Monotonic, rng: &mut impl Rng) -> Option<VmName> {
+        let free = || self.backends.iter().filter(|(_, backend)| backend.is_free(now));
+        let healthy = || free().filter(|(_, backend)| !backend.health.is_out(now));
+        let local: Vec<_> = healthy().filter(|(_, backend)| backend.local).collect();
+        if !local.is_empty() {
+            return Some(better_of_two(&local, rng));
+        }
+        let remote: Vec<_> = healthy().collect();
+        (!remote.is_empty()).then(|| better_of_two(&remote, rng))
+    }
+}
+
+fn better_of_two(candidates: &[(&VmName, &Backend)], rng: &mut impl Rng) -> VmName {
+    let (first, a) = candidates[rng.random_range(0..candidates.len())];
+    let (second, b) = candidates[rng.random_range(0..candidates.len())];
+    if b.load() < a.load() { second.clone() } else { first.clone() }
+}
--- /dev/null
+++ b/crates/crosspath_route/src/quota.rs
@@ -0,0 +1,32 @@
+//! Requests that each caller has in flight at this daemon.
+
+use std::collections::BTreeMap;
+
+use crosspath_state::name::CallerName;
+
+/// Counts by caller.
+#[derive(Debug, Default)]
+pub struct Quota {
+    in_flight: BTreeMap<CallerName, u32>,
+}
+
+impl Quota {
+    /// Counts one more request unless the caller has `max` already; 0 is no limit.
+    #[must_use]
+    pub fn enter(&mut self, caller: &CallerName, max: u32) -> bool {
+        let count = self.in_flight.entry(caller.clone()).or_default();
+        let free = max == 0 || *count < max;
+        *count += u32::from(free);
+        free
+    }
+
+    /// Counts one request less.
+    pub fn leave(&mut self, caller: &CallerName) {
+        if let Some(count) = self.in_flight.get_mut(caller) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_flight.remove(caller);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/crosspath_state/src/fold.rs
@@ -0,0 +1,88 @@
+//! The fold: one record in, the next state out.
+
+mod jobs;
+mod members;
+mod resources;
+mod steps;
+
+use snafu::{Snafu, ensure};
+
+use crate::conflict::Conflict;
+use crate::record::{Batch, Change, Entry, Revision, Writer};
+use crate::state::{LastWrite, State};
+use crate::time::Wall;
+
+/// What one record did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// A batch was folded; one verdict for each change.
+    Batch(Vec<Result<Revision, Conflict>>),
+    /// A second copy, or one from an earlier life of its writer; dropped.
+    Dropped,
+    /// A part of a snapshot; nothing changed.
+    Snapshot,
+}
+
+/// A record that is not the next one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("record {offset} does not follow {applied}; start from a snapshot"))]
+pub struct Gap {
+    applied: Revision,
+    offset: Revision,
+}
+
+/// What a change is told of the batch around it.
+pub(crate) struct Context<'a> {
+    pub(crate) offset: Revision,
+    pub(crate) writer: &'a Writer,
+    pub(crate) written_at: Wall,
+}
+
+impl State {
+    /// Folds the record at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// [`Gap`] when `offset` is not the next one; the state is as it was.
+    pub fn apply(&mut self, offset: Revision, entry: &Entry) -> Result<Applied, Gap> {
+        let applied = self.applied;
+        ensure!(offset == applied.next(), GapSnafu { applied, offset });
+        self.applied = offset;
+        Ok(match entry {
+            Entry::Batch(batch) => self.apply_batch(offset, batch),
+            Entry::Snapshot(_) => Applied::Snapshot,
+        })
+    }
+
+    fn apply_batch(&mut self, offset: Revision, batch: &Batch) -> Applied {
+        let writer = &batch.id.writer;
+        let write = LastWrite { incarnation: writer.incarnation, sequence: batch.id.sequence };
+        let last = self.writers.get(&writer.daemon);
+        let newer = last.is_none_or(|last| is_newer(*last, write));
+        if !newer {
+            return Applied::Dropped;
+        }
+        self.writers.insert(writer.daemon.clone(), write);
+        let context = Context { offset, writer, written_at: batch.written_at };
+        let verdicts = batch.changes.iter();
+        let verdicts = verdicts.map(|change| self.change(&context, change).map(|()| offset));
+        Applied::Batch(verdicts.collect())
+    }
+
+    fn change(&mut self, context: &Context<'_>, change: &Change) -> Result<(), Conflict> {
+        match change {
+            Change::Put { id, spec, expected } => self.put(context, id, spec, *expected),
+            Change::Delete { id, expected } => self.delete(id, *expected),
+            Change::Step { vm, step } => self.step(context, vm, step),
+            Change::Failure { vm, seen_at } => self.failure(context, vm, *seen_at),
+            Change::Recovery { vm } => self.recovery(context, vm),
+            Change::Steer { wave, phase } => self.steer(context, wave, phase),
+            Change::Job { job, action } => self.job(context, job, action),
+            Change::Member(membership) => self.membership(context, membership),
+        }
+    }
+}
+
+fn is_newer(last: LastWrite, write: LastWrite) -> bool {
+    (write.incarnation, write.sequence) > (last.incarnation, last.sequence)
+}
--- /dev/null
+++ b/crates/crosspath_state/src/fold/jobs.rs
@@ -0,0 +1,102 @@
+//! Placing, suspending and moving jobs.
+
+use snafu::{OptionExt as _, ensure};
+
+use super::Context;
+use crate::conflict::{
+    Conflict, JobPhaseSnafu, NoRoomSnafu, NotFoundSnafu, OtherPoolSnafu, QuotaExceededSnafu,
+    WrongPhaseSnafu,
+};
+use crate::job::{Phase, Spec, Status};
+use crate::name::{JobName, ResourceName, VmName};
+use crate::record::JobAction;
+use crate::resource::{Id, Kind};
+use crate::state::{State, Stored};
+
+impl State {
+    pub(super) fn job(
+        &mut self,
+        context: &Context<'_>,
+        name: &JobName,
+        action: &JobAction,
+    ) -> Result<(), Conflict> {
+        let id = ResourceName::new(name.as_str()).expect("a name of one kind is one of every kind");
+        let id = Id::new(Kind::Job, id);
+        let job = self.jobs.get(name).context(NotFoundSnafu { id })?;
+        let status = self.next_status(name, job, action)?;
+        if let Some(job) = self.jobs.get_mut(name) {
+            job.revision = context.offset;
+            job.status = status;
+        }
+        Ok(())
+    }
+
+    fn next_status(
+        &self,
+        name: &JobName,
+        job: &Stored<Spec, Status>,
+        action: &JobAction,
+    ) -> Result<Status, Conflict> {
+        let before = &job.status;
+        let moves = before.moves;
+        let next = match (action, &before.phase) {
+            (JobAction::Place { vm }, phase) if phase.vm() != Some(vm) => {
+                self.check_place(name, &job.spec, vm)?;
+                let moves = moves + u32::from(phase.vm().is_some());
+                Status { phase: Phase::Running { vm: vm.clone() }, moves }
+            }
+            (JobAction::Suspend, Phase::Running { vm }) if job.spec.checkpointable => {
+                Status { phase: Phase::Suspended { vm: vm.clone() }, moves }
+            }
+            (JobAction::Resume, Phase::Suspended { vm }) => {
+                self.check_takes_work(vm)?;
+                Status { phase: Phase::Running { vm: vm.clone() }, moves }
+            }
+            (JobAction::Unplace, Phase::Running { .. } | Phase::Suspended { .. }) => {
+                Status { phase: Phase::Pending, moves }
+            }
+            _ => return JobPhaseSnafu { job: name.clone() }.fail(),
+        };
+        Ok(next)
+    }
+
+    fn check_takes_work(&self, name: &VmName) -> Result<(), Conflict> {
+        let phase = self.vms.get(name).map(|vm| &vm.status);
+        let takes_work = phase.is_some_and(crate::vm::Phase::takes_work);
+        let phase = format!("{phase:?}");
+        ensure!(takes_work, WrongPhaseSnafu { vm: name.clone(), phase });
+        Ok(())
+    }
+
+    fn check_place(&self, name: &JobName, spec: &Spec, vm_name: &VmName) -> Result<(), Conflict> {
+        self.check_takes_work(vm_name)?;
+        let vm = self.vms.get(vm_name).map(|vm| &vm.spec);
+        let vm = vm.filter(|vm| vm.pool == spec.pool);
+        let vm = vm.context(OtherPoolSnafu { vm: vm_name.clone(), job: name.clone() })?;
+        let others = || self.jobs_on(vm_name).filter(|(job, _)| *job != name);
+        let cores: u32 = others().map(|(_, job)| job.spec.cores).sum();
+        let memory: u64 = others().map(|(_, job)| job.spec.memory_mb).sum();
+        let accelerators: u32 = others().map(|(_, job)| job.spec.accelerators).sum();
+        let short = match () {
+            () if cores + spec.cores > vm.cores => Some("cores"),
+            () if memory + spec.memory_mb > vm.memory_mb => Some("memory"),
+            () if accelerators + spec.accelerators > vm.accelerators => Some("accelerators"),
+            () => None,
+        };
+        if let Some(what) = short {
+            return NoRoomSnafu { vm: vm_name.clone(), job: name.clone(), what }.fail();
+        }
+        self.check_quota(name, spec)
+    }
+
+    fn check_quota(&self, name: &JobName, spec: &Spec) -> Result<(), Conflict> {
+        let placed = self.jobs.iter().filter(|(other, job)| {
+            *other != name && job.spec.team == spec.team && job.status.phase.vm().is_some()
+        });
+        let cores = spec.cores + placed.map(|(_, job)| job.spec.cores).sum::<u32>();
+        let max_cores = self.teams.get(&spec.team).map_or(0, |team| team.spec.max_cores);
+        let team = spec.team.clone();
+        ensure!(cores <= max_cores, QuotaExceededSnafu { team, cores, max_cores });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/crosspath_state/src/lib.rs
@@ -0,0 +1,26 @@
+//! Resources, log records and the fold that turns records into state.
+//!
+//! The platform's append-only log orders everything that must be agreed. Each daemon reads the
+//! same [`record::Batch`]es in the same order and applies them with [`State::apply`], which is
+//! pure: no clock, no randomness, no I/O. A record that breaks a rule is rejected by the fold, by
+//! the same rule on every daemon, so a stale or faulty writer cannot break an invariant.
+
+pub mod budget;
+pub mod conflict;
+mod fold;
+pub mod job;
+pub mod lease;
+pub mod member;
+pub mod name;
+pub mod partition;
+pub mod record;
+pub mod resource;
+pub mod snapshot;
+mod state;
+pub mod time;
+pub mod vm;
+pub mod wave;
+
+pub use conflict::Conflict;
+pub use fold::Applied;
+pub use state::{LastWrite, State, Stored};
--- /dev/null
+++ b/crates/crosspath_upstream/src/body.rs
@@ -0,0 +1,99 @@
+//! The body of an upstream's answer, as it streams in.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use snafu::Snafu;
+use tokio::time::{Instant, Sleep};
+
+use crate::Idle;
+use crate::connection::Connection;
+
+/// A body that ended before it was whole.
+#[derive(Debug, Snafu)]
+pub enum CutShort {
+    /// The connection broke.
+    #[snafu(display("the upstream's answer was cut short"))]
+    Broken {
+        /// What the library says.
+        source: hyper::Error,
+    },
+    /// The deadline came.
+    #[snafu(display("the upstream's answer was not whole in time"))]
+    Late,
+}
+
+/// The body; its connection is kept for the next request only once it is whole.
+#[derive(Debug)]
+pub struct Streamed {
+    body: Incoming,
+    connection: Option<Connection>,
+    idle: Arc<Idle>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl Streamed {
+    pub(crate) fn new(
+        body: Incoming,
+        connection: Connection,
+        idle: Arc<Idle>,
+        deadline: Instant,
+    ) -> Self {
+        let deadline = Box::pin(tokio::time::sleep_until(deadline));
+        let mut streamed = Self { body, connection: Some(connection), idle, deadline };
+        if streamed.body.is_end_stream() {
+            streamed.keep_connection();
+        }
+        streamed
+    }
+
+    fn keep_connection(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.idle.keep(connection);
+        }
+    }
+}
+
+impl Body for Streamed {
+    type Data = Bytes;
+    type Error = CutShort;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.body.is_end_stream() {
+                    self.keep_connection();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(source))) => {
+                self.connection = None;
+                Poll::Ready(Some(Err(CutShort::Broken { source })))
+            }
+            Poll::Ready(None) => {
+                self.keep_connection();
+                Poll::Ready(None)
+            }
+            Poll::Pending => match self.deadline.as_mut().poll(context) {
+                Poll::Ready(()) if self.connection.take().is_some() => {
+                    Poll::Ready(Some(Err(CutShort::Late)))
+                }
+                _ => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/crosspath_upstream/src/lib.rs
@@ -0,0 +1,127 @@
+//! HTTP towards upstreams.
+//!
+//! A request goes out on a connection of its own for as long as it lasts. A connection whose
+//! request was answered whole is kept for the next one; any other is closed, so that a late answer
+//! can never meet another request. A failure says whether any byte can have reached the upstream.
+
+mod body;
+mod connection;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use tokio::time::Instant;
+
+pub use body::Streamed;
+use connection::{Connection, Sent};
+
+/// Idle connections kept for each upstream.
+pub const MAX_IDLE: usize = 8;
+
+/// How an exchange failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, snafu::Snafu)]
+pub enum Failure {
+    /// No byte of the request can have reached the upstream.
+    #[snafu(display("the request was not sent"))]
+    NotSent,
+    /// The connection broke after the request may have been sent.
+    #[snafu(display("the connection broke"))]
+    Broken,
+    /// No answer came in time.
+    #[snafu(display("no answer in time"))]
+    Late,
+}
+
+/// Idle connections by upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Idle {
+    connections: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Idle {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = connections.get_mut(&address)?;
+        while let Some(connection) = idle.pop() {
+            if connection.is_open() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn keep(&self, connection: Connection) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = connections.entry(connection.address()).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    fn close(&self, address: SocketAddr) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.remove(&address);
+    }
+}
+
+/// A client of all upstreams.
+#[derive(Debug, Clone, Default)]
+pub struct Upstreams {
+    idle: Arc<Idle>,
+}
+
+impl Upstreams {
+    /// Sends a request and gives the answer as it streams in, all of it before `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`], which says whether the request can have reached the upstream.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Streamed>, Failure> {
+        let request = match self.idle.take(address) {
+            None => request,
+            Some(connection) => match self.exchange(connection, request, deadline).await {
+                Ok(answer) => return Ok(answer),
+                // The upstream closed the connection while it was idle.
+                Err((Failure::NotSent, Some(request))) => *request,
+                Err((failure, _)) => return Err(failure),
+            },
+        };
+        let opened = tokio::time::timeout_at(deadline, Connection::open(address)).await;
+        let Ok(Ok(connection)) = opened else {
+            return NotSentSnafu.fail();
+        };
+        self.exchange(connection, request, deadline).await.map_err(|(failure, _)| failure)
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Streamed>, (Failure, Option<Box<Request<Full<Bytes>>>>)> {
+        let sent = tokio::time::timeout_at(deadline, connection.send(request)).await;
+        match sent {
+            Ok(Sent::Answered(answer)) => {
+                let idle = Arc::clone(&self.idle);
+                Ok(answer.map(|body| Streamed::new(body, connection, idle, deadline)))
+            }
+            Ok(Sent::Not(request)) => Err((Failure::NotSent, Some(request))),
+            Ok(Sent::Broken) => Err((Failure::Broken, None)),
+            Err(_) => Err((Failure::Late, None)),
+        }
+    }
+
+    /// Closes the idle connections to an upstream, as when it leaves.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.idle.close(address);
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/examples/quickstart/traffic.rs
@@ -0,0 +1,217 @@
+//! Callers: they send payments to the daemons that say they are ready, and note every answer.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use crosspath_fakes::ledger::{PAYMENT_ID, Receipt};
+use crosspath_fakes::site::{Daemon, Declared};
+use crosspath_http::client::{Answer, Client};
+use crosspath_state::resource::Kind;
+use hdrhistogram::Histogram;
+use http::Request;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+use uuid::Uuid;
+
+use crate::Shared;
+
+const SENDERS: usize = 12;
+const PAUSE: Duration = Duration::from_millis(10);
+const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+const RESENDS: usize = 5;
+const RESEND_AFTER: Duration = Duration::from_millis(300);
+const BALANCER_LOOK: Duration = Duration::from_millis(150);
+
+/// What a caller was told in the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Told {
+    Answered,
+    NotRun,
+    Unknown,
+    Nothing,
+}
+
+/// Everything that callers noted.
+#[derive(Debug, Default)]
+pub(crate) struct Notes {
+    pub(crate) told: BTreeMap<String, Told>,
+    pub(crate) repeatable: BTreeMap<String, bool>,
+    pub(crate) crossed: u64,
+    pub(crate) latency_us: BTreeMap<String, Option<Histogram<u64>>>,
+}
+
+pub(crate) struct Traffic {
+    stop: Arc<AtomicBool>,
+    notes: Arc<Mutex<Notes>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Traffic {
+    pub(crate) async fn stop(self) -> Notes {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            let _ = task.await;
+        }
+        std::mem::take(&mut self.notes.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Service {
+    name: String,
+    class: String,
+    repeatable: bool,
+}
+
+/// The platform's balancer: knows which daemons are ready.
+#[derive(Debug, Default)]
+struct Balancer {
+    ready: Mutex<Vec<Client>>,
+    turn: AtomicUsize,
+}
+
+impl Balancer {
+    fn next(&self) -> Option<Client> {
+        let ready = self.ready.lock().unwrap_or_else(PoisonError::into_inner);
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        (!ready.is_empty()).then(|| ready[turn % ready.len()].clone())
+    }
+
+    async fn look(&self, site: &Shared, clients: &mut BTreeMap<usize, Client>, token: &str) {
+        let site = site.read().await;
+        let looks = site.daemons.iter().map(Daemon::is_ready);
+        let ready = futures::future::join_all(looks).await;
+        let mut live = Vec::new();
+        for (index, _) in ready.into_iter().enumerate().filter(|(_, ready)| *ready) {
+            let client = clients.entry(index).or_insert_with(|| {
+                Client::new(site.daemons[index].callers, CALL_TIMEOUT).with_token(token)
+            });
+            live.push(client.clone());
+        }
+        *self.ready.lock().unwrap_or_else(PoisonError::into_inner) = live;
+    }
+}
+
+pub(crate) fn start(site: &Shared, resources: &[Declared]) -> Traffic {
+    let (stop, notes) = (Arc::new(AtomicBool::new(false)), Arc::<Mutex<Notes>>::default());
+    let balancer = Arc::<Balancer>::default();
+    let token = token(resources);
+    let mut tasks = vec![tokio::spawn(balance(
+        Arc::clone(site),
+        Arc::clone(&balancer),
+        Arc::clone(&stop),
+        token,
+    ))];
+    let services = services(resources);
+    for sender in 0..SENDERS {
+        let service = services[sender % services.len()].clone();
+        let sender = Sender {
+            service,
+            keyed: sender % 2 == 0,
+            balancer: Arc::clone(&balancer),
+            notes: Arc::clone(&notes),
+        };
+        tasks.push(tokio::spawn(sender.run(Arc::clone(&stop))));
+    }
+    Traffic { stop, notes, tasks }
+}
+
+/// The token of the first caller; the examples' tokens follow from the names.
+fn token(resources: &[Declared]) -> String {
+    let caller = resources.iter().find(|resource| resource.kind == Kind::Caller);
+    format!("{}-demo-token", caller.map(|caller| caller.name.as_str()).unwrap_or_default())
+}
+
+fn services(resources: &[Declared]) -> Vec<Service> {
+    let text = |spec: &Value, field: &str| spec[field].as_str().unwrap_or_default().to_owned();
+    let services = resources.iter().filter(|resource| resource.kind == Kind::Service);
+    let services = services.map(|resource| Service {
+        name: resource.name.clone(),
+        class: text(&resource.spec, "class"),
+        repeatable: resource.spec["repeatable"] == true,
+    });
+    services.collect()
+}
+
+async fn balance(site: Shared, balancer: Arc<Balancer>, stop: Arc<AtomicBool>, token: String) {
+    let mut clients = BTreeMap::new();
+    while !stop.load(Ordering::Relaxed) {
+        balancer.look(&site, &mut clients, &token).await;
+        tokio::time::sleep(BALANCER_LOOK).await;
+    }
+}
+
+struct Sender {
+    service: Service,
+    keyed: bool,
+    balancer: Arc<Balancer>,
+    notes: Arc<Mutex<Notes>>,
+}
+
+impl Sender {
+    async fn run(self, stop: Arc<AtomicBool>) {
+        while !stop.load(Ordering::Relaxed) {
+            tokio::time::sleep(PAUSE).await;
+            let payment = Uuid::now_v7().to_string();
+            let started = Instant::now();
+            let told = self.pay(&payment).await;
+            self.note(payment, told, started.elapsed());
+        }
+    }
+
+    /// Sends a payment; one with a key is sent again, through any daemon, until its end is known.
+    async fn pay(&self, payment: &str) -> Told {
+        let mut told = Told::Nothing;
+        for _ in 0..RESENDS {
+            let Some(client) = self.balancer.next() else {
+                tokio::time::sleep(RESEND_AFTER).await;
+                continue;
+            };
+            let request = Request::post(format!("/{}/payments", self.service.name));
+            let request = request.header(PAYMENT_ID, payment);
+            let request = if self.keyed { request.header("payment-key", payment) } else { request };
+            let answer = client.send(request, Bytes::from_static(b"{\"amount\":125}")).await;
+            told = match answer {
+                Ok(answer) => self.read(payment, &answer),
+                // Without a key, a request that broke off may have been run: no second try.
+                Err(_) => Told::Nothing,
+            };
+            let ends = matches!(told, Told::Answered | Told::NotRun) || !self.keyed;
+            if ends {
+                return told;
+            }
+            tokio::time::sleep(RESEND_AFTER).await;
+        }
+        told
+    }
+
+    fn read(&self, payment: &str, answer: &Answer) -> Told {
+        let outcome = answer.head.headers.get("crosspath-outcome");
+        match outcome.and_then(|outcome| outcome.to_str().ok()) {
+            Some("upstream" | "recorded") => {
+                let receipt = serde_json::from_slice::<Receipt>(&answer.body);
+                let own = receipt.is_ok_and(|receipt| receipt.payment == payment);
+                let mut notes = self.notes.lock().unwrap_or_else(PoisonError::into_inner);
+                notes.crossed += u64::from(!own);
+                Told::Answered
+            }
+            Some("not_run") => Told::NotRun,
+            _ => Told::Unknown,
+        }
+    }
+
+    fn note(&self, payment: String, told: Told, latency: Duration) {
+        let mut notes = self.notes.lock().unwrap_or_else(PoisonError::into_inner);
+        notes.repeatable.insert(payment.clone(), self.service.repeatable);
+        notes.told.insert(payment, told);
+        let histogram = notes.latency_us.entry(self.service.class.clone()).or_default();
+        let histogram = histogram.get_or_insert_with(|| {
+            Histogram::new(3).expect("three significant figures are allowed")
+        });
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        let _ = histogram.record(micros);
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/boot.rs
@@ -0,0 +1,90 @@
+//! Where a daemon gets its state when it cannot fold the log from its start.
+
+use std::sync::Arc;
+
+use crosspath_log::{Page, Record};
+use crosspath_state::State;
+use crosspath_state::record::{Entry, Revision};
+use crosspath_state::snapshot::Assembly;
+
+use crate::core::Core;
+use crate::follower;
+
+/// Starts from the newest whole snapshot that the log still holds.
+pub(crate) async fn from_snapshot(core: &Core, first: Revision) {
+    let mut records = Vec::new();
+    let mut assembly = Assembly::default();
+    let mut newest: Option<State> = None;
+    let mut after = Revision(first.0.saturating_sub(1));
+    loop {
+        let read = core.log.read(after, std::time::Duration::ZERO).await;
+        let Ok(page) = read else { return };
+        let Some(last) = page.records.last() else {
+            break;
+        };
+        after = last.offset;
+        for record in &page.records {
+            newest = snapshot(&mut assembly, record).or(newest);
+        }
+        let Page { records: more, last, .. } = page;
+        records.extend(more);
+        if after >= last {
+            break;
+        }
+    }
+    let Some(mut state) = newest.filter(|state| state.applied.next() >= first) else {
+        log::warn!("event=no_snapshot first={first}");
+        tokio::time::sleep(core.settings.timing.log_wait).await;
+        return;
+    };
+    core.outcomes().skipped();
+    log::info!("event=started_from_snapshot revision={}", state.applied);
+    for record in records.iter().filter(|record| record.offset > Revision::default()) {
+        if record.offset > state.applied && !follower::fold(core, &mut state, record) {
+            return;
+        }
+    }
+    publish_later(core, state);
+}
+
+fn snapshot(assembly: &mut Assembly, record: &Record) -> Option<State> {
+    let Ok(Entry::Snapshot(chunk)) = Entry::decode(&record.data) else {
+        return None;
+    };
+    match assembly.add(chunk) {
+        Ok(state) => state,
+        Err(error) => {
+            log::warn!("event=snapshot_unusable error=\"{error}\"");
+            None
+        }
+    }
+}
+
+/// With the log down, takes the latest state that a peer has, if it is later than the own one.
+pub(crate) async fn from_peers(core: &Core) {
+    if core.is_caught_up() {
+        return;
+    }
+    for (name, link) in &core.links {
+        let Ok(copy) = link.state().await else {
+            continue;
+        };
+        if copy.state.digest() != copy.digest {
+            log::warn!("event=peer_state_unusable peer={name}");
+            continue;
+        }
+        log::info!("event=started_from_peer peer={name} revision={}", copy.state.applied);
+        core.outcomes().skipped();
+        publish_later(core, copy.state);
+    }
+    if core.state().applied > Revision::default() {
+        core.set_caught_up();
+    }
+}
+
+/// A daemon never goes back to a lower revision.
+fn publish_later(core: &Core, state: State) {
+    if state.applied > core.state().applied {
+        core.publish(Arc::new(state));
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/core.rs
@@ -0,0 +1,259 @@
+//! The tables that the daemon's tasks share.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use crosspath_http::server::Stage;
+use crosspath_log::Log;
+use crosspath_metrics::Metrics;
+use crosspath_peer::Link;
+use crosspath_route::claim::{Bounds, Table};
+use crosspath_settings::Settings;
+use crosspath_state::State;
+use crosspath_state::lease::{Guardian, Holder, Terms};
+use crosspath_state::name::{DaemonName, VmName};
+use crosspath_state::record::{Incarnation, Revision, Writer};
+use crosspath_state::vm;
+use crosspath_upstream::Upstreams;
+use crosspath_vm_list::VmList;
+use crosspath_worker::Worker;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::committer::Committer;
+use crate::outcomes::Outcomes;
+use crate::peers::Seen;
+use crate::pools::Pools;
+
+const HISTORY: usize = 256;
+
+/// Promises given and got.
+#[derive(Debug, Default)]
+pub(crate) struct Leases {
+    pub(crate) holder: Holder,
+    pub(crate) guardian: Guardian,
+}
+
+/// Everything that the tasks share; see the crate for the order of the locks.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) log: Arc<dyn Log>,
+    pub(crate) worker: Arc<dyn Worker>,
+    pub(crate) vm_list: Arc<dyn VmList>,
+    pub(crate) links: BTreeMap<DaemonName, Arc<dyn Link>>,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) metrics: Metrics,
+    pub(crate) committer: Committer,
+    pub(crate) state: watch::Sender<Arc<State>>,
+    pub(crate) stage: watch::Sender<Stage>,
+    pub(crate) pools: Pools,
+    leases: Mutex<Leases>,
+    claims: Mutex<Table>,
+    seen: Mutex<BTreeMap<DaemonName, Seen>>,
+    outcomes: Mutex<Outcomes>,
+    history: Mutex<VecDeque<Arc<State>>>,
+    frozen: RwLock<BTreeSet<u16>>,
+    halted: RwLock<Option<String>>,
+    own: RwLock<Writer>,
+    caught_up: AtomicBool,
+    log_up: AtomicBool,
+    stopping: AtomicBool,
+}
+
+/// What [`Core::new`] is given.
+#[derive(Debug)]
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) log: Arc<dyn Log>,
+    pub(crate) worker: Arc<dyn Worker>,
+    pub(crate) vm_list: Arc<dyn VmList>,
+    pub(crate) links: BTreeMap<DaemonName, Arc<dyn Link>>,
+    pub(crate) committer: Committer,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Core {
+    pub(crate) fn new(parts: Parts) -> Self {
+        let settings = parts.settings;
+        let bounds = Bounds {
+            keys: settings.limits.keys as usize,
+            retention: settings.limits.key_retention,
+            skew: settings.timing.skew,
+        };
+        let own =
+            Writer { daemon: settings.name.clone(), incarnation: Incarnation(clock::wall().0) };
+        Self {
+            pools: Pools::new(&settings),
+            log: parts.log,
+            worker: parts.worker,
+            vm_list: parts.vm_list,
+            links: parts.links,
+            committer: parts.committer,
+            upstreams: Upstreams::default(),
+            metrics: Metrics::default(),
+            state: watch::Sender::default(),
+            stage: watch::Sender::default(),
+            leases: Mutex::default(),
+            claims: Mutex::new(Table::new(bounds)),
+            seen: Mutex::default(),
+            outcomes: Mutex::default(),
+            history: Mutex::default(),
+            frozen: RwLock::default(),
+            halted: RwLock::default(),
+            own: RwLock::new(own),
+            caught_up: AtomicBool::new(false),
+            log_up: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    pub(crate) fn leases(&self) -> MutexGuard<'_, Leases> {
+        lock(&self.leases)
+    }
+
+    pub(crate) fn claims(&self) -> MutexGuard<'_, Table> {
+        lock(&self.claims)
+    }
+
+    pub(crate) fn seen(&self) -> MutexGuard<'_, BTreeMap<DaemonName, Seen>> {
+        lock(&self.seen)
+    }
+
+    pub(crate) fn outcomes(&self) -> MutexGuard<'_, Outcomes> {
+        lock(&self.outcomes)
+    }
+
+    /// The state now.
+    pub(crate) fn state(&self) -> Arc<State> {
+        self.state.borrow().clone()
+    }
+
+    /// Replaces the state by a later one.
+    pub(crate) fn publish(&self, state: Arc<State>) {
+        self.metrics.applied(state.applied.0);
+        let mut history = lock(&self.history);
+        history.push_back(Arc::clone(&state));
+        if history.len() > HISTORY {
+            history.pop_front();
+        }
+        drop(history);
+        self.state.send_replace(state);
+    }
+
+    /// The newest kept state that is not after `revision`; none when that is too old.
+    pub(crate) fn state_at(&self, revision: Revision) -> Option<Arc<State>> {
+        let history = lock(&self.history);
+        history.iter().rev().find(|state| state.applied <= revision).cloned()
+    }
+
+    /// This daemon in its present life.
+    pub(crate) fn own(&self) -> Writer {
+        self.own.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Starts a new life, after `last` at the earliest: what the old one knew no longer counts.
+    pub(crate) fn begin_life(&self, last: Incarnation) {
+        let mut own = self.own.write().unwrap_or_else(PoisonError::into_inner);
+        let next = clock::wall().0.max(last.0 + 1).max(own.incarnation.0 + 1);
+        own.incarnation = Incarnation(next);
+    }
+
+    pub(crate) fn terms(&self) -> Terms {
+        let timing = &self.settings.timing;
+        Terms { lease: timing.lease, drift_ppm: timing.drift_ppm }
+    }
+
+    /// Whether this daemon may act as a member now.
+    pub(crate) fn lease_is_valid(&self) -> bool {
+        let (state, own) = (self.state(), self.own());
+        self.halted().is_none() && self.leases().holder.is_valid(&state, &own, clock::monotonic())
+    }
+
+    /// Stops deciding on partitions that are being handed over.
+    pub(crate) fn freeze(&self, partitions: &BTreeSet<u16>) {
+        let mut frozen = self.frozen.write().unwrap_or_else(PoisonError::into_inner);
+        frozen.extend(partitions);
+    }
+
+    /// Decides again on partitions, if this daemon still owns them.
+    pub(crate) fn thaw(&self, partitions: &BTreeSet<u16>) {
+        let mut frozen = self.frozen.write().unwrap_or_else(PoisonError::into_inner);
+        frozen.retain(|partition| !partitions.contains(partition));
+    }
+
+    /// Whether this daemon decides on keys of a partition that it owns.
+    pub(crate) fn may_decide(&self, partition: u16) -> bool {
+        let frozen = self.frozen.read().unwrap_or_else(PoisonError::into_inner);
+        !frozen.contains(&partition) && self.lease_is_valid()
+    }
+
+    /// The member that plans: the first by name. An optimisation; the fold checks every plan.
+    pub(crate) fn planner(state: &State) -> Option<&DaemonName> {
+        state.members.keys().next()
+    }
+
+    pub(crate) fn is_planner(&self) -> bool {
+        Self::planner(&self.state()) == Some(&self.settings.name) && self.lease_is_valid()
+    }
+
+    /// Requests in flight here on VMs that take no new work.
+    pub(crate) fn draining_in_flight(&self) -> Vec<(VmName, u32)> {
+        let state = self.state();
+        let draining = state.vms.iter();
+        let draining = draining.filter(|(_, vm)| matches!(vm.status, vm::Phase::Draining { .. }));
+        let counts = draining.map(|(name, _)| (name.clone(), self.pools.in_flight(name)));
+        counts.filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Stops deciding for good, and says why.
+    pub(crate) fn halt(&self, cause: String) {
+        let mut halted = self.halted.write().unwrap_or_else(PoisonError::into_inner);
+        if halted.is_none() {
+            log::error!("event=halted cause=\"{cause}\"");
+            *halted = Some(cause);
+        }
+    }
+
+    pub(crate) fn halted(&self) -> Option<String> {
+        self.halted.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_caught_up(&self) {
+        if !self.caught_up.swap(true, Ordering::Relaxed) {
+            log::info!("event=caught_up revision={}", self.state().applied);
+        }
+    }
+
+    pub(crate) fn is_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_log_up(&self, up: bool) {
+        if self.log_up.swap(up, Ordering::Relaxed) != up {
+            log::warn!("event=log_changed up={up}");
+        }
+    }
+
+    pub(crate) fn is_log_up(&self) -> bool {
+        self.log_up.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_caught_up() && !self.is_stopping() && self.halted().is_none()
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/daemon.rs
@@ -0,0 +1,165 @@
+//! Starts the daemon's listeners and tasks, and waits for the end.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_http::server::{Limits, Stage};
+use crosspath_log::HttpLog;
+use crosspath_operator as operator;
+use crosspath_peer::{Access, Link, RpcLink};
+use crosspath_settings::Settings;
+use crosspath_settings::token::Hash;
+use crosspath_vm_list::HttpVmList;
+use crosspath_worker::HttpWorker;
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::TcpListener;
+
+use crate::api::Api;
+use crate::committer::{self, Committer};
+use crate::core::{Core, Parts};
+use crate::gateway::{Callers, Gateway};
+use crate::peers::Peers;
+use crate::stop::{self, Signals};
+use crate::{driver, follower, membership, snapshotter, watcher};
+
+const OPERATOR_BODY: u64 = 1024 * 1024;
+
+/// The daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}; is another process there?"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A peer cannot be reached with these settings.
+    #[snafu(display("peer {address}: {source}"))]
+    Peer {
+        /// Its address.
+        address: SocketAddr,
+        /// What is wrong.
+        #[snafu(source(from(crosspath_peer::BuildError, Box::new)))]
+        source: Box<crosspath_peer::BuildError>,
+    },
+    /// Signals cannot be listened for.
+    #[snafu(display("cannot listen for signals: {source}"))]
+    Signals {
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+fn links(
+    settings: &Settings,
+) -> Result<BTreeMap<crosspath_state::name::DaemonName, Arc<dyn Link>>, RunError> {
+    let timeout = call_timeout(settings);
+    let mut links: BTreeMap<_, Arc<dyn Link>> = BTreeMap::new();
+    for peer in &settings.peers {
+        let address = peer.address;
+        let link = RpcLink::new(address, &settings.peer_token, timeout);
+        links.insert(peer.name.clone(), Arc::new(link.context(PeerSnafu { address })?));
+    }
+    Ok(links)
+}
+
+/// A call to a peer must fail well before the lease that it renews.
+fn call_timeout(settings: &Settings) -> Duration {
+    (settings.timing.lease / 3).max(Duration::from_millis(100))
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// [`RunError`] when it cannot start.
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let mut signals = Signals::new().context(SignalsSnafu)?;
+    let callers = bind(settings.callers).await?;
+    let operators = bind(settings.operators).await?;
+    let peers = bind(settings.peers_listen).await?;
+    let timeout = settings.timing.platform_timeout;
+    let (committer, work) = Committer::new();
+    let core = Arc::new(Core::new(Parts {
+        log: Arc::new(HttpLog::new(settings.platform, timeout)),
+        worker: Arc::new(HttpWorker::new(settings.platform, timeout)),
+        vm_list: Arc::new(HttpVmList::new(settings.platform, timeout)),
+        links: links(&settings)?,
+        committer,
+        settings,
+    }));
+    log::info!("event=started daemon={}", core.own());
+    let callers = serve(&core, callers, operators, peers);
+    let tasks = [
+        tokio::spawn(follower::run(Arc::clone(&core))),
+        tokio::spawn(committer::run(Arc::clone(&core), work)),
+        tokio::spawn(membership::beat(Arc::clone(&core))),
+        tokio::spawn(membership::run(Arc::clone(&core))),
+        tokio::spawn(membership::tell_planner(Arc::clone(&core))),
+        tokio::spawn(watcher::run(Arc::clone(&core))),
+        tokio::spawn(driver::run(Arc::clone(&core))),
+        tokio::spawn(snapshotter::run(Arc::clone(&core))),
+    ];
+    signals.next().await;
+    tokio::select! {
+        () = stop::planned(&core, callers) => {}
+        () = signals.next() => log::warn!("event=stopped_at_once"),
+    }
+    for task in tasks {
+        task.abort();
+    }
+    Ok(())
+}
+
+/// Starts the listeners; gives the task of the callers' one.
+fn serve(
+    core: &Arc<Core>,
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+) -> tokio::task::JoinHandle<()> {
+    let settings = &core.settings;
+    let limits = Limits {
+        connections: settings.limits.connections as usize,
+        header_bytes: settings.limits.header_bytes as usize,
+        header_timeout: settings.limits.header_timeout,
+    };
+    let body_timeout = settings.limits.body_timeout;
+    let addresses: BTreeSet<_> = settings.peers.iter().map(|peer| peer.address.ip()).collect();
+    let access = Access { token: Hash::of(&settings.peer_token), addresses };
+    let handler = Arc::new(Peers(Arc::clone(core)));
+    let ended = EndedOnly::of(&core.stage);
+    drop(tokio::spawn(crosspath_peer::serve(peers, limits.clone(), ended, access, handler)));
+    let access = operator::Access::new(settings.operator_rights.clone());
+    let bounds = operator::Bounds { body_bytes: OPERATOR_BODY, body_timeout };
+    let (stop, handler) = (core.stage.subscribe(), Arc::new(Api(Arc::clone(core))));
+    let serving = operator::serve(operators, limits.clone(), bounds, stop, access, handler);
+    drop(tokio::spawn(serving));
+    let bounds = crosspath_caller::Bounds { body_bytes: settings.limits.body_bytes, body_timeout };
+    let handler = Arc::new(Callers(Arc::new(Gateway::new(Arc::clone(core)))));
+    let stop = core.stage.subscribe();
+    tokio::spawn(crosspath_caller::serve(callers, limits, bounds, stop, handler))
+}
+
+/// Peers are answered to the very end: others may still settle claims here.
+struct EndedOnly;
+
+impl EndedOnly {
+    fn of(stage: &tokio::sync::watch::Sender<Stage>) -> tokio::sync::watch::Receiver<Stage> {
+        let (sender, receiver) = tokio::sync::watch::channel(Stage::Serving);
+        let mut stage = stage.subscribe();
+        drop(tokio::spawn(async move {
+            let _ = stage.wait_for(|stage| *stage == Stage::Ended).await;
+            sender.send_replace(Stage::Ended);
+        }));
+        receiver
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/follower.rs
@@ -0,0 +1,95 @@
+//! Reads the log and folds it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_log::{Page, ReadError, Record};
+use crosspath_state::record::Entry;
+use crosspath_state::snapshot::Chunk;
+use crosspath_state::{Applied, State};
+
+use crate::boot;
+use crate::core::Core;
+
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the log until the daemon ends, or until it meets a record that it must not fold past.
+pub(crate) async fn run(core: Arc<Core>) {
+    while core.halted().is_none() {
+        let after = core.state().applied;
+        match core.log.read(after, core.settings.timing.log_wait).await {
+            Ok(page) => {
+                core.set_log_up(true);
+                fold_page(&core, &page);
+            }
+            Err(ReadError::Expired { first }) => {
+                core.set_log_up(true);
+                boot::from_snapshot(&core, first).await;
+            }
+            Err(ReadError::Unavailable) => {
+                core.set_log_up(false);
+                boot::from_peers(&core).await;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn fold_page(core: &Core, page: &Page) {
+    let mut state = core.state();
+    for record in &page.records {
+        if record.offset <= state.applied {
+            continue;
+        }
+        if !fold(core, Arc::make_mut(&mut state), record) {
+            break;
+        }
+    }
+    let applied = state.applied;
+    if applied > core.state().applied {
+        core.publish(state);
+    }
+    if applied >= page.last {
+        core.set_caught_up();
+    }
+}
+
+/// Folds one record; whether the daemon may go on.
+pub(crate) fn fold(core: &Core, state: &mut State, record: &Record) -> bool {
+    let entry = match Entry::decode(&record.data) {
+        Ok(entry) => entry,
+        Err(error) => {
+            core.halt(format!("record {}: {error}", record.offset));
+            return false;
+        }
+    };
+    match state.apply(record.offset, &entry) {
+        Ok(Applied::Batch(verdicts)) => {
+            if let Entry::Batch(batch) = entry {
+                core.outcomes().insert(batch.id, verdicts);
+            }
+            true
+        }
+        Ok(Applied::Dropped) => true,
+        Ok(Applied::Snapshot) => {
+            let Entry::Snapshot(chunk) = entry else {
+                return true;
+            };
+            compare(core, &chunk)
+        }
+        Err(gap) => {
+            core.halt(gap.to_string());
+            false
+        }
+    }
+}
+
+/// Compares another daemon's digest with that of the own state at the same revision.
+fn compare(core: &Core, chunk: &Chunk) -> bool {
+    let own = core.state_at(chunk.at).filter(|state| state.applied == chunk.at);
+    let differs = chunk.index == 0 && own.is_some_and(|own| own.digest() != chunk.digest);
+    if differs {
+        core.halt(format!("own state at revision {} differs from {}'s", chunk.at, chunk.writer));
+    }
+    !differs
+}
--- /dev/null
+++ b/crates/crosspathd/src/gateway.rs
@@ -0,0 +1,188 @@
+//! A caller's request, from its arrival to its final answer.
+
+mod attempt;
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use crosspath_caller::{Handler, Payment, Rejection, Reply};
+use crosspath_route::answer::{Answer, Final, NotRun, Unknown};
+use crosspath_route::claim::{Outcome, Request};
+use crosspath_route::key::Key;
+use crosspath_route::quota::Quota;
+use crosspath_route::verdict::Budget;
+use crosspath_settings::token::Hash;
+use crosspath_state::job::Class;
+use crosspath_state::name::{CallerName, ServiceName};
+use crosspath_state::resource::Service;
+use sha2::{Digest as _, Sha256};
+
+use crate::claims::{self, Claimed};
+use crate::clock;
+use crate::core::Core;
+use attempt::Attempts;
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    core: Arc<Core>,
+    quota: Mutex<Quota>,
+    budget: Mutex<Budget>,
+}
+
+/// Counts a request from its arrival to its final answer, however it ends.
+struct Counted {
+    gateway: Arc<Gateway>,
+    caller: CallerName,
+    class: Class,
+    started: crosspath_state::time::Monotonic,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.gateway.quota.lock().unwrap_or_else(PoisonError::into_inner).leave(&self.caller);
+        let latency = clock::monotonic().since(self.started);
+        self.gateway.core.metrics.left(self.class, &self.caller, latency);
+    }
+}
+
+impl Gateway {
+    pub(crate) fn new(core: Arc<Core>) -> Self {
+        Self { core, quota: Mutex::default(), budget: Mutex::default() }
+    }
+
+    fn enter(self: &Arc<Self>, caller: &CallerName, class: Class) -> Option<Counted> {
+        let max = self.core.state().callers.get(caller).map_or(0, |c| c.spec.max_in_flight);
+        let entered = self.quota.lock().unwrap_or_else(PoisonError::into_inner).enter(caller, max);
+        if !entered {
+            return None;
+        }
+        self.core.metrics.entered(class, caller);
+        let (gateway, caller) = (Arc::clone(self), caller.clone());
+        Some(Counted { gateway, caller, class, started: clock::monotonic() })
+    }
+
+    async fn run_counted(self: Arc<Self>, payment: Payment, service: Service) -> Reply {
+        let class = service.class;
+        let Some(counted) = self.enter(&payment.caller, class) else {
+            return Reply::Final(unasked(&payment, NotRun::CallerQuota));
+        };
+        let most = Duration::from_millis(service.timeout_ms);
+        let timeout = payment.timeout.map_or(most, |timeout| timeout.min(most));
+        let deadline = counted.started.after(timeout);
+        let attempts = Attempts { gateway: &self, payment: &payment, service: &service, deadline };
+        match payment.key {
+            None => attempts.run().await,
+            Some(key) => self.run_keyed(attempts, key).await,
+        }
+    }
+
+    /// Claims the key, runs the request, and records how it ended.
+    async fn run_keyed(&self, attempts: Attempts<'_>, key: Key) -> Reply {
+        let payment = attempts.payment;
+        let request = Request { key, caller: payment.caller.clone(), digest: digest(payment) };
+        let left = attempts.deadline.since(clock::monotonic());
+        match claims::claim(&self.core, &request, left).await {
+            Claimed::Granted => {}
+            Claimed::Recorded(verdict) => return Reply::Recorded(verdict),
+            Claimed::Final(answer) => return Reply::Final(answer),
+        }
+        let (reply, outcome) = attempts.run_whole(self.core.settings.limits.answer_bytes).await;
+        claims::settle(&self.core, &request, outcome).await;
+        reply
+    }
+
+    fn count(&self, class: Class, reply: &Reply) {
+        let (outcome, reason) = match reply {
+            Reply::Upstream(_) => ("upstream", "answered"),
+            Reply::Recorded(_) => ("recorded", "answered"),
+            Reply::Final(answer) => (answer.answer.outcome(), answer.answer.reason()),
+        };
+        self.core.metrics.answered(class, outcome, reason);
+    }
+}
+
+/// Digest of what must be the same when a key is sent again.
+fn digest(payment: &Payment) -> String {
+    let mut hasher = Sha256::new();
+    for part in [payment.method.as_str(), &payment.path] {
+        hasher.update(part.as_bytes());
+        hasher.update([0]);
+    }
+    hasher.update(&payment.body);
+    hex::encode(hasher.finalize())
+}
+
+/// The handler's own type, so that requests can outlive their connection.
+#[derive(Debug)]
+pub(crate) struct Callers(pub(crate) Arc<Gateway>);
+
+#[async_trait]
+impl Handler for Callers {
+    fn caller(&self, token: &str) -> Option<CallerName> {
+        let hash = Hash::of(token).to_hex();
+        let state = self.0.core.state();
+        let mut callers = state.callers.iter();
+        callers.find(|(_, c)| c.spec.token_sha256 == hash).map(|(name, _)| name.clone())
+    }
+
+    fn has_service(&self, service: &str) -> bool {
+        let name = ServiceName::new(service).ok();
+        name.is_some_and(|name| self.0.core.state().services.contains_key(&name))
+    }
+
+    async fn run(&self, payment: Payment) -> Reply {
+        let gateway = Arc::clone(&self.0);
+        let service = gateway.core.state().services.get(&payment.service).cloned();
+        let Some(service) = service.map(|service| service.spec) else {
+            return Reply::Final(unasked(&payment, NotRun::NoUpstream));
+        };
+        let class = service.class;
+        let keyed = payment.key.is_some();
+        let running = Arc::clone(&gateway).run_counted(payment, service);
+        let reply = if keyed {
+            // Goes on when the caller is gone, so that a re-send finds the outcome.
+            let ended = tokio::spawn(running).await;
+            ended.unwrap_or_else(|_| Reply::Final(Final::unknown(Unknown::OutcomeLost)))
+        } else {
+            running.await
+        };
+        gateway.count(class, &reply);
+        reply
+    }
+
+    async fn outcome(&self, key: Key, caller: &CallerName) -> Reply {
+        match claims::look_up(&self.0.core, key, caller).await {
+            Some(verdict) => Reply::Recorded(verdict),
+            None => Reply::Final(Final {
+                answer: Answer::Unknown(Unknown::KeyUnheard),
+                retry_after: None,
+            }),
+        }
+    }
+
+    fn rejected(&self, rejection: &Rejection) {
+        self.0.core.metrics.rejected(rejection.reason());
+    }
+}
+
+/// The answer to a request that was refused before its key was asked for: an earlier request with
+/// the key may have been run.
+fn unasked(payment: &Payment, reason: NotRun) -> Final {
+    match payment.key {
+        None => Final::not_run(reason, RETRY_AFTER),
+        Some(_) => Final::unknown(Unknown::KeyNotAsked),
+    }
+}
+
+/// How a request that ended with `answer` is recorded under its key.
+fn outcome_of(answer: Answer) -> Outcome {
+    match answer {
+        Answer::NotRun(_) => Outcome::NotRun,
+        Answer::Unknown(reason) => Outcome::Unknown(reason),
+        Answer::KeyMismatch => Outcome::Unknown(Unknown::OutcomeLost),
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/handover.rs
@@ -0,0 +1,82 @@
+//! Handing partitions of payment keys over, with their claims.
+//!
+//! The owner stops deciding on the partitions, sends their claims, and only then records the new
+//! owner. If the peer did not take the claims, or the record was certainly not appended, it goes on
+//! deciding.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crosspath_operator::CommitError;
+use crosspath_peer::Transfer;
+use crosspath_state::State;
+use crosspath_state::name::DaemonName;
+use crosspath_state::record::{Change, Membership, Writer};
+
+use crate::core::Core;
+
+/// Hands partitions to a member; whether it has them now.
+pub(crate) async fn hand_over(core: &Core, partitions: Vec<u16>, to: Writer) -> bool {
+    let Some(link) = core.links.get(&to.daemon) else {
+        return false;
+    };
+    let moving: BTreeSet<u16> = partitions.iter().copied().collect();
+    core.freeze(&moving);
+    let claims = core.claims().select(|key| moving.contains(&key.partition()));
+    let count = claims.len();
+    let taken = link.take_over(Transfer { to: to.clone(), claims }).await;
+    if taken != Ok(true) {
+        core.thaw(&moving);
+        return false;
+    }
+    let daemon = to.daemon.clone();
+    let change = Change::Member(Membership::Handover { partitions, to });
+    let result = core.committer.commit_surely(vec![change]).await;
+    // From here on the state says who owns them.
+    core.thaw(&moving);
+    log::info!(
+        "event=handed_over to={daemon} partitions={} claims={count} done={}",
+        moving.len(),
+        result.is_ok()
+    );
+    result.is_ok()
+}
+
+/// Hands everything to the guard, as before a planned stop.
+pub(crate) async fn hand_over_all(core: &Core) -> Result<(), CommitError> {
+    let state = core.state();
+    let own = &core.settings.name;
+    let partitions: Vec<u16> = state.partitions_of(own).collect();
+    let guard = state.members.get(own).and_then(|member| member.guard.clone());
+    let Some(to) = guard.and_then(|guard| writer(&state, &guard)) else {
+        return Ok(());
+    };
+    if !partitions.is_empty() {
+        hand_over(core, partitions, to).await;
+    }
+    Ok(())
+}
+
+fn writer(state: &State, daemon: &DaemonName) -> Option<Writer> {
+    let member = state.members.get(daemon)?;
+    Some(Writer { daemon: daemon.clone(), incarnation: member.incarnation })
+}
+
+/// Gives the member with the fewest partitions what this one has beyond its fair part.
+pub(crate) async fn balance(core: Arc<Core>) {
+    let state = core.state();
+    let own = core.settings.name.clone();
+    let mine: Vec<u16> = state.partitions_of(&own).collect();
+    let fair = state.partitions.len().div_ceil(state.members.len().max(1));
+    let counts = state.members.keys().map(|name| (state.partitions_of(name).count(), name));
+    let Some((fewest, poorest)) = counts.min() else {
+        return;
+    };
+    let surplus = mine.len().saturating_sub(fair).min(fair.saturating_sub(fewest));
+    if surplus == 0 || *poorest == own || !core.lease_is_valid() {
+        return;
+    }
+    if let Some(to) = writer(&state, poorest) {
+        hand_over(&core, mine.into_iter().take(surplus).collect(), to).await;
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/main.rs
@@ -0,0 +1,42 @@
+//! `crosspathd`: the daemon of an entry VM.
+
+mod commands;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser as _, construct, long};
+
+#[derive(Debug, Clone)]
+enum Command {
+    Run { settings: PathBuf },
+    Check { check_settings: PathBuf },
+    Schema,
+}
+
+fn parser() -> OptionParser<Command> {
+    let settings = long("settings")
+        .short('s')
+        .help("Run with the settings in this JSON file")
+        .argument::<PathBuf>("FILE");
+    let run = construct!(Command::Run { settings });
+    let check_settings = long("check-settings")
+        .help("Check the settings in this JSON file and end")
+        .argument::<PathBuf>("FILE");
+    let check = construct!(Command::Check { check_settings });
+    let schema = long("settings-schema")
+        .help("Print the JSON schema of the settings and end")
+        .req_flag(Command::Schema);
+    construct!([run, check, schema]).to_options().descr("The daemon of an entry VM")
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let status = match parser().run() {
+        Command::Run { settings } => commands::run::run(&settings).await,
+        Command::Check { check_settings } => commands::check_settings::run(&check_settings),
+        Command::Schema => commands::schema::run(),
+    };
+    status.into()
+}
--- /dev/null
+++ b/crates/crosspathd/src/membership.rs
@@ -0,0 +1,166 @@
+//! Joining, naming a guard, evicting, and heartbeats.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_operator::CommitError;
+use crosspath_state::State;
+use crosspath_state::name::DaemonName;
+use crosspath_state::record::{Change, Membership, Writer};
+use crosspath_state::{member, vm};
+use futures::future::join_all;
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock;
+use crate::core::Core;
+use crate::handover;
+use crate::peers;
+
+/// Peers that get a heartbeat in one round; the others take turns.
+const FAN_OUT: usize = 6;
+
+/// Time between two looks at what is in flight on VMs that drain.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Sends heartbeats until the daemon ends.
+pub(crate) async fn beat(core: Arc<Core>) {
+    let interval = core.settings.timing.heartbeat;
+    let mut next = Instant::now();
+    for round in 0.. {
+        let peers = peers_of_round(&core, round);
+        let beats = peers.into_iter().map(|peer| beat_one(Arc::clone(&core), peer));
+        // One slow peer holds up no beat to the others.
+        drop(tokio::spawn(join_all(beats)));
+        next = (next + interval).max(Instant::now());
+        sleep_until(next).await;
+    }
+}
+
+/// The guard and those guarded in every round, the planner too, and the others in turn.
+fn peers_of_round(core: &Core, round: usize) -> Vec<DaemonName> {
+    let names: Vec<_> = core.links.keys().cloned().collect();
+    if names.len() <= FAN_OUT {
+        return names;
+    }
+    let state = core.state();
+    let own = &core.settings.name;
+    let guard = state.members.get(own).and_then(|member| member.guard.as_ref());
+    let is_due = |name: &DaemonName| {
+        let guarded = state.members.get(name).is_some_and(|m| m.guard.as_ref() == Some(own));
+        guarded || Some(name) == guard || Some(name) == Core::planner(&state)
+    };
+    let (mut due, others): (Vec<_>, Vec<_>) = names.into_iter().partition(is_due);
+    let turn = others.len().max(1);
+    let spare = FAN_OUT.saturating_sub(due.len()).min(others.len());
+    due.extend((0..spare).map(|i| others[(round * spare + i) % turn].clone()));
+    due
+}
+
+async fn beat_one(core: Arc<Core>, peer: DaemonName) {
+    let Some(link) = core.links.get(&peer) else {
+        return;
+    };
+    let asked_at = clock::monotonic();
+    let answer = link.beat(peers::own_beat(&core)).await;
+    core.metrics.beat(if answer.is_ok() { "answered" } else { "unanswered" });
+    let Ok(answer) = answer else { return };
+    if let Some(promise) = answer.promise() {
+        core.leases().holder.promised(core.terms(), &peer, asked_at, promise);
+    }
+    peers::note(&core, answer.beat);
+}
+
+/// While VMs drain, tells the planner at once what changes in flight here on them.
+pub(crate) async fn tell_planner(core: Arc<Core>) {
+    let mut states = core.state.subscribe();
+    let mut told = None;
+    loop {
+        let state = states.borrow_and_update().clone();
+        let draining = state.vms.values().any(|vm| matches!(vm.status, vm::Phase::Draining { .. }));
+        if !draining {
+            told = None;
+            if states.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let planner = Core::planner(&state).filter(|planner| **planner != core.settings.name);
+        let news = Some((planner.cloned(), state.applied, core.draining_in_flight()));
+        if news != told {
+            if let Some(planner) = planner {
+                beat_one(Arc::clone(&core), planner.clone()).await;
+            }
+            told = news;
+        }
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+}
+
+/// Keeps this daemon a member with a guard, and removes members that are gone.
+pub(crate) async fn run(core: Arc<Core>) {
+    let interval = core.settings.timing.heartbeat / 2;
+    loop {
+        tokio::time::sleep(interval).await;
+        let able = core.is_caught_up() && core.is_log_up() && core.halted().is_none();
+        if able && !core.is_stopping() {
+            step(&core).await;
+        }
+    }
+}
+
+async fn step(core: &Arc<Core>) {
+    let (state, own) = (core.state(), core.own());
+    if !state.is_member(&own) {
+        return join(core, &state, &own).await;
+    }
+    let guardless = state.members.get(&own.daemon).is_some_and(|member| member.guard.is_none());
+    if guardless {
+        name_guard(core, &state, &own).await;
+    }
+    evict(core, &state, &own).await;
+    handover::balance(Arc::clone(core)).await;
+}
+
+async fn join(core: &Core, state: &State, own: &Writer) {
+    let was_member = state.writers.get(&own.daemon);
+    if let Some(last) = was_member.filter(|last| last.incarnation >= own.incarnation) {
+        // Evicted while away, or another life has this name's last word.
+        core.begin_life(last.incarnation);
+        core.claims().clear();
+    }
+    let join = Change::Member(Membership::Join);
+    match core.committer.commit_surely(vec![join]).await {
+        Ok(()) => log::info!("event=joined daemon={}", core.own()),
+        Err(error) => log::warn!("event=join_failed error=\"{error}\""),
+    }
+}
+
+async fn name_guard(core: &Core, state: &State, own: &Writer) {
+    let Some(guard) = member::successor(&state.members, &own.daemon) else {
+        return;
+    };
+    // Until the record is settled the new guard's promise is needed too, so it is asked for first.
+    core.leases().holder.naming(Some(guard.clone()));
+    let change = Change::Member(Membership::Guard { guard: guard.clone() });
+    let result = core.committer.commit_surely(vec![change]).await;
+    core.leases().holder.naming(None);
+    log::info!("event=guard_named guard={guard} done={}", result.is_ok());
+}
+
+async fn evict(core: &Core, state: &State, own: &Writer) {
+    let now = clock::monotonic();
+    let terms = core.terms();
+    let evictable = {
+        let mut leases = core.leases();
+        leases.guardian.observe(state, own, now);
+        leases.guardian.evictable(terms, now)
+    };
+    for member in evictable {
+        let change = Change::Member(Membership::Evict { member: member.clone() });
+        let result = core.committer.commit_surely(vec![change]).await;
+        log::warn!("event=evicted member={member} done={}", result.is_ok());
+        if result == Err(CommitError::NotAccepted) {
+            core.leases().guardian.spare(&member);
+        }
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/outcomes.rs
@@ -0,0 +1,78 @@
+//! Verdicts of recent batches, for whoever waits for them or asks later.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crosspath_operator::model::Fate;
+use crosspath_state::record::{BatchId, Incarnation, Revision, Writer};
+use crosspath_state::{Conflict, State};
+
+const KEPT: usize = 4_096;
+
+/// One verdict for each change of a batch.
+pub(crate) type Verdicts = Vec<Result<Revision, Conflict>>;
+
+/// Verdicts by batch, the oldest of which are forgotten.
+#[derive(Debug, Default)]
+pub(crate) struct Outcomes {
+    verdicts: BTreeMap<BatchId, Verdicts>,
+    order: VecDeque<BatchId>,
+    forgotten: bool,
+}
+
+impl Outcomes {
+    pub(crate) fn insert(&mut self, id: BatchId, verdicts: Verdicts) {
+        self.order.push_back(id.clone());
+        self.verdicts.insert(id, verdicts);
+        if self.order.len() > KEPT {
+            self.forgotten = true;
+            let oldest = self.order.pop_front();
+            oldest.and_then(|oldest| self.verdicts.remove(&oldest));
+        }
+    }
+
+    /// Notes that batches before the state's revision were not seen.
+    pub(crate) fn skipped(&mut self) {
+        self.forgotten = true;
+    }
+
+    pub(crate) fn get(&self, id: &BatchId) -> Option<&Verdicts> {
+        self.verdicts.get(id)
+    }
+
+    /// What became of one change.
+    pub(crate) fn fate(&self, state: &State, change: &str) -> Fate {
+        let Some((id, index)) = parse(change) else {
+            return Fate::Unheard;
+        };
+        if let Some(verdicts) = self.get(&id) {
+            return match verdicts.get(index) {
+                Some(Ok(revision)) => Fate::Accepted { revision: *revision },
+                Some(Err(conflict)) => Fate::Rejected { conflict: conflict.clone() },
+                None => Fate::Unheard,
+            };
+        }
+        let last = state.writers.get(&id.writer.daemon);
+        let last = last.map(|last| (last.incarnation, last.sequence));
+        // The fold drops it from now on, should it still arrive.
+        let fenced = last > Some((id.writer.incarnation, id.sequence));
+        match (fenced, self.forgotten) {
+            (true, false) => Fate::NotAccepted,
+            (true, true) => Fate::Unheard,
+            (false, _) => Fate::Pending,
+        }
+    }
+}
+
+/// The id of one change, as it is given to an operator.
+pub(crate) fn change_id(id: &BatchId, index: usize) -> String {
+    format!("{}.{}.{}.{index}", id.writer.daemon, id.writer.incarnation.0, id.sequence)
+}
+
+fn parse(change: &str) -> Option<(BatchId, usize)> {
+    let mut parts = change.rsplitn(4, '.');
+    let index = parts.next()?.parse().ok()?;
+    let sequence = parts.next()?.parse().ok()?;
+    let incarnation = Incarnation(parts.next()?.parse().ok()?);
+    let daemon = parts.next()?.parse().ok()?;
+    Some((BatchId { writer: Writer { daemon, incarnation }, sequence }, index))
+}
--- /dev/null
+++ b/crates/crosspathd/src/pools.rs
@@ -0,0 +1,235 @@
+//! Slots of every pool, and the requests that wait for them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use crosspath_route::answer::{Final, NotRun};
+use crosspath_route::dispatch::{Ask, Bounds, Dispatch, Grant, Offer, Target, Ticket, Use};
+use crosspath_route::split::Place;
+use crosspath_settings::Settings;
+use crosspath_state::State;
+use crosspath_state::job::Class;
+use crosspath_state::name::{CallerName, DataCentre, PoolName, VmName};
+use crosspath_state::time::Monotonic;
+use tokio::sync::oneshot;
+
+use crate::clock;
+
+/// Slots of every pool.
+#[derive(Debug)]
+pub(crate) struct Pools {
+    pools: RwLock<BTreeMap<PoolName, Arc<Pool>>>,
+    bounds: Bounds,
+    place: Place,
+    data_centre: DataCentre,
+    tickets: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Pool {
+    queue: Mutex<Queue>,
+}
+
+#[derive(Debug)]
+struct Queue {
+    dispatch: Dispatch,
+    waiters: HashMap<Ticket, oneshot::Sender<Slot>>,
+}
+
+/// A slot of a VM; it is free again when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pool: Arc<Pool>,
+    vm: VmName,
+    class: Class,
+    end: Use,
+}
+
+impl Slot {
+    pub(crate) fn vm(&self) -> &VmName {
+        &self.vm
+    }
+
+    /// Says how the use ended; without a word it counts as abandoned.
+    pub(crate) fn ended(&mut self, end: Use) {
+        self.end = end;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = clock::monotonic();
+        let grants = self.pool.lock().dispatch.release(
+            &self.vm,
+            self.class,
+            self.end,
+            now,
+            &mut rand::rng(),
+        );
+        self.pool.deliver(grants);
+    }
+}
+
+enum Asked {
+    Assigned(Slot),
+    Waiting(oneshot::Receiver<Slot>),
+}
+
+/// Takes a request out of the queue when whoever waits goes away.
+struct Waiting<'a> {
+    pool: &'a Arc<Pool>,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut queue = self.pool.lock();
+        queue.dispatch.cancel(self.ticket);
+        let waiter = queue.waiters.remove(&self.ticket);
+        drop(queue);
+        drop(waiter);
+    }
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ask(self: &Arc<Self>, wish: &Wish<'_>, ticket: Ticket) -> Result<Asked, Final> {
+        let (class, deadline) = (wish.class, wish.deadline);
+        let ask = Ask { ticket, caller: wish.caller.clone(), class, deadline };
+        let mut queue = self.lock();
+        match queue.dispatch.offer(ask, clock::monotonic(), &mut rand::rng()) {
+            Offer::Assigned(vm) => {
+                drop(queue);
+                let pool = Arc::clone(self);
+                Ok(Asked::Assigned(Slot { pool, vm, class, end: Use::Abandoned }))
+            }
+            Offer::Refused(refusal) => Err(refusal),
+            Offer::Waiting => {
+                let (waiter, granted) = oneshot::channel();
+                queue.waiters.insert(ticket, waiter);
+                Ok(Asked::Waiting(granted))
+            }
+        }
+    }
+
+    /// Hands granted slots over; one that nobody waits for any more is freed again at once.
+    fn deliver(self: &Arc<Self>, grants: Vec<Grant>) {
+        for grant in grants {
+            let waiter = self.lock().waiters.remove(&grant.ticket);
+            let pool = Arc::clone(self);
+            let slot = Slot { pool, vm: grant.vm, class: grant.class, end: Use::Abandoned };
+            match waiter {
+                Some(waiter) => drop(waiter.send(slot)),
+                None => drop(slot),
+            }
+        }
+    }
+}
+
+/// A request for a slot.
+#[derive(Debug)]
+pub(crate) struct Wish<'a> {
+    pub(crate) pool: &'a PoolName,
+    pub(crate) caller: &'a CallerName,
+    pub(crate) class: Class,
+    pub(crate) deadline: Monotonic,
+}
+
+impl Pools {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let limits = &settings.limits;
+        let bounds = Bounds {
+            queue: limits.queue as usize,
+            batch_ceiling_percent: limits.batch_ceiling_percent,
+            batch_floor_every: limits.batch_floor_every,
+        };
+        let before = settings.peers.iter().filter(|peer| peer.name < settings.name).count();
+        let place = Place {
+            index: u32::try_from(before).unwrap_or(u32::MAX),
+            daemons: u32::try_from(settings.peers.len() + 1).unwrap_or(u32::MAX),
+        };
+        Self {
+            pools: RwLock::default(),
+            bounds,
+            place,
+            data_centre: settings.data_centre.clone(),
+            tickets: AtomicU64::new(0),
+        }
+    }
+
+    fn pool(&self, name: &PoolName) -> Option<Arc<Pool>> {
+        self.pools.read().unwrap_or_else(PoisonError::into_inner).get(name).cloned()
+    }
+
+    fn all(&self) -> Vec<Arc<Pool>> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.values().cloned().collect()
+    }
+
+    fn pool_or_new(&self, name: &PoolName) -> Arc<Pool> {
+        if let Some(pool) = self.pool(name) {
+            return pool;
+        }
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        let pool = pools.entry(name.clone()).or_insert_with(|| {
+            let queue = Queue { dispatch: Dispatch::new(self.bounds), waiters: HashMap::new() };
+            Arc::new(Pool { queue: Mutex::new(queue) })
+        });
+        Arc::clone(pool)
+    }
+
+    /// Says which VMs take work: those that serve, less those that are known to be leaving.
+    pub(crate) fn update(&self, state: &State, leaving: &BTreeSet<VmName>) {
+        for name in state.pools.keys() {
+            let serving = state
+                .vms_of(name)
+                .filter(|(vm, stored)| stored.status.takes_work() && !leaving.contains(*vm));
+            let targets = serving.map(|(vm, stored)| {
+                let total = stored.spec.slots.min(stored.spec.connections);
+                let local = stored.spec.data_centre == self.data_centre;
+                Target { vm: vm.clone(), slots: self.place.part(vm, total), local }
+            });
+            let targets: Vec<_> = targets.collect();
+            let pool = self.pool_or_new(name);
+            let now = clock::monotonic();
+            let grants = pool.lock().dispatch.set_targets(&targets, now, &mut rand::rng());
+            pool.deliver(grants);
+        }
+    }
+
+    /// Gives out slots that became free by time alone.
+    pub(crate) fn tick(&self) {
+        for pool in self.all() {
+            let grants = pool.lock().dispatch.grant(clock::monotonic(), &mut rand::rng());
+            pool.deliver(grants);
+        }
+    }
+
+    /// Requests in flight on a VM, in whatever pool it was.
+    pub(crate) fn in_flight(&self, vm: &VmName) -> u32 {
+        self.all().iter().map(|pool| pool.lock().dispatch.in_flight(vm)).sum()
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn acquire(&self, wish: Wish<'_>) -> Result<Slot, Final> {
+        let Some(pool) = self.pool(wish.pool) else {
+            return Err(Final::not_run(NotRun::NoUpstream, Duration::from_secs(1)));
+        };
+        let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        let granted = match pool.ask(&wish, ticket)? {
+            Asked::Assigned(slot) => return Ok(slot),
+            Asked::Waiting(granted) => granted,
+        };
+        let _waiting = Waiting { pool: &pool, ticket };
+        let left = wish.deadline.since(clock::monotonic());
+        match tokio::time::timeout(left, granted).await {
+            Ok(Ok(slot)) => Ok(slot),
+            _ => Err(Final::not_run(NotRun::TooLate, Duration::from_secs(1))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/crosspathd/src/watcher.rs
@@ -0,0 +1,85 @@
+//! Watches for VMs that fail, come back, or leave.
+//!
+//! The platform's list lags, so it only raises the question; a VM is recorded as failed when its
+//! worker does not say that it is up either. A VM that is listed as leaving gets no new work from
+//! this daemon, whatever the log says.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_state::name::VmName;
+use crosspath_state::record::Change;
+use crosspath_state::{State, vm};
+use crosspath_vm_list::{Entry, Liveness};
+
+use crate::clock;
+use crate::core::Core;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const TICK: Duration = Duration::from_millis(100);
+
+/// Keeps the pools' VMs up to date with the state and with the list.
+pub(crate) async fn run(core: Arc<Core>) {
+    let mut leaving = BTreeSet::new();
+    let mut states = core.state.subscribe();
+    let mut look = tokio::time::interval(INTERVAL);
+    let mut tick = tokio::time::interval(TICK);
+    loop {
+        tokio::select! {
+            changed = states.changed() => if changed.is_err() { return },
+            _ = tick.tick() => {
+                core.pools.tick();
+                continue;
+            }
+            _ = look.tick() => {
+                let Ok(list) = core.vm_list.list().await else { continue };
+                if core.is_planner() {
+                    record(&core, &list).await;
+                }
+                let listed = list.iter().filter(|entry| entry.liveness == Liveness::Leaving);
+                leaving = listed.map(|entry| entry.vm.clone()).collect();
+            }
+        }
+        let state = states.borrow_and_update().clone();
+        core.pools.update(&state, &leaving);
+    }
+}
+
+async fn record(core: &Core, list: &[Entry]) {
+    let state = core.state();
+    let mut changes = Vec::new();
+    for entry in list {
+        let Some(liveness) = question(&state, entry) else {
+            continue;
+        };
+        let up = core.worker.report(&entry.vm).await.is_ok_and(|report| report.up);
+        changes.extend(change(&entry.vm, liveness, up));
+    }
+    if changes.is_empty() {
+        return;
+    }
+    let result = core.committer.commit_surely(changes).await;
+    log::info!("event=vm_failures_recorded done={}", result.is_ok());
+}
+
+/// What the list says, where it differs from the state.
+fn question(state: &State, entry: &Entry) -> Option<Liveness> {
+    let phase = &state.vms.get(&entry.vm)?.status;
+    let differs = match (phase, entry.liveness) {
+        // The platform brings it back, or the wave shows that it does not.
+        (vm::Phase::Rebooting { .. }, _) => false,
+        (vm::Phase::Failed { .. }, liveness) => liveness == Liveness::Live,
+        (_, liveness) => liveness == Liveness::Down,
+    };
+    differs.then_some(entry.liveness)
+}
+
+fn change(vm: &VmName, liveness: Liveness, up: bool) -> Option<Change> {
+    let vm = vm.clone();
+    match (liveness, up) {
+        (Liveness::Down, false) => Some(Change::Failure { vm, seen_at: clock::wall() }),
+        (Liveness::Live, true) => Some(Change::Recovery { vm }),
+        _ => None,
+    }
+}
