Failure tests over real daemon processes

Cause: the whole path ran, but nothing attacked it step by step. One found that the stand-in of a VM that is down accepted connections: it now listens on nothing, so that 'refuses connections' is what it says.

--- a/crates/crosspath_fakes/src/upstream.rs
+++ b/crates/crosspath_fakes/src/upstream.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::ledger::{Ledger, PAYMENT_ID, Receipt};
-use crate::vm::Vm;
+use crate::vm::{Power, Vm};
 
 /// Header by which an upstream says that it refused a request before running it.
 pub(crate) const NOT_RUN: &str = "request-not-run";
@@ -33,15 +33,25 @@
     pub(crate) service: BTreeMap<String, Duration>,
 }
 
-/// Serves one VM until the process ends.
+/// Serves one VM until the process ends. While the VM is down nothing listens there.
 pub(crate) async fn serve(listener: TcpListener, vm: Arc<Vm>, shared: Arc<Shared>) {
+    let mut power = vm.power.subscribe();
+    let mut listener = Some(listener);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        if !power.borrow_and_update().up {
+            listener = None;
+        }
+        let Some(open) = &listener else {
+            let _ = power.wait_for(|power| power.up).await;
+            listener = TcpListener::bind(vm.address).await.ok();
             continue;
         };
-        if vm.is_up() {
-            let downs = vm.downs.subscribe();
-            tokio::spawn(connection(stream, Arc::clone(&vm), Arc::clone(&shared), downs));
+        tokio::select! {
+            _ = power.changed() => {}
+            accepted = open.accept() => if let Ok((stream, _)) = accepted {
+                let power = vm.power.subscribe();
+                tokio::spawn(connection(stream, Arc::clone(&vm), Arc::clone(&shared), power));
+            },
         }
     }
 }
@@ -59,9 +69,10 @@
     stream: TcpStream,
     vm: Arc<Vm>,
     shared: Arc<Shared>,
-    mut downs: watch::Receiver<u32>,
+    mut power: watch::Receiver<Power>,
 ) {
     let _ = stream.set_nodelay(true);
+    let downs = power.borrow_and_update().downs;
     let (breaker, mut broken) = mpsc::channel::<()>(1);
     let service = service_fn(move |request| {
         let (vm, shared, breaker) = (Arc::clone(&vm), Arc::clone(&shared), breaker.clone());
@@ -71,7 +82,7 @@
     let connection = connection.serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         _ = connection => {}
-        _ = downs.changed() => {}
+        _ = power.wait_for(|power| power.downs > downs) => {}
         _ = broken.recv() => {}
     }
 }
--- a/crates/crosspath_fakes/src/vm.rs
+++ b/crates/crosspath_fakes/src/vm.rs
@@ -51,14 +51,20 @@
     history: Vec<(Instant, bool)>,
 }
 
+/// Whether a VM is up, and how often it went down; each time ends its connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Power {
+    pub(crate) up: bool,
+    pub(crate) downs: u32,
+}
+
 /// One VM.
 #[derive(Debug)]
 pub(crate) struct Vm {
     pub(crate) name: VmName,
     pub(crate) address: SocketAddr,
     inner: Mutex<Inner>,
-    /// Counts the times that the VM went down; each ends its connections.
-    pub(crate) downs: watch::Sender<u32>,
+    pub(crate) power: watch::Sender<Power>,
 }
 
 impl Vm {
@@ -86,7 +92,8 @@
             last_request: None,
             history: vec![(Instant::now(), true)],
         };
-        Self { name, address, inner: Mutex::new(inner), downs: watch::Sender::default() }
+        let power = watch::Sender::new(Power { up: true, downs: 0 });
+        Self { name, address, inner: Mutex::new(inner), power }
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
@@ -117,10 +124,6 @@
         Audit { up, drained, last_request_ms_ago, ..inner.audit.clone() }
     }
 
-    pub(crate) fn is_up(&self) -> bool {
-        self.inner().up
-    }
-
     pub(crate) fn set_drained(&self, drained: bool) {
         self.inner().drained = drained;
     }
@@ -154,9 +157,10 @@
         let mut inner = self.inner();
         inner.up = up;
         inner.history.push((Instant::now(), up));
-        if !up {
-            self.downs.send_modify(|downs| *downs += 1);
-        }
+        self.power.send_modify(|power| {
+            power.up = up;
+            power.downs += u32::from(!up);
+        });
     }
 
     /// What the list says, `lag` late.
--- /dev/null
+++ b/crates/crosspathd/tests/site/config.rs
@@ -0,0 +1,92 @@
+//! A configuration, once accepted, is in force everywhere soon and never reverts.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::common::{self, SOON};
+
+async fn max_cores(site: &crosspath_fakes::site::Site, index: usize) -> Option<u64> {
+    common::get(site, index, "/v1/teams/team").await["spec"]["max_cores"].as_u64()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_change_never_reverts() {
+    let site = common::start(&common::plan(2)).await;
+    let mut seen = [0_u64; common::DAEMONS];
+    for value in 1..40_u64 {
+        if value == 10 {
+            site.daemons[2].freeze();
+        }
+        if value == 25 {
+            site.daemons[2].thaw();
+        }
+        let through = usize::try_from(value % 2).expect("small");
+        common::put(&site, through, "/v1/teams/team", json!({ "max_cores": 1_000 + value }))
+            .await
+            .expect("accepted");
+        for (index, seen) in seen.iter_mut().enumerate() {
+            if index == 2 && (10..25).contains(&value) {
+                continue;
+            }
+            let now = max_cores(&site, index).await.unwrap_or_default();
+            assert!(now >= *seen, "daemon {index} went from {seen} back to {now}");
+            *seen = now;
+        }
+    }
+    for index in 0..common::DAEMONS {
+        site.wait(Duration::from_secs(5), "in force", async || {
+            max_cores(&site, index).await == Some(1_039)
+        })
+        .await
+        .expect("in force everywhere");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_one_wins_and_the_other_is_told() {
+    let site = common::start(&common::plan(2)).await;
+    let before = common::get(&site, 0, "/v1/teams/team").await["revision"].as_u64();
+    let change = |index: usize, cores: u64| {
+        let client = site.daemons[index].operator();
+        let tag = format!("\"{}\"", before.unwrap_or_default());
+        async move {
+            let request = http::Request::put("/v1/teams/team").header("if-match", tag);
+            let body = json!({ "spec": { "max_cores": cores } }).to_string();
+            client.send(request, body.into()).await.expect("an answer").head.status.as_u16()
+        }
+    };
+    let (a, b) = futures::future::join(change(0, 11), change(1, 22)).await;
+    let mut both = [a, b];
+    both.sort_unstable();
+    assert_eq!(both, [200, 412]);
+    let winner = if a == 200 { 11 } else { 22 };
+    for index in 0..common::DAEMONS {
+        site.wait(SOON, "in force", async || max_cores(&site, index).await == Some(winner))
+            .await
+            .expect("the winner's everywhere");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_tells_every_change_once_it_is_folded() {
+    use http_body_util::BodyExt as _;
+    let site = common::start(&common::plan(1)).await;
+    let from = common::applied(&site, 0).await;
+    let address = site.daemons[1].operators;
+    let token = format!("Bearer {}", crosspath_fakes::site::OPERATOR_TOKEN);
+    let request = http::Request::get(format!("http://{address}/v1/teams?watch={from}"))
+        .header("authorization", token)
+        .body(http_body_util::Empty::<bytes::Bytes>::new())
+        .expect("a request");
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let client = hyper_util::client::legacy::Client::builder(executor).build_http();
+    let answer = client.request(request).await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    let mut body = answer.into_body();
+    common::put(&site, 0, "/v1/teams/new", json!({ "max_cores": 3 })).await.expect("accepted");
+    let frame = tokio::time::timeout(SOON, body.frame()).await.expect("in time");
+    let line = frame.expect("a frame").expect("whole").into_data().expect("data");
+    let line = String::from_utf8(line.to_vec()).expect("text");
+    assert!(line.contains("\"new\"") && line.contains("changed"), "{line}");
+}
--- /dev/null
+++ b/crates/crosspathd/tests/site/main.rs
@@ -0,0 +1,10 @@
+//! Real daemon processes against the stand-ins, under faults.
+
+mod api;
+mod common;
+mod config;
+mod log_faults;
+mod owner;
+mod payments;
+mod stop;
+mod wave;
--- /dev/null
+++ b/crates/crosspathd/tests/site/payments.rs
@@ -0,0 +1,189 @@
+//! A payment against every fault of its upstream: never run twice, never "not run" when it was.
+
+use std::time::{Duration, Instant};
+
+use crosspath_fakes::fault::VmFault;
+
+use crate::common::{self, Payment};
+
+struct Case {
+    fault: &'static str,
+    set: VmFault,
+    down: bool,
+    /// Expected word and runs: without a key, then with one.
+    unkeyed: (&'static str, u32),
+    keyed: (&'static str, u32),
+}
+
+fn cases() -> Vec<Case> {
+    let none = VmFault::default();
+    let case = |fault, set, down, unkeyed, keyed| Case { fault, set, down, unkeyed, keyed };
+    let cut = "unknown/upstream_cut";
+    vec![
+        case("none", none, false, ("upstream/", 1), ("upstream/", 1)),
+        case(
+            "refuses connections",
+            none,
+            true,
+            ("not_run/upstream_refused", 0),
+            ("not_run/upstream_refused", 0),
+        ),
+        case(
+            "breaks before it runs",
+            VmFault { break_before: true, ..none },
+            false,
+            (cut, 0),
+            (cut, 0),
+        ),
+        case(
+            "breaks after it ran",
+            VmFault { break_after: true, ..none },
+            false,
+            (cut, 1),
+            (cut, 1),
+        ),
+        case(
+            "half an answer",
+            VmFault { half_answer: true, ..none },
+            false,
+            ("nothing/", 1),
+            (cut, 1),
+        ),
+        case(
+            "answers late",
+            VmFault { late_ms: 4_000, ..none },
+            false,
+            ("unknown/upstream_late", 1),
+            ("unknown/upstream_late", 1),
+        ),
+        case(
+            "answers an error",
+            VmFault { fail: true, ..none },
+            false,
+            ("upstream/", 0),
+            ("upstream/", 0),
+        ),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_fault_of_the_upstream_has_an_honest_answer() {
+    let site = common::start(&common::plan(3)).await;
+    common::wait_settled(&site).await;
+    let vms: Vec<_> = site.fakes.vms.keys().cloned().collect();
+    for case in cases() {
+        for vm in &vms {
+            site.fakes.set_vm_fault(vm, case.set);
+            site.fakes.set_up(vm, !case.down);
+        }
+        for (keyed, (word, runs)) in [(false, case.unkeyed), (true, case.keyed)] {
+            let payment = Payment::new("pay", keyed);
+            let told = payment.send(&site, 0).await;
+            println!(
+                "{:<22} keyed={keyed:<5} {:<26} runs={}",
+                case.fault,
+                told.word(),
+                payment.runs(&site)
+            );
+            assert_eq!((told.word().as_str(), payment.runs(&site)), (word, runs), "{}", case.fault);
+            if told.outcome == "not_run" {
+                assert!(told.retry_after, "{}: no time to come back", case.fault);
+            }
+            // Sent again through another daemon, it is not run again, whatever happened.
+            if keyed && runs > 0 {
+                for vm in &vms {
+                    site.fakes.set_vm_fault(vm, VmFault::default());
+                }
+                let again = payment.send(&site, 1).await;
+                assert_ne!(again.outcome, "not_run", "{}", case.fault);
+                assert_eq!(payment.runs(&site), runs, "{}", case.fault);
+            }
+        }
+        for vm in &vms {
+            site.fakes.set_vm_fault(vm, VmFault::default());
+            site.fakes.set_up(vm, true);
+        }
+        // Until VMs that were taken out as outliers are back.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+    }
+    assert!(common::most_runs(&site) <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeatable_request_goes_to_another_upstream() {
+    let site = common::start(&common::plan(4)).await;
+    let broken = site.fakes.vms.keys().next().cloned().expect("a VM");
+    site.fakes.set_vm_fault(&broken, VmFault { break_before: true, ..VmFault::default() });
+    for _ in 0..20 {
+        let told = Payment::new("ask", false).send(&site, 0).await;
+        assert_eq!(told.word(), "upstream/");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_meets_no_other_request() {
+    let site = common::start(&common::plan(2)).await;
+    let vms: Vec<_> = site.fakes.vms.keys().cloned().collect();
+    for vm in &vms {
+        site.fakes.set_vm_fault(vm, VmFault { late_ms: 2_300, ..VmFault::default() });
+    }
+    let late: Vec<_> = (0..4).map(|_| Payment::new("pay", false)).collect();
+    let sent = late.iter().map(|payment| payment.send(&site, 0));
+    for told in futures::future::join_all(sent).await {
+        assert_eq!(told.word(), "unknown/upstream_late");
+    }
+    for vm in &vms {
+        site.fakes.set_vm_fault(vm, VmFault::default());
+    }
+    // Sent while the late answers come in.
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(1) {
+        let payment = Payment::new("pay", false);
+        let told = payment.send(&site, 0).await;
+        if told.outcome == "upstream" {
+            assert_eq!(told.receipt.as_deref(), Some(payment.id.as_str()));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_keeps_its_request_and_its_caller() {
+    let site = common::start(&common::plan(2)).await;
+    common::wait_settled(&site).await;
+    let payment = Payment::new("pay", true);
+    assert_eq!(payment.send(&site, 0).await.word(), "upstream/");
+    for index in 0..common::DAEMONS {
+        let again = payment.send(&site, index).await;
+        assert_eq!(again.word(), "recorded/");
+        assert_eq!(again.receipt.as_deref(), Some(payment.id.as_str()));
+    }
+    let other_body = payment.send_as(&site, 1, common::TOKEN, "{\"amount\":1}").await;
+    assert_eq!((other_body.status, other_body.outcome.as_str()), (422, "key_mismatch"));
+    let other_caller = payment.send_as(&site, 1, "other-demo-token", "{}").await;
+    assert_eq!(other_caller.outcome, "key_mismatch");
+    let path = format!("/v1/outcomes/{}", payment.id);
+    let ask = |token: &'static str| {
+        let request = http::Request::get(path.clone());
+        let site = &site;
+        async move { site.send(2, token, request, "").await.expect("an answer").head.status }
+    };
+    assert_eq!(ask(common::TOKEN).await, 200);
+    assert_eq!(ask("other-demo-token").await, 404);
+    assert_eq!(payment.runs(&site), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_sends_at_once_run_one_payment() {
+    let mut plan = common::plan(2);
+    plan.fakes.service_ms.insert("pay".to_owned(), 50);
+    let site = common::start(&plan).await;
+    common::wait_settled(&site).await;
+    for _ in 0..20 {
+        let payment = Payment::new("pay", true);
+        let sends = (0..common::DAEMONS).map(|index| payment.send(&site, index));
+        let told = futures::future::join_all(sends).await;
+        let answered = told.iter().filter(|told| told.word() == "upstream/").count();
+        assert_eq!(answered, 1, "{told:?}");
+        assert_eq!(payment.runs(&site), 1);
+    }
+}
