--- /dev/null
+++ b/crates/crosspath_bench/src/baseline.rs
@@ -0,0 +1,138 @@
+//! The plain ways that the users would otherwise use, kept for comparison.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crosspath_plan::room::Rooms;
+use crosspath_plan::view::View;
+use crosspath_plan::wave::Observed;
+use crosspath_plan::{evacuate, place, wave};
+use crosspath_state::name::{PoolName, VmName};
+use crosspath_state::record::{Change, Step};
+use crosspath_state::{State, job, vm};
+
+use crate::wave::{Planner, Strategy};
+
+/// One VM at a time in each pool.
+#[derive(Debug, Clone, Copy)]
+pub struct OneAtATime;
+
+impl Strategy for OneAtATime {
+    fn next(&self, state: &State, observed: &BTreeMap<VmName, Observed>) -> Vec<Change> {
+        let changes = Planner.next(state, observed);
+        let mut busy: BTreeSet<PoolName> = out(state).map(|vm| vm.spec.pool.clone()).collect();
+        let one = |change: &Change| match change {
+            Change::Step { vm, step: Step::Drain { .. } } => {
+                let pool = state.vms.get(vm).map(|vm| vm.spec.pool.clone());
+                pool.is_some_and(|pool| busy.insert(pool))
+            }
+            _ => true,
+        };
+        changes.into_iter().filter(one).collect()
+    }
+}
+
+fn out(state: &State) -> impl Iterator<Item = &crosspath_state::Stored<vm::Spec, vm::Phase>> {
+    state.vms.values().filter(|vm| vm.status.wave().is_some())
+}
+
+/// Batches as large as the budget allows, in the order of the list; the next batch starts when the
+/// one before is back.
+#[derive(Debug, Clone, Copy)]
+pub struct FixedBatches;
+
+impl Strategy for FixedBatches {
+    fn next(&self, state: &State, observed: &BTreeMap<VmName, Observed>) -> Vec<Change> {
+        let mut changes = Planner.next(state, observed);
+        let drains = crate::wave::drains(&changes).len();
+        changes.retain(|change| !matches!(change, Change::Step { step: Step::Drain { .. }, .. }));
+        if drains > 0 {
+            changes.extend(in_list_order(state));
+        }
+        changes
+    }
+}
+
+fn in_list_order(state: &State) -> Vec<Change> {
+    let busy: BTreeSet<&PoolName> = out(state).map(|vm| &vm.spec.pool).collect();
+    let mut changes = Vec::new();
+    for (name, wave) in state.waves.iter().filter(|(_, w)| !w.status.phase.is_final()) {
+        for pool in wave.spec.pools.iter().filter(|pool| !busy.contains(pool)) {
+            let Some(spec) = state.pools.get(pool) else { continue };
+            let width = spec.spec.max_unavailable.saturating_sub(spec.spec.reserve) as usize;
+            let due = wave.status.due().filter(|vm| {
+                let vm = state.vms.get(*vm);
+                vm.is_some_and(|vm| vm.spec.pool == *pool && vm.status.takes_work())
+            });
+            let drain = |vm: &VmName| Change::Step {
+                vm: vm.clone(),
+                step: Step::Drain { wave: name.clone() },
+            };
+            changes.extend(due.take(width).map(drain));
+        }
+    }
+    changes
+}
+
+/// Jobs go to the first VM with room, and jobs that could be suspended are moved like the others.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstFitMovingAll;
+
+impl Strategy for FirstFitMovingAll {
+    fn next(&self, state: &State, observed: &BTreeMap<VmName, Observed>) -> Vec<Change> {
+        let draining =
+            state.vms.iter().filter(|(_, vm)| matches!(vm.status, vm::Phase::Draining { .. }));
+        let mut moves = Vec::new();
+        for (name, vm) in draining {
+            moves.extend(first_fit(state, name, &vm.spec.pool));
+        }
+        if !moves.is_empty() {
+            return moves;
+        }
+        let view = View::new(state);
+        let mut rooms = Rooms::new(&view);
+        let mut changes = wave::advance(&view, &mut rooms, observed);
+        changes.extend(evacuate::resume(state));
+        changes.extend(in_list_order_free(state));
+        changes.extend(place::pending(&view, &mut rooms).changes);
+        changes
+    }
+}
+
+fn first_fit(state: &State, from: &VmName, pool: &PoolName) -> Vec<Change> {
+    let view = View::new(state);
+    let mut rooms = Rooms::new(&view);
+    let running = state
+        .jobs_on(from)
+        .filter(|(_, job)| matches!(job.status.phase, job::Phase::Running { .. }));
+    let mut changes = Vec::new();
+    for (name, job) in running {
+        let first = rooms.of(pool).iter().find(|(_, free)| free.fits(&job.spec));
+        let Some(to) = first.map(|(vm, _)| vm.clone()) else { continue };
+        rooms.take(pool, &to, &job.spec);
+        changes.push(place::place(name, to));
+    }
+    changes
+}
+
+/// Starts VMs in list order whenever the budget has room.
+fn in_list_order_free(state: &State) -> Vec<Change> {
+    let mut taken: BTreeMap<PoolName, usize> = BTreeMap::new();
+    let mut changes = Vec::new();
+    for (wave_name, wave) in state.waves.iter().filter(|(_, w)| !w.status.phase.is_final()) {
+        for vm in wave.status.due() {
+            let Some(stored) = state.vms.get(vm).filter(|vm| vm.status.takes_work()) else {
+                continue;
+            };
+            let pool = &stored.spec.pool;
+            let Some(spec) = state.pools.get(pool) else { continue };
+            let free = crosspath_state::budget::Usage::of(state, pool).free(&spec.spec) as usize;
+            let used = taken.entry(pool.clone()).or_default();
+            if *used < free {
+                *used += 1;
+                let step = Step::Drain { wave: wave_name.clone() };
+                changes.push(Change::Step { vm: vm.clone(), step });
+            }
+        }
+    }
+    changes
+}
--- /dev/null
+++ b/crates/crosspath_bench/src/fleet.rs
@@ -0,0 +1,182 @@
+//! Fleets to decide on: the two deployments, and made-up ones of any size.
+
+use std::collections::BTreeMap;
+
+use crosspath_fakes::site::Declared;
+use crosspath_state::job::{self, Class};
+use crosspath_state::name::{JobName, ResourceName};
+use crosspath_state::record::{Batch, BatchId, Change, Entry, Incarnation, Revision, Writer};
+use crosspath_state::resource::{Id, Kind, Pool, Spec, Team};
+use crosspath_state::time::Wall;
+use crosspath_state::{Applied, Conflict, State, vm};
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
+use serde_json::json;
+
+const COBROS: &str = include_str!("../../../examples/cobros-unidos/resources.json");
+const ASSOCIATION: &str = include_str!("../../../examples/association/resources.json");
+
+/// Folds changes as one writer.
+#[derive(Debug, Clone, Default)]
+pub struct Folded {
+    /// The state so far.
+    pub state: State,
+    /// Batches so far.
+    pub batches: u64,
+}
+
+impl Folded {
+    /// Folds one batch; one verdict for each change.
+    ///
+    /// # Panics
+    ///
+    /// Never: offsets are dense here.
+    pub fn fold(&mut self, changes: Vec<Change>) -> Vec<Result<Revision, Conflict>> {
+        self.batches += 1;
+        let daemon = "bench".parse().expect("a name");
+        let writer = Writer { daemon, incarnation: Incarnation(1) };
+        let id = BatchId { writer, sequence: self.batches };
+        let decided_on = self.state.applied;
+        let batch = Batch { id, decided_on, written_at: Wall(0), changes };
+        let offset = self.state.applied.next();
+        match self.state.apply(offset, &Entry::Batch(batch)) {
+            Ok(Applied::Batch(verdicts)) => verdicts,
+            other => panic!("not folded: {other:?}"),
+        }
+    }
+
+    fn declare(&mut self, kind: Kind, name: &str, spec: Spec) {
+        let id = Id::new(kind, ResourceName::new(name).expect("a name"));
+        let change = Change::Put { id, spec: Box::new(spec), expected: None };
+        for verdict in self.fold(vec![change]) {
+            verdict.unwrap_or_else(|conflict| panic!("{kind}/{name}: {conflict}"));
+        }
+    }
+}
+
+/// Cobros Unidos, as in `examples/`.
+#[must_use]
+pub fn cobros() -> Folded {
+    from_json(COBROS)
+}
+
+/// The Association, as in `examples/`.
+#[must_use]
+pub fn association() -> Folded {
+    from_json(ASSOCIATION)
+}
+
+fn from_json(text: &str) -> Folded {
+    let resources: Vec<Declared> = serde_json::from_str(text).expect("an example is well formed");
+    let mut fleet = Folded::default();
+    for resource in resources {
+        let tagged = json!({ "kind": resource.kind, "spec": resource.spec });
+        let spec = serde_json::from_value(tagged).expect("an example's spec is well formed");
+        fleet.declare(resource.kind, &resource.name, spec);
+    }
+    placed(fleet)
+}
+
+/// Size of a made-up fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// VMs.
+    pub workers: usize,
+    /// Pools.
+    pub pools: usize,
+    /// Data centres.
+    pub data_centres: usize,
+    /// Teams.
+    pub teams: usize,
+}
+
+impl Size {
+    /// Two years from now.
+    pub const LATER: Self = Self { workers: 780, pools: 35, data_centres: 8, teams: 25 };
+
+    /// The same proportions at another number of workers.
+    #[must_use]
+    pub fn of(workers: usize) -> Self {
+        let pools = (workers * Self::LATER.pools / Self::LATER.workers).max(5);
+        let teams = (workers * Self::LATER.teams / Self::LATER.workers).max(3);
+        Self { workers, pools, teams, data_centres: Self::LATER.data_centres }
+    }
+}
+
+/// A made-up fleet: pools of uneven size, half of the cores in jobs, a third of those fixed.
+///
+/// # Panics
+///
+/// Never: everything it declares is valid.
+#[must_use]
+pub fn generated(size: Size, seed: u64) -> Folded {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut fleet = Folded::default();
+    let pool_of = |number: usize| (number * number + number) % size.pools;
+    let mut counts = vec![0_u32; size.pools];
+    for number in 0..size.workers {
+        counts[pool_of(number)] += 1;
+    }
+    for (number, count) in counts.iter().enumerate() {
+        let max_unavailable = (count / 5).max(2);
+        let spec = Pool { max_unavailable, reserve: 1, min_available: 1 };
+        fleet.declare(Kind::Pool, &format!("pool-{number}"), Spec::Pool(spec));
+    }
+    for number in 0..size.teams {
+        let spec = Spec::Team(Team { max_cores: 100_000 });
+        fleet.declare(Kind::Team, &format!("team-{number}"), spec);
+    }
+    for number in 0..size.workers {
+        let spec = worker(number, pool_of(number), size.data_centres);
+        fleet.declare(Kind::Vm, &format!("vm-{number:04}"), Spec::Vm(spec));
+    }
+    for number in 0..size.workers * 2 {
+        let pool = pool_of(rng.random_range(0..size.workers));
+        let spec = job::Spec {
+            pool: format!("pool-{pool}").parse().expect("a name"),
+            team: format!("team-{}", number % size.teams).parse().expect("a name"),
+            class: if number % 4 == 0 { Class::Urgent } else { Class::Batch },
+            cores: [2, 4, 8, 16][rng.random_range(0..4)],
+            memory_mb: 8_192,
+            accelerators: 0,
+            checkpointable: number % 3 != 0,
+        };
+        fleet.declare(Kind::Job, &format!("job-{number:05}"), Spec::Job(spec));
+    }
+    placed(fleet)
+}
+
+fn worker(number: usize, pool: usize, data_centres: usize) -> vm::Spec {
+    let data_centre = number % data_centres;
+    let rack = number / data_centres / 4;
+    vm::Spec {
+        pool: format!("pool-{pool}").parse().expect("a name"),
+        data_centre: format!("dc-{data_centre}").parse().expect("a name"),
+        rack: format!("dc-{data_centre}-r{rack}").parse().expect("a name"),
+        address: ([127, 0, 0, 1], 9).into(),
+        cores: 32,
+        memory_mb: 131_072,
+        accelerators: 0,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+/// Places every job that fits.
+fn placed(mut fleet: Folded) -> Folded {
+    let changes = crosspath_plan::decide(&fleet.state, &BTreeMap::new());
+    for verdict in fleet.fold(changes) {
+        verdict.unwrap_or_else(|conflict| panic!("placement: {conflict}"));
+    }
+    fleet
+}
+
+/// Jobs that run now and can only move.
+#[must_use]
+pub fn fixed_jobs(state: &State) -> Vec<JobName> {
+    let fixed = state
+        .jobs
+        .iter()
+        .filter(|(_, job)| !job.spec.checkpointable && job.status.phase.vm().is_some());
+    fixed.map(|(name, _)| name.clone()).collect()
+}
--- /dev/null
+++ b/crates/crosspath_bench/src/main.rs
@@ -0,0 +1,97 @@
+//! `crosspath_bench counts [--check] | timed | slopes`: one JSON object a line.
+
+use std::io::Write as _;
+use std::path::PathBuf;
+use std::process::{Command, ExitCode};
+
+use bpaf::Bpaf;
+use crosspath_bench::figure::{self, Figure};
+use crosspath_bench::{counts, slopes, timed};
+
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+/// Figures of crosspath
+enum Options {
+    /// Counted figures, the same on every run
+    #[bpaf(command)]
+    Counts {
+        /// End with an error when a figure is past its bound
+        check: bool,
+    },
+    /// Timed figures with their spread
+    #[bpaf(command)]
+    Timed,
+    /// Memory, processor time and bytes of real daemons at several sizes
+    #[bpaf(command)]
+    Slopes,
+}
+
+fn print(figures: &[Figure]) {
+    let mut out = std::io::stdout();
+    for figure in figures {
+        let line = serde_json::to_string(figure).unwrap_or_default();
+        let _ = writeln!(out, "{line}");
+    }
+}
+
+fn check(figures: &[Figure]) -> ExitCode {
+    let broken: Vec<_> = figures.iter().filter(|figure| !figure.is_kept()).collect();
+    let known = |name: &String| figures.iter().any(|figure| figure.figure == *name);
+    let lost: Vec<_> = figure::bounds().into_keys().filter(|name| !known(name)).collect();
+    for figure in &broken {
+        eprintln!("{} is {}, past its bound of {:?}", figure.figure, figure.value, figure.bound);
+    }
+    for name in &lost {
+        eprintln!("{name} has a bound but is not measured");
+    }
+    if broken.is_empty() && lost.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// The daemon's program, built beside this one.
+fn program() -> PathBuf {
+    let mut build = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+    build.args(["build", "--quiet", "--release", "-p", "crosspathd", "--bin", "crosspathd"]);
+    if !build.status().is_ok_and(|status| status.success()) {
+        eprintln!("the daemon was not built; an older one is used if there is one");
+    }
+    let own = std::env::current_exe().unwrap_or_default();
+    own.with_file_name("crosspathd")
+}
+
+async fn measure_slopes() -> Result<Vec<Figure>, slopes::Error> {
+    let program = program();
+    let mut figures = Vec::new();
+    for workers in [50, 200, 780, 3_120] {
+        figures.extend(slopes::daemon(&program, workers).await?);
+    }
+    for daemons in [6, 12, 24] {
+        figures.extend(slopes::daemons(&program, daemons).await?);
+    }
+    figures.extend(slopes::beat_bytes(&program).await?);
+    Ok(figures)
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match options().run() {
+        Options::Counts { check: checked } => {
+            let figures = figure::bounded(counts::all());
+            print(&figures);
+            if checked { check(&figures) } else { ExitCode::SUCCESS }
+        }
+        Options::Timed => {
+            print(&timed::decisions());
+            ExitCode::SUCCESS
+        }
+        Options::Slopes => match measure_slopes().await {
+            Ok(figures) => {
+                print(&figures);
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
--- /dev/null
+++ b/crates/crosspath_bench/src/slopes.rs
@@ -0,0 +1,220 @@
+//! Slopes of one real daemon: memory, processor time and peer bytes at several sizes.
+
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use crosspath_fakes::site::{self, Declared, Plan, Site};
+use crosspath_http::client::{Client, Method};
+use crosspath_state::resource::{Kind, Spec};
+use serde_json::{Value, json};
+use snafu::{ResultExt as _, Snafu};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+
+use crate::figure::Figure;
+use crate::fleet::{self, Size};
+
+const SEED: u64 = 11;
+const IDLE: Duration = Duration::from_secs(5);
+/// Clock ticks of `/proc/PID/stat` in a second.
+const TICKS: f64 = 100.0;
+const MIB: f64 = 1_048_576.0;
+
+/// A slope that could not be measured.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The site does not run.
+    #[snafu(display("{source}"))]
+    Site {
+        /// Why.
+        source: site::Error,
+    },
+    /// A process cannot be looked at.
+    #[snafu(display("cannot read {path}: {source}"))]
+    Process {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A call failed.
+    #[snafu(display("{source}"))]
+    Call {
+        /// Why.
+        source: crosspath_http::client::Error,
+    },
+}
+
+/// Resident memory in bytes and processor time in seconds of a process.
+fn process(id: u32) -> Result<(f64, f64), Error> {
+    let read = |file: &str| {
+        let path = format!("/proc/{id}/{file}");
+        std::fs::read_to_string(&path).context(ProcessSnafu { path })
+    };
+    let status = read("status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<f64>().ok());
+    let stat = read("stat")?;
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    let ticks: f64 = ticks.filter_map(|field| field.parse::<f64>().ok()).sum();
+    Ok((kib.unwrap_or_default() * 1_024.0, ticks / TICKS))
+}
+
+fn resources(workers: usize) -> Vec<Declared> {
+    let state = fleet::generated(Size::of(workers), SEED).state;
+    let mut resources = Vec::new();
+    for kind in [Kind::Pool, Kind::Team, Kind::Vm, Kind::Job] {
+        for name in state.names(kind) {
+            let id = crosspath_state::resource::Id::new(kind, name);
+            let Some((_, spec)) = state.resource(&id) else { continue };
+            resources.push(Declared { kind, name: id.name.to_string(), spec: plain(&spec) });
+        }
+    }
+    resources
+}
+
+fn plain(spec: &Spec) -> Value {
+    let mut value = serde_json::to_value(spec).unwrap_or_default();
+    value.get_mut("spec").map(Value::take).unwrap_or_default()
+}
+
+/// The log as it would hold a fleet, so that a daemon can start from it.
+async fn preload(site: &Site, workers: usize) -> Result<(), Error> {
+    let client = Client::new(site.fakes.platform, Duration::from_secs(10));
+    let changes: Vec<_> = resources(workers)
+        .into_iter()
+        .map(|resource| {
+            let spec = json!({ "kind": resource.kind, "spec": resource.spec });
+            json!({
+                "change": "put", "expected": null,
+                "id": { "kind": resource.kind, "name": resource.name }, "spec": spec
+            })
+        })
+        .collect();
+    for (sequence, changes) in (1..).zip(changes.chunks(200)) {
+        let record = json!({
+            "version": 1, "entry": "batch", "decided_on": 0, "written_at": 0, "changes": changes,
+            "id": { "writer": { "daemon": "loader", "incarnation": 1 }, "sequence": sequence }
+        });
+        let body = json!({ "data": record.to_string() });
+        let appended = client.call::<Value>(Method::POST, "/log", Some(&body)).await;
+        appended.context(CallSnafu)?;
+    }
+    Ok(())
+}
+
+/// Memory and processor time of one daemon that carries a fleet, idle, and its time to start.
+///
+/// # Errors
+///
+/// [`Error`].
+pub async fn daemon(program: &Path, workers: usize) -> Result<Vec<Figure>, Error> {
+    let mut plan = Plan::new(program, 1);
+    plan.timing = json!({});
+    let mut site = Site::start(&plan).await.context(SiteSnafu)?;
+    preload(&site, workers).await?;
+    // Settles: jobs are placed, workers are looked at.
+    tokio::time::sleep(IDLE).await;
+    let started = Instant::now();
+    site.restart(0).context(SiteSnafu)?;
+    site.wait_ready(0).await.context(SiteSnafu)?;
+    let start = started.elapsed();
+    tokio::time::sleep(IDLE).await;
+    let id = site.daemons[0].process().unwrap_or_default();
+    let before = process(id)?;
+    tokio::time::sleep(IDLE).await;
+    let after = process(id)?;
+    let share = (after.1 - before.1) / IDLE.as_secs_f64() * 100.0;
+    let figure = |what: &str, value, unit| Figure::new(format!("{what}_{workers}"), value, unit);
+    Ok(vec![
+        figure("resident_mib", after.0 / MIB, "MiB"),
+        figure("idle_core_percent", share, "% of a core"),
+        figure("start_ms", start.as_secs_f64() * 1_000.0, "ms"),
+    ])
+}
+
+/// Idle processor time of each of several daemons with 50 workers.
+///
+/// # Errors
+///
+/// [`Error`].
+pub async fn daemons(program: &Path, count: usize) -> Result<Vec<Figure>, Error> {
+    let mut plan = Plan::new(program, count);
+    plan.timing = json!({});
+    let site = Site::start(&plan).await.context(SiteSnafu)?;
+    preload(&site, 50).await?;
+    tokio::time::sleep(IDLE).await;
+    let appended = |site: &Site| {
+        let operator = site.daemons[0].operator();
+        async move {
+            let status = operator.call::<Value>(Method::GET, "/v1/status", None::<&()>).await;
+            status.map(|status| status["applied"].as_u64().unwrap_or_default())
+        }
+    };
+    let ids: Vec<_> = site.daemons.iter().filter_map(site::Daemon::process).collect();
+    let total = || ids.iter().map(|id| process(*id).map(|(_, cpu)| cpu)).sum::<Result<f64, _>>();
+    let before = (total()?, appended(&site).await.context(CallSnafu)?);
+    tokio::time::sleep(IDLE).await;
+    let after = (total()?, appended(&site).await.context(CallSnafu)?);
+    let share = (after.0 - before.0) / IDLE.as_secs_f64() * 100.0 / count as f64;
+    let appends = (after.1 - before.1) as f64 / IDLE.as_secs_f64();
+    Ok(vec![
+        Figure::new(format!("idle_core_percent_of_{count}_daemons"), share, "% of a core"),
+        Figure::new(format!("appends_per_s_idle_{count}_daemons"), appends, "appends/s"),
+    ])
+}
+
+/// Bytes of one heartbeat and of its answer, on the wire.
+///
+/// # Errors
+///
+/// [`Error`].
+pub async fn beat_bytes(program: &Path) -> Result<Vec<Figure>, Error> {
+    let plan = Plan::new(program, 2);
+    let site = Site::start(&plan).await.context(SiteSnafu)?;
+    let target = site.daemons[0].peers;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.context(ProcessSnafu { path: "loopback" })?;
+    // The second daemon's place is taken by a listener that passes everything on and counts.
+    let (sent, answered) = relay_once(&listener, target, &site).await?;
+    Ok(vec![
+        Figure::new("beat_bytes", sent, "bytes"),
+        Figure::new("beat_answer_bytes", answered, "bytes"),
+    ])
+}
+
+async fn relay_once(
+    listener: &TcpListener,
+    target: std::net::SocketAddr,
+    site: &Site,
+) -> Result<(f64, f64), Error> {
+    let address = listener.local_addr().context(ProcessSnafu { path: "loopback" })?;
+    let link = crosspath_peer::RpcLink::new(address, site::PEER_TOKEN, Duration::from_secs(5));
+    let Ok(link) = link else { return Ok((0.0, 0.0)) };
+    let status = site.daemons[1].operator();
+    let status = status.call::<Value>(Method::GET, "/v1/status", None::<&()>).await;
+    let applied = status.context(CallSnafu)?["applied"].as_u64().unwrap_or_default();
+    let beat = crosspath_peer::Beat {
+        from: crosspath_state::record::Writer {
+            daemon: "entry-2".parse().expect("a name"),
+            incarnation: crosspath_state::record::Incarnation(1_800_000_000_000),
+        },
+        applied: crosspath_state::record::Revision(applied),
+        in_flight: Vec::new(),
+        ready: true,
+    };
+    let relay = async {
+        let (mut from, _) = listener.accept().await?;
+        let mut to = tokio::net::TcpStream::connect(target).await?;
+        let mut buffer = vec![0; 65_536];
+        let sent = from.read(&mut buffer).await?;
+        to.write_all(&buffer[..sent]).await?;
+        let answered = to.read(&mut buffer).await?;
+        from.write_all(&buffer[..answered]).await?;
+        Ok::<_, std::io::Error>((sent as f64, answered as f64))
+    };
+    let (counted, _) = tokio::join!(relay, crosspath_peer::Link::beat(&link, beat));
+    counted.context(ProcessSnafu { path: "loopback" })
+}
--- a/crates/crosspath_fakes/src/site.rs
+++ b/crates/crosspath_fakes/src/site.rs
@@ -2,6 +2,7 @@
 //! daemons as processes, which can be killed, frozen and replaced.
 
 mod port;
+mod relay;
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -22,11 +23,13 @@
 
 use crate::config::{Config, VmConfig};
 use crate::platform::{Fakes, StartError};
+use relay::Relay;
 
 /// The operator's token at every site.
 pub const OPERATOR_TOKEN: &str = "operator-demo-token";
 
-const PEER_TOKEN: &str = "peer-demo-token-0123456789";
+/// What the daemons of every site show each other.
+pub const PEER_TOKEN: &str = "peer-demo-token-0123456789";
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(20);
@@ -108,6 +111,8 @@
     pub limits: Value,
     /// What the stand-ins play; VMs are taken from the resources.
     pub fakes: Config,
+    /// Whether links between daemons, and to the platform, can be cut.
+    pub cuttable: bool,
 }
 
 impl Plan {
@@ -133,6 +138,7 @@
                 service_ms: Default::default(),
                 vm_list_lag_ms: 200,
             },
+            cuttable: false,
         }
     }
 
@@ -237,10 +243,20 @@
     pub fakes: Fakes,
     /// The daemons.
     pub daemons: Vec<Daemon>,
+    links: Vec<Link>,
     program: PathBuf,
     directory: TempDir,
 }
 
+/// A link that one daemon uses, to another or to the platform.
+#[derive(Debug)]
+struct Link {
+    from: usize,
+    /// The other daemon; none for the platform.
+    to: Option<usize>,
+    relay: Relay,
+}
+
 impl Site {
     /// Starts the stand-ins and the daemons, and waits until every daemon is ready.
     ///
@@ -252,8 +268,15 @@
         fakes.vms.extend(plan.resources.iter().filter_map(vm_config));
         let fakes = Fakes::start(&fakes).await.context(FakesSnafu)?;
         let directory = tempfile::tempdir().context(FileSnafu { file: "temporary directory" })?;
-        let daemons = daemons(plan, fakes.platform, directory.path())?;
-        let mut site = Self { fakes, daemons, program: plan.program.clone(), directory };
+        let daemons = daemons(plan, directory.path());
+        let links = links(plan, fakes.platform, &daemons).await?;
+        for (index, daemon) in daemons.iter().enumerate() {
+            let settings = settings(plan, fakes.platform, &daemons, &links, index);
+            let file = &daemon.settings;
+            std::fs::write(file, settings.to_string()).context(FileSnafu { file })?;
+        }
+        let program = plan.program.clone();
+        let mut site = Self { fakes, daemons, links, program, directory };
         for index in 0..site.daemons.len() {
             site.restart(index)?;
         }
@@ -301,6 +324,19 @@
         .await
     }
 
+    /// Cuts a daemon off from the platform and from every other daemon, or heals that. Callers and
+    /// upstreams still reach it.
+    pub fn set_cut_off(&self, index: usize, cut: bool) {
+        let touched = self.links.iter().filter(|l| l.from == index || l.to == Some(index));
+        touched.for_each(|link| link.relay.set_cut(cut));
+    }
+
+    /// Cuts a daemon off from the platform only, or heals that.
+    pub fn set_cut_from_platform(&self, index: usize, cut: bool) {
+        let touched = self.links.iter().filter(|link| link.from == index && link.to.is_none());
+        touched.for_each(|link| link.relay.set_cut(cut));
+    }
+
     /// Waits until `met` says so.
     ///
     /// # Errors
@@ -379,7 +415,7 @@
     Some(VmConfig { name, address: any(), slots: u32::try_from(slots).unwrap_or(u32::MAX) })
 }
 
-fn daemons(plan: &Plan, platform: SocketAddr, directory: &Path) -> Result<Vec<Daemon>, Error> {
+fn daemons(plan: &Plan, directory: &Path) -> Vec<Daemon> {
     let ports = port::block(plan.daemons * 3);
     let address = |place: usize| SocketAddr::from((Ipv4Addr::LOCALHOST, ports[place]));
     let daemon = |index: usize| {
@@ -393,19 +429,41 @@
             child: None,
         }
     };
-    let daemons: Vec<Daemon> = (0..plan.daemons).map(daemon).collect();
-    for (index, daemon) in daemons.iter().enumerate() {
-        let settings = settings(plan, platform, &daemons, index);
-        let file = &daemon.settings;
-        std::fs::write(file, settings.to_string()).context(FileSnafu { file })?;
+    (0..plan.daemons).map(daemon).collect()
+}
+
+/// Relays for every link, if links can be cut.
+async fn links(plan: &Plan, platform: SocketAddr, daemons: &[Daemon]) -> Result<Vec<Link>, Error> {
+    let mut links = Vec::new();
+    let all = || 0..daemons.len();
+    let pairs = all().flat_map(|from| {
+        let peers = all().filter(move |to| *to != from).map(Some);
+        peers.chain([None]).map(move |to| (from, to))
+    });
+    for (from, to) in pairs.filter(|_| plan.cuttable) {
+        let address = to.map_or(platform, |to| daemons[to].peers);
+        let relay = Relay::start(address).await.context(FileSnafu { file: "loopback" })?;
+        links.push(Link { from, to, relay });
     }
-    Ok(daemons)
+    Ok(links)
 }
 
-fn settings(plan: &Plan, platform: SocketAddr, daemons: &[Daemon], index: usize) -> Value {
+fn settings(
+    plan: &Plan,
+    platform: SocketAddr,
+    daemons: &[Daemon],
+    links: &[Link],
+    index: usize,
+) -> Value {
     let own = &daemons[index];
-    let peers = daemons.iter().filter(|daemon| daemon.name != own.name);
-    let peers = peers.map(|peer| json!({ "name": peer.name, "address": peer.peers }));
+    let through = |to: Option<usize>, direct: SocketAddr| {
+        let link = links.iter().find(|link| link.from == index && link.to == to);
+        link.map_or(direct, |link| link.relay.address)
+    };
+    let peers = daemons.iter().enumerate().filter(|(other, _)| *other != index);
+    let peers = peers.map(
+        |(other, peer)| json!({ "name": peer.name, "address": through(Some(other), peer.peers) }),
+    );
     let token = crosspath_settings::token::Hash::of(OPERATOR_TOKEN).to_hex();
     json!({
         "name": own.name,
@@ -413,7 +471,7 @@
         "listen": { "callers": own.callers, "operators": own.operators, "peers": own.peers },
         "peers": peers.collect::<Vec<_>>(),
         "peer_token": PEER_TOKEN,
-        "platform": platform,
+        "platform": through(None, platform),
         "operators": [{ "name": "demo", "token_sha256": token, "rights": ["read", "write"] }],
         "limits": plan.limits,
         "timing": plan.timing,
--- a/crates/crosspath_fakes/src/vm.rs
+++ b/crates/crosspath_fakes/src/vm.rs
@@ -26,6 +26,8 @@
     pub reboots: u32,
     /// Requests that reboots cut off.
     pub cut_off: u32,
+    /// Requests that it refused while drained.
+    pub refused: u32,
     /// Most requests at one time.
     pub max_in_flight: u32,
     /// Its slots.
@@ -75,6 +77,7 @@
             drained: false,
             reboots: 0,
             cut_off: 0,
+            refused: 0,
             max_in_flight: 0,
             slots,
             job_starts: 0,
@@ -188,6 +191,7 @@
     pub(crate) fn enter(&self) -> bool {
         let mut inner = self.inner();
         if inner.drained || !inner.up {
+            inner.audit.refused += 1;
             return false;
         }
         inner.last_request = Some(Instant::now());
--- a/crates/crosspath_plan/src/evacuate.rs
+++ b/crates/crosspath_plan/src/evacuate.rs
@@ -4,25 +4,25 @@
 //! VM that the wave serviced already, where it stays for the rest of the wave; only when none has
 //! room does it go to one that is still due.
 
-use std::collections::BTreeMap;
-
 use crosspath_state::name::{JobName, VmName, WaveName};
 use crosspath_state::record::{Change, JobAction};
 use crosspath_state::{State, job};
 
 use crate::place;
-use crate::room::{self, Free};
+use crate::room::{self, Rooms};
+use crate::view::View;
 
 /// Changes that empty `vm` for `wave`; jobs that find no room are not among them.
 #[must_use]
-pub fn vm(state: &State, vm: &VmName, wave: &WaveName) -> Vec<Change> {
-    let Some(stored) = state.vms.get(vm) else {
+pub fn vm(view: &View<'_>, rooms: &mut Rooms<'_>, vm: &VmName, wave: &WaveName) -> Vec<Change> {
+    let state = view.state;
+    let Some(stored) = state.vms.get(vm) else { return Vec::new() };
+    let running = view.jobs_on(vm).iter().filter(|(_, job)| is_running(&job.status));
+    let mut running: Vec<_> = running.copied().collect();
+    if running.is_empty() {
         return Vec::new();
-    };
-    let mut rooms = room::of_pool(state, &stored.spec.pool);
-    rooms.remove(vm);
-    let running = state.jobs_on(vm).filter(|(_, job)| is_running(&job.status));
-    let mut running: Vec<_> = running.collect();
+    }
+    let pool = &stored.spec.pool;
     running.sort_by_key(|(_, job)| std::cmp::Reverse((job.spec.cores, job.spec.memory_mb)));
     let mut changes = Vec::new();
     for (name, job) in running {
@@ -30,24 +30,20 @@
             changes.push(suspend(name));
             continue;
         }
-        let Some(to) = target(state, &rooms, wave, &job.spec) else {
+        let Some(to) = target(state, rooms.of(pool), wave, &job.spec) else {
             continue;
         };
-        if let Some(free) = rooms.get_mut(&to) {
-            *free = free.less(&job.spec);
-        }
+        rooms.take(pool, &to, &job.spec);
         changes.push(place::place(name, to));
     }
     changes
 }
 
-/// Jobs on a VM that only a move to another VM can take out of the way of a reboot.
-pub fn fixed_jobs<'a>(
-    state: &'a State,
-    vm: &'a VmName,
-) -> impl Iterator<Item = (&'a JobName, &'a job::Spec)> {
-    let fixed = state.jobs_on(vm).filter(|(_, job)| !job.spec.checkpointable);
-    fixed.map(|(name, job)| (name, &job.spec))
+/// Cores of the jobs on a VM that only a move can take out of the way of a reboot.
+#[must_use]
+pub fn fixed_cores(view: &View<'_>, vm: &VmName) -> u32 {
+    let fixed = view.jobs_on(vm).iter().filter(|(_, job)| !job.spec.checkpointable);
+    fixed.map(|(_, job)| job.spec.cores).sum()
 }
 
 /// Changes that resume what is suspended on VMs that take work again.
@@ -70,12 +66,7 @@
 }
 
 /// The fullest serviced VM with room, or else the fullest of those that are due.
-fn target(
-    state: &State,
-    rooms: &BTreeMap<VmName, Free>,
-    wave: &WaveName,
-    job: &job::Spec,
-) -> Option<VmName> {
+fn target(state: &State, rooms: &room::Pool, wave: &WaveName, job: &job::Spec) -> Option<VmName> {
     let wave = state.waves.get(wave).map(|wave| &wave.status);
     let due = |vm: &VmName| {
         wave.is_some_and(|wave| wave.targets.contains(vm) && !wave.serviced.contains(vm))
--- a/crates/crosspath_plan/src/place.rs
+++ b/crates/crosspath_plan/src/place.rs
@@ -11,7 +11,8 @@
 use crosspath_state::{State, job};
 use serde::Serialize;
 
-use crate::room::{self, Free};
+use crate::room::{Free, Rooms};
+use crate::view::View;
 
 /// Why a job has no VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -39,9 +40,10 @@
     pub obstacles: BTreeMap<JobName, Obstacle>,
 }
 
-/// Places every job that waits and that fits.
+/// Places every job that waits and that fits in what is free.
 #[must_use]
-pub fn pending(state: &State) -> Placement {
+pub fn pending(view: &View<'_>, rooms: &mut Rooms<'_>) -> Placement {
+    let state = view.state;
     let mut placement = Placement::default();
     let waiting = state.jobs.iter().filter(|(_, job)| job.status.phase == job::Phase::Pending);
     let mut waiting: Vec<_> = waiting.map(|(name, job)| (name, &job.spec)).collect();
@@ -49,9 +51,9 @@
         return placement;
     }
     waiting.sort_by_key(|(_, job)| (job.class, std::cmp::Reverse((job.cores, job.memory_mb))));
-    let mut planner = Planner::new(state);
+    let mut planner = Planner::new(view);
     for (name, spec) in waiting {
-        match planner.place(spec) {
+        match planner.place(rooms, spec) {
             Ok(vm) => placement.changes.push(place(name, vm)),
             Err(obstacle) => drop(placement.obstacles.insert(name.clone(), obstacle)),
         }
@@ -69,20 +71,21 @@
 #[must_use]
 pub fn obstacle(state: &State, job: &JobName) -> Option<Obstacle> {
     let job = state.jobs.get(job).filter(|job| job.status.phase == job::Phase::Pending)?;
-    Planner::new(state).place(&job.spec).err()
+    let view = View::new(state);
+    Planner::new(&view).place(&mut Rooms::new(&view), &job.spec).err()
 }
 
 type Spread = BTreeMap<(TeamName, PoolName, DataCentre, Rack), u32>;
 
 struct Planner<'a> {
-    state: &'a State,
-    rooms: BTreeMap<PoolName, BTreeMap<VmName, Free>>,
+    view: &'a View<'a>,
     cores_of: BTreeMap<TeamName, u32>,
     spread: Spread,
 }
 
 impl<'a> Planner<'a> {
-    fn new(state: &'a State) -> Self {
+    fn new(view: &'a View<'a>) -> Self {
+        let state = view.state;
         let mut cores_of: BTreeMap<TeamName, u32> = BTreeMap::new();
         let mut spread = Spread::new();
         for job in state.jobs.values() {
@@ -92,32 +95,28 @@
             *cores_of.entry(job.spec.team.clone()).or_default() += job.spec.cores;
             *spread.entry(domain(&job.spec, &vm.spec)).or_default() += 1;
         }
-        Self { state, rooms: BTreeMap::new(), cores_of, spread }
+        Self { view, cores_of, spread }
     }
 
-    fn place(&mut self, job: &job::Spec) -> Result<VmName, Obstacle> {
+    fn place(&mut self, rooms: &mut Rooms<'_>, job: &job::Spec) -> Result<VmName, Obstacle> {
         self.check_ever(job)?;
-        let state = self.state;
+        let state = self.view.state;
         let quota = state.teams.get(&job.team).map_or(0, |team| team.spec.max_cores);
         let used = self.cores_of.entry(job.team.clone()).or_default();
         if *used + job.cores > quota {
             return Err(Obstacle::QuotaUsed);
         }
-        let rooms = self.rooms.entry(job.pool.clone());
-        let rooms = rooms.or_insert_with(|| room::of_pool(state, &job.pool));
         let spread = &self.spread;
         let cost = |vm: &VmName, free: &Free| {
             let spec = state.vms.get(vm).map(|vm| &vm.spec);
             let nearby = spec.and_then(|spec| spread.get(&domain(job, spec)));
             (nearby.copied().unwrap_or_default(), free.cores, free.memory_mb)
         };
-        let fitting = rooms.iter().filter(|(_, free)| free.fits(job));
+        let fitting = rooms.of(&job.pool).iter().filter(|(_, free)| free.fits(job));
         let best = fitting.min_by_key(|(vm, free)| cost(vm, free));
         let vm = best.map(|(vm, _)| vm.clone()).ok_or(Obstacle::NoRoomNow)?;
         *used += job.cores;
-        if let Some(free) = rooms.get_mut(&vm) {
-            *free = free.less(job);
-        }
+        rooms.take(&job.pool, &vm, job);
         if let Some(spec) = state.vms.get(&vm).map(|vm| &vm.spec) {
             *self.spread.entry(domain(job, spec)).or_default() += 1;
         }
@@ -126,17 +125,12 @@
 
     /// Whether the job could run on an empty pool with an unused quota.
     fn check_ever(&self, job: &job::Spec) -> Result<(), Obstacle> {
-        let quota = self.state.teams.get(&job.team).map_or(0, |team| team.spec.max_cores);
+        let quota = self.view.state.teams.get(&job.team).map_or(0, |team| team.spec.max_cores);
         if job.cores > quota {
             return Err(Obstacle::NeverWithinQuota);
         }
-        let vms = || self.state.vms_of(&job.pool).map(|(_, vm)| &vm.spec);
-        let whole = |vm: &crosspath_state::vm::Spec| Free {
-            cores: vm.cores,
-            memory_mb: vm.memory_mb,
-            accelerators: vm.accelerators,
-        };
-        if vms().any(|vm| whole(vm).fits(job)) {
+        let vms = || self.view.vms_of(&job.pool).iter().map(|(_, vm)| &vm.spec);
+        if vms().any(|vm| Free::whole(vm).fits(job)) {
             return Ok(());
         }
         let what = match () {
--- a/crates/crosspath_plan/src/room.rs
+++ b/crates/crosspath_plan/src/room.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use crosspath_state::name::{PoolName, VmName};
-use crosspath_state::{State, job};
+use crosspath_state::{job, vm};
+
+use crate::view::View;
 
 /// Free resources of one VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +19,12 @@
 }
 
 impl Free {
+    /// All of a VM.
+    #[must_use]
+    pub fn whole(vm: &vm::Spec) -> Self {
+        Self { cores: vm.cores, memory_mb: vm.memory_mb, accelerators: vm.accelerators }
+    }
+
     /// Whether the job fits.
     #[must_use]
     pub fn fits(&self, job: &job::Spec) -> bool {
@@ -36,22 +44,43 @@
     }
 }
 
-/// Free resources of every VM of `pool` that takes work.
-#[must_use]
-pub fn of_pool(state: &State, pool: &PoolName) -> BTreeMap<VmName, Free> {
-    let serving = state.vms_of(pool).filter(|(_, vm)| vm.status.takes_work());
-    let mut rooms: BTreeMap<_, _> = serving
-        .map(|(name, vm)| {
-            let spec = &vm.spec;
-            let (cores, memory_mb) = (spec.cores, spec.memory_mb);
-            (name.clone(), Free { cores, memory_mb, accelerators: spec.accelerators })
-        })
-        .collect();
-    for job in state.jobs.values() {
-        let room = job.status.phase.vm().and_then(|vm| rooms.get_mut(vm));
-        if let Some(room) = room {
-            *room = room.less(&job.spec);
+/// Free resources by VM.
+pub type Pool = BTreeMap<VmName, Free>;
+
+/// What is free in each pool, less what this round of decisions has taken already.
+#[derive(Debug)]
+pub struct Rooms<'a> {
+    view: &'a View<'a>,
+    pools: BTreeMap<PoolName, Pool>,
+}
+
+impl<'a> Rooms<'a> {
+    /// Nothing is taken yet.
+    #[must_use]
+    pub fn new(view: &'a View<'a>) -> Self {
+        Self { view, pools: BTreeMap::new() }
+    }
+
+    /// Free resources of every VM of `pool` that takes work.
+    pub fn of(&mut self, pool: &PoolName) -> &mut Pool {
+        let view = self.view;
+        self.pools.entry(pool.clone()).or_insert_with(|| free_now(view, pool))
+    }
+
+    /// Takes room for a job on a VM.
+    pub fn take(&mut self, pool: &PoolName, vm: &VmName, job: &job::Spec) {
+        if let Some(free) = self.of(pool).get_mut(vm) {
+            *free = free.less(job);
         }
     }
-    rooms
+}
+
+fn free_now(view: &View<'_>, pool: &PoolName) -> Pool {
+    let serving = view.vms_of(pool).iter().filter(|(_, vm)| vm.status.takes_work());
+    let rooms = serving.map(|(name, vm)| {
+        let jobs = view.jobs_on(name).iter();
+        let free = jobs.fold(Free::whole(&vm.spec), |free, (_, job)| free.less(&job.spec));
+        ((*name).clone(), free)
+    });
+    rooms.collect()
 }
--- a/crates/crosspath_plan/src/wave.rs
+++ b/crates/crosspath_plan/src/wave.rs
@@ -14,7 +14,8 @@
 use serde::Serialize;
 
 use crate::evacuate;
-use crate::room;
+use crate::room::Rooms;
+use crate::view::View;
 
 /// What was observed of a VM that is out for maintenance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -62,20 +63,22 @@
 
 /// VMs to drain next, for every running wave.
 #[must_use]
-pub fn starts(state: &State) -> Vec<Change> {
-    let running = state.waves.iter().filter(|(_, wave)| wave.status.phase == wave::Phase::Running);
-    running.flat_map(|(name, wave)| starts_of(state, name, wave)).collect()
+pub fn starts(view: &View<'_>) -> Vec<Change> {
+    let waves = view.state.waves.iter();
+    let running = waves.filter(|(_, wave)| wave.status.phase == wave::Phase::Running);
+    running.flat_map(|(name, wave)| starts_of(view, name, wave)).collect()
 }
 
 type Wave = Stored<wave::Spec, wave::Status>;
 
-fn starts_of(state: &State, name: &WaveName, wave: &Wave) -> Vec<Change> {
+fn starts_of(view: &View<'_>, name: &WaveName, wave: &Wave) -> Vec<Change> {
     let pools = wave.spec.pools.iter();
-    let chosen = pools.flat_map(|pool| chosen_of_pool(state, wave, pool));
+    let chosen = pools.flat_map(|pool| chosen_of_pool(view, wave, pool));
     chosen.map(|vm| Change::Step { vm, step: Step::Drain { wave: name.clone() } }).collect()
 }
 
-fn chosen_of_pool(state: &State, wave: &Wave, pool: &PoolName) -> Vec<VmName> {
+fn chosen_of_pool(view: &View<'_>, wave: &Wave, pool: &PoolName) -> Vec<VmName> {
+    let state = view.state;
     let Some(spec) = state.pools.get(pool).map(|pool| &pool.spec) else {
         return Vec::new();
     };
@@ -89,7 +92,7 @@
     if free == 0 {
         return Vec::new();
     }
-    ordered(state, wave, pool).into_iter().take(free).collect()
+    ordered(view, wave, pool).into_iter().take(free).collect()
 }
 
 enum Canary {
@@ -108,43 +111,54 @@
 }
 
 /// VMs of the pool that are due and serving, the best to take out first.
-fn ordered(state: &State, wave: &Wave, pool: &PoolName) -> Vec<VmName> {
-    let in_pool = |vm: &&VmName| {
-        let vm = state.vms.get(*vm);
-        vm.is_some_and(|vm| vm.spec.pool == *pool && vm.status.takes_work())
+fn ordered(view: &View<'_>, wave: &Wave, pool: &PoolName) -> Vec<VmName> {
+    let status = &wave.status;
+    let is_due = |vm: &VmName| {
+        status.targets.contains(vm) && !status.serviced.contains(vm) && !status.failed.contains(vm)
     };
-    let due: Vec<_> = wave.status.due().filter(in_pool).cloned().collect();
-    let rooms = room::of_pool(state, pool);
-    let serviced = rooms.iter().filter(|(vm, _)| wave.status.serviced.contains(*vm));
+    let serving = view.vms_of(pool).iter().filter(|(_, vm)| vm.status.takes_work());
+    let due = serving.map(|(name, _)| *name).filter(|name| is_due(name));
+    let mut rooms = Rooms::new(view);
+    let serviced = rooms.of(pool).iter().filter(|(vm, _)| status.serviced.contains(*vm));
     let room: u32 = serviced.map(|(_, free)| free.cores).sum();
-    let mut keyed: Vec<_> = due.into_iter().map(|vm| (burden(state, &vm, room), vm)).collect();
+    let mut keyed: Vec<_> = due.map(|vm| (burden(view, vm, room), vm.clone())).collect();
     keyed.sort();
     keyed.into_iter().map(|(_, vm)| vm).collect()
 }
 
 /// Whether jobs would have to move to VMs that are still due, and how large they are.
-fn burden(state: &State, vm: &VmName, room: u32) -> (bool, u32) {
-    let cores = evacuate::fixed_jobs(state, vm).map(|(_, job)| job.cores).sum();
+fn burden(view: &View<'_>, vm: &VmName, room: u32) -> (bool, u32) {
+    let cores = evacuate::fixed_cores(view, vm);
     (cores > room, cores)
 }
 
 /// Next changes for the VMs that are out, given what was observed of each.
 #[must_use]
-pub fn advance(state: &State, observed: &BTreeMap<VmName, Observed>) -> Vec<Change> {
-    let out = state.vms.iter().filter(|(_, vm)| vm.status.wave().is_some());
-    let changes = out.flat_map(|(name, vm)| {
+pub fn advance(
+    view: &View<'_>,
+    rooms: &mut Rooms<'_>,
+    observed: &BTreeMap<VmName, Observed>,
+) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for (name, vm) in view.state.vms.iter().filter(|(_, vm)| vm.status.wave().is_some()) {
         let seen = observed.get(name).copied().unwrap_or_default();
-        advance_vm(state, name, &vm.status, seen)
-    });
-    changes.collect()
+        changes.extend(advance_vm(view, rooms, name, &vm.status, seen));
+    }
+    changes
 }
 
-fn advance_vm(state: &State, name: &VmName, phase: &vm::Phase, seen: Observed) -> Vec<Change> {
+fn advance_vm(
+    view: &View<'_>,
+    rooms: &mut Rooms<'_>,
+    name: &VmName,
+    phase: &vm::Phase,
+    seen: Observed,
+) -> Vec<Change> {
     let step = |step| vec![Change::Step { vm: name.clone(), step }];
     match phase {
-        vm::Phase::Draining { wave } if is_cancelled(state, wave) => step(Step::Undrain),
+        vm::Phase::Draining { wave } if is_cancelled(view.state, wave) => step(Step::Undrain),
         vm::Phase::Draining { wave } => {
-            let changes = evacuate::vm(state, name, wave);
+            let changes = evacuate::vm(view, rooms, name, wave);
             let ready = changes.is_empty() && seen.daemons_done && seen.worker_idle;
             if ready { step(Step::Reboot) } else { changes }
         }
--- /dev/null
+++ b/crates/crosspath_route/tests/route/claim.rs
@@ -0,0 +1,195 @@
+//! Claims on payment keys across owners: no key is granted twice while it may have run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crosspath_route::answer::{Answer, NotRun, Unknown};
+use crosspath_route::claim::{Bounds, Outcome, Recorded, Request, Table, Verdict};
+use crosspath_route::key::Key;
+use crosspath_state::name::CallerName;
+use crosspath_state::time::Wall;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use uuid::{NoContext, Timestamp, Uuid};
+
+const SKEW_MS: u64 = 50;
+const BOUNDS: Bounds = Bounds {
+    keys: 1_000,
+    retention: Duration::from_millis(10_000),
+    skew: Duration::from_millis(SKEW_MS),
+};
+const LEFT: Duration = Duration::from_millis(500);
+
+fn key_at(ms: u64) -> Key {
+    let nanos = u32::try_from(ms % 1_000).expect("small") * 1_000_000;
+    let uuid = Uuid::new_v7(Timestamp::from_unix(NoContext, ms / 1_000, nanos));
+    Key::parse(&uuid.to_string()).expect("version 7")
+}
+
+fn request(key: Key) -> Request {
+    let caller = CallerName::new("shops").expect("a name");
+    Request { key, caller, digest: "same".to_owned() }
+}
+
+fn answered() -> Outcome {
+    Outcome::Answered(Recorded { status: 200, content_type: None, body: b"paid".to_vec() })
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// Time passes, on every clock.
+    Pass(u64),
+    /// A caller, whose clock is off by up to the skew, makes a key.
+    Make { off: u64 },
+    /// A key is claimed, perhaps again.
+    Claim { place: usize },
+    /// A granted request ends, certainly not run or not.
+    End { place: usize, not_run: bool },
+    /// The owner is lost with its claims, and another, whose clock is off, takes over.
+    TakeOver { off: u64 },
+    /// The owner hands its claims over.
+    HandOver { off: u64 },
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let off = || 0..SKEW_MS;
+    prop_oneof![
+        5 => (1..200_u64).prop_map(Event::Pass),
+        1 => Just(Event::Pass(4_000)),
+        6 => off().prop_map(|off| Event::Make { off }),
+        10 => (0..30_usize).prop_map(|place| Event::Claim { place }),
+        4 => (0..30_usize, any::<bool>()).prop_map(|(place, not_run)| Event::End { place, not_run }),
+        1 => off().prop_map(|off| Event::TakeOver { off }),
+        1 => off().prop_map(|off| Event::HandOver { off }),
+    ]
+}
+
+/// What became of a key in the world outside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// Granted, and may be running or have run.
+    MayHaveRun,
+    /// Never granted, or ended as certainly not run.
+    NotRun,
+}
+
+fn run(events: &[Event]) -> (u32, u32) {
+    let (mut now, mut off, mut since) = (1_000_000_u64, 0_u64, Wall(900_000));
+    let mut table = Table::new(BOUNDS);
+    let mut keys: Vec<Key> = Vec::new();
+    let mut fates: BTreeMap<Key, Fate> = BTreeMap::new();
+    let (mut granted, mut unknown) = (0, 0);
+    for event in events {
+        let clock = Wall(now + off);
+        match *event {
+            Event::Pass(ms) => now += ms,
+            Event::Make { off } => keys.push(key_at(now + off)),
+            Event::Claim { place } => {
+                let Some(key) = keys.get(keys.len().wrapping_sub(place + 1)).copied() else {
+                    continue;
+                };
+                let fate = fates.get(&key).copied().unwrap_or(Fate::NotRun);
+                match table.claim(&request(key), LEFT, since, clock) {
+                    Verdict::Granted => {
+                        assert_eq!(fate, Fate::NotRun, "granted twice");
+                        fates.insert(key, Fate::MayHaveRun);
+                        granted += 1;
+                    }
+                    Verdict::Final(Answer::NotRun(reason)) => {
+                        assert_eq!(fate, Fate::NotRun, "'not run' ({reason:?}) but granted");
+                    }
+                    _ => unknown += 1,
+                }
+            }
+            Event::End { place, not_run } => {
+                let Some(key) = keys.get(keys.len().wrapping_sub(place + 1)).copied() else {
+                    continue;
+                };
+                if fates.get(&key) != Some(&Fate::MayHaveRun) {
+                    continue;
+                }
+                if not_run && table.look_up(key, &request(key).caller, clock).is_some() {
+                    let running = table.look_up(key, &request(key).caller, clock);
+                    let open = matches!(
+                        running,
+                        Some(Verdict::Final(Answer::Unknown(
+                            Unknown::InProgress | Unknown::OutcomeLost
+                        )))
+                    );
+                    if open {
+                        fates.insert(key, Fate::NotRun);
+                        table.settle(&request(key), Outcome::NotRun);
+                    }
+                } else {
+                    table.settle(&request(key), answered());
+                }
+            }
+            Event::TakeOver { off: next } => {
+                off = next;
+                table = Table::new(BOUNDS);
+                since = Wall(now + off);
+            }
+            Event::HandOver { off: next } => {
+                off = next;
+                let claims = table.select(|_| true);
+                table = Table::new(BOUNDS);
+                table.take_over(claims);
+            }
+        }
+    }
+    (granted, unknown)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3_000, rng_seed: RngSeed::Fixed(5), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_key_is_granted_while_it_may_have_run(events in prop::collection::vec(any_event(), 120)) {
+        run(&events);
+    }
+}
+
+#[test]
+fn made_up_histories_grant_and_refuse() {
+    use proptest::strategy::ValueTree as _;
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let strategy = prop::collection::vec(any_event(), 120);
+    let (mut granted, mut unknown) = (0, 0);
+    for _ in 0..100 {
+        let counts = run(&strategy.new_tree(&mut runner).expect("events").current());
+        granted += counts.0;
+        unknown += counts.1;
+    }
+    assert!(granted > 300 && unknown > 500, "{granted} granted, {unknown} unknown");
+}
+
+#[test]
+fn a_full_table_refuses_before_anything_is_sent() {
+    let mut table = Table::new(Bounds { keys: 2, ..BOUNDS });
+    let (since, now) = (Wall(0), Wall(1_000_000));
+    for _ in 0..2 {
+        let verdict = table.claim(&request(key_at(now.0)), LEFT, since, now);
+        assert_eq!(verdict, Verdict::Granted);
+    }
+    let full = table.claim(&request(key_at(now.0)), LEFT, since, now);
+    assert_eq!(full, Verdict::Final(Answer::NotRun(NotRun::KeysFull)));
+    // Room comes back when keys are too old to be taken anyway.
+    let later = Wall(now.0 + 20_000);
+    assert_eq!(table.claim(&request(key_at(later.0)), LEFT, since, later), Verdict::Granted);
+    assert_eq!(table.len(), 1);
+}
+
+#[test]
+fn keys_from_the_future_and_from_long_ago_are_refused() {
+    let mut table = Table::new(BOUNDS);
+    let now = Wall(1_000_000);
+    let ahead = table.claim(&request(key_at(now.0 + SKEW_MS + 1)), LEFT, Wall(0), now);
+    assert_eq!(ahead, Verdict::Final(Answer::NotRun(NotRun::KeyFromFuture)));
+    let old = table.claim(&request(key_at(now.0 - 10_001)), LEFT, Wall(0), now);
+    assert_eq!(old, Verdict::Final(Answer::Unknown(Unknown::KeyExpired)));
+    assert!(Key::parse("not a key").is_err());
+    assert!(Key::parse(&Uuid::nil().to_string()).is_err());
+}
--- /dev/null
+++ b/crates/crosspath_route/tests/route/dispatch.rs
@@ -0,0 +1,278 @@
+//! Slots, queues and refusals of one pool.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crosspath_route::answer::{Answer, NotRun};
+use crosspath_route::dispatch::{Ask, Bounds, Dispatch, Grant, Offer, Target, Ticket, Use};
+use crosspath_state::job::Class;
+use crosspath_state::name::{CallerName, VmName};
+use crosspath_state::time::Monotonic;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+const BOUNDS: Bounds = Bounds { queue: 50, batch_ceiling_percent: 75, batch_floor_every: 4 };
+
+fn vm(number: u8) -> VmName {
+    VmName::new(&format!("vm-{number}")).expect("a name")
+}
+
+fn caller(number: u8) -> CallerName {
+    CallerName::new(&format!("caller-{number}")).expect("a name")
+}
+
+fn targets(count: u8, slots: u32) -> Vec<Target> {
+    (0..count).map(|number| Target { vm: vm(number), slots, local: number % 2 == 0 }).collect()
+}
+
+/// One pool, and what a test knows of it from outside.
+struct Pool {
+    dispatch: Dispatch,
+    rng: SmallRng,
+    now: u64,
+    tickets: u64,
+    waiting: BTreeMap<Ticket, Class>,
+    running: Vec<(VmName, Class)>,
+    served: BTreeMap<Class, u32>,
+}
+
+impl Pool {
+    fn new(targets: &[Target]) -> Self {
+        let mut pool = Self {
+            dispatch: Dispatch::new(BOUNDS),
+            rng: SmallRng::seed_from_u64(6),
+            now: 100_000,
+            tickets: 0,
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            served: BTreeMap::new(),
+        };
+        pool.set_targets(targets);
+        pool
+    }
+
+    fn now(&self) -> Monotonic {
+        Monotonic(self.now)
+    }
+
+    fn set_targets(&mut self, targets: &[Target]) {
+        let grants = self.dispatch.set_targets(targets, self.now(), &mut self.rng);
+        self.granted(grants);
+    }
+
+    fn granted(&mut self, grants: Vec<Grant>) {
+        for grant in grants {
+            let class = self.waiting.remove(&grant.ticket).expect("granted to one that waits");
+            assert_eq!(class, grant.class);
+            self.start(grant.vm, class);
+        }
+    }
+
+    fn start(&mut self, vm: VmName, class: Class) {
+        self.running.push((vm, class));
+        *self.served.entry(class).or_default() += 1;
+    }
+
+    fn ask(&mut self, from: u8, class: Class, within: u64) -> Offer {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let deadline = self.now().after(Duration::from_millis(within));
+        let ask = Ask { ticket, caller: caller(from), class, deadline };
+        let offer = self.dispatch.offer(ask, self.now(), &mut self.rng);
+        match &offer {
+            Offer::Assigned(vm) => self.start(vm.clone(), class),
+            Offer::Waiting => drop(self.waiting.insert(ticket, class)),
+            Offer::Refused(_) => {}
+        }
+        offer
+    }
+
+    fn end(&mut self, place: usize, end: Use) {
+        if self.running.is_empty() {
+            return;
+        }
+        let (vm, class) = self.running.swap_remove(place % self.running.len());
+        let grants = self.dispatch.release(&vm, class, end, self.now(), &mut self.rng);
+        self.granted(grants);
+    }
+
+    fn on(&self, vm: &VmName) -> u32 {
+        u32::try_from(self.running.iter().filter(|(on, _)| on == vm).count()).expect("small")
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Pass(u64),
+    Ask { from: u8, batch: bool, within: u64 },
+    End { place: usize, how: u8 },
+    Cancel { place: usize },
+    Expire,
+    Targets { vms: Vec<u8> },
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (1..300_u64).prop_map(Event::Pass),
+        12 => (0..4_u8, any::<bool>(), 1..2_000_u64)
+            .prop_map(|(from, batch, within)| Event::Ask { from, batch, within }),
+        8 => (0..64_usize, 0..4_u8).prop_map(|(place, how)| Event::End { place, how }),
+        1 => (0..16_usize).prop_map(|place| Event::Cancel { place }),
+        1 => Just(Event::Expire),
+        1 => prop::collection::vec(0..5_u8, 0..5).prop_map(|vms| Event::Targets { vms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000, rng_seed: RngSeed::Fixed(7), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// No VM gets more than its slots, a VM that left gets nothing, and every ticket is granted,
+    /// expired or cancelled exactly once.
+    #[test]
+    fn limits_hold_for_any_history(events in prop::collection::vec(any_event(), 150)) {
+        const SLOTS: u32 = 3;
+        let mut pool = Pool::new(&targets(4, SLOTS));
+        let mut active: BTreeSet<VmName> = (0..4).map(vm).collect();
+        for event in events {
+            let before: BTreeMap<_, _> = (0..5).map(|n| (vm(n), pool.on(&vm(n)))).collect();
+            match event {
+                Event::Pass(ms) => pool.now += ms,
+                Event::Ask { from, batch, within } => {
+                    let class = if batch { Class::Batch } else { Class::Urgent };
+                    let offer = pool.ask(from, class, within);
+                    if active.is_empty() {
+                        let refused = matches!(offer, Offer::Refused(answer)
+                            if answer.answer == Answer::NotRun(NotRun::NoUpstream));
+                        prop_assert!(refused);
+                    }
+                }
+                Event::End { place, how } => {
+                    let ends = [
+                        Use::Answered(Duration::from_millis(20)),
+                        Use::Failed,
+                        Use::Refused,
+                        Use::Abandoned,
+                    ];
+                    pool.end(place, ends[usize::from(how)]);
+                }
+                Event::Cancel { place } => {
+                    let ticket = pool.waiting.keys().nth(place).copied();
+                    if let Some(ticket) = ticket {
+                        pool.dispatch.cancel(ticket);
+                        pool.waiting.remove(&ticket);
+                    }
+                }
+                Event::Expire => {
+                    for ticket in pool.dispatch.expire(pool.now()) {
+                        prop_assert!(pool.waiting.remove(&ticket).is_some());
+                    }
+                }
+                Event::Targets { vms } => {
+                    active = vms.iter().copied().map(vm).collect();
+                    let targets = active.iter().map(|vm| Target {
+                        vm: vm.clone(), slots: SLOTS, local: false,
+                    });
+                    pool.set_targets(&targets.collect::<Vec<_>>());
+                }
+            }
+            for number in 0..5 {
+                let vm = vm(number);
+                let on = pool.on(&vm);
+                prop_assert!(on <= SLOTS, "{vm} runs {on}");
+                prop_assert!(active.contains(&vm) || on <= before[&vm], "{vm} left and got more");
+                prop_assert_eq!(pool.dispatch.in_flight(&vm), on);
+            }
+            let waiting = [Class::Urgent, Class::Batch].map(|class| pool.dispatch.waiting(class));
+            prop_assert_eq!(waiting.iter().sum::<usize>(), pool.waiting.len());
+        }
+    }
+}
+
+/// Fills the pool, lets requests of both classes wait, and gives what is served of `rounds` ends.
+fn served_under_load(rounds: usize) -> BTreeMap<Class, u32> {
+    let mut pool = Pool::new(&targets(4, 2));
+    for _ in 0..8 {
+        pool.ask(0, Class::Urgent, 60_000);
+    }
+    pool.served.clear();
+    for round in 0..rounds {
+        pool.ask(1, Class::Batch, 60_000);
+        pool.ask(0, Class::Urgent, 60_000);
+        pool.end(round, Use::Answered(Duration::from_millis(5)));
+    }
+    pool.served
+}
+
+#[test]
+fn urgent_goes_first_and_batch_is_not_starved() {
+    let served = served_under_load(40);
+    assert_eq!(served[&Class::Batch], 10, "{served:?}");
+    assert_eq!(served[&Class::Urgent], 30, "{served:?}");
+}
+
+#[test]
+fn batch_leaves_slots_for_urgent() {
+    let mut pool = Pool::new(&targets(4, 2));
+    for _ in 0..20 {
+        pool.ask(1, Class::Batch, 60_000);
+    }
+    assert_eq!(pool.running.len(), 6);
+    assert!(matches!(pool.ask(0, Class::Urgent, 60_000), Offer::Assigned(_)));
+}
+
+#[test]
+fn one_caller_does_not_crowd_out_another() {
+    let mut pool = Pool::new(&targets(1, 1));
+    pool.ask(0, Class::Urgent, 60_000);
+    for _ in 0..20 {
+        pool.ask(1, Class::Urgent, 60_000);
+    }
+    pool.ask(2, Class::Urgent, 60_000);
+    let last = Ticket(pool.tickets);
+    pool.end(0, Use::Answered(Duration::from_millis(5)));
+    pool.end(0, Use::Answered(Duration::from_millis(5)));
+    assert!(!pool.waiting.contains_key(&last), "served second, not after twenty");
+}
+
+#[test]
+fn what_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut pool = Pool::new(&targets(1, 1));
+    pool.ask(0, Class::Urgent, 60_000);
+    pool.end(0, Use::Answered(Duration::from_millis(100)));
+    for _ in 0..10 {
+        pool.ask(0, Class::Urgent, 60_000);
+    }
+    let late = pool.ask(0, Class::Urgent, 500);
+    let Offer::Refused(answer) = late else { panic!("{late:?}") };
+    assert_eq!(answer.answer, Answer::NotRun(NotRun::TooLate));
+    assert!(answer.retry_after >= Some(Duration::from_millis(900)), "{answer:?}");
+    assert_eq!(pool.ask(0, Class::Urgent, 5_000), Offer::Waiting);
+}
+
+/// Failing quickly attracts no work, and failing together empties no pool.
+#[test]
+fn outliers_go_out_and_a_floor_stays() {
+    let mut pool = Pool::new(&targets(6, 4));
+    let bad = vm(0);
+    let mut on_bad = 0;
+    for _ in 0..300 {
+        pool.now += 10;
+        pool.ask(0, Class::Urgent, 60_000);
+        let (on, _) = pool.running.last().cloned().expect("assigned");
+        on_bad += u32::from(on == bad);
+        let end = if on == bad { Use::Failed } else { Use::Answered(Duration::from_millis(5)) };
+        pool.end(pool.running.len() - 1, end);
+    }
+    assert!(on_bad <= 15, "{on_bad} of 300 went to the bad one");
+    for _ in 0..100 {
+        pool.now += 1;
+        let offer = pool.ask(0, Class::Urgent, 60_000);
+        assert!(matches!(offer, Offer::Assigned(_)), "{offer:?}");
+        pool.end(0, Use::Failed);
+    }
+}
--- /dev/null
+++ b/crates/crosspath_route/tests/route/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the routing policy.
+
+mod claim;
+mod dispatch;
+mod split;
+mod verdict;
--- /dev/null
+++ b/crates/crosspath_route/tests/route/split.rs
@@ -0,0 +1,38 @@
+//! The parts of a VM's slots.
+
+use crosspath_route::split::Place;
+use crosspath_state::name::VmName;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(4), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Whoever is cut off from whom, the daemons together never use more than there is.
+    #[test]
+    fn the_parts_add_up_to_the_whole(vm in "[a-z]{1,8}", daemons in 1..60_u32, total in 0..300_u32) {
+        let vm = VmName::new(&vm).expect("a name");
+        let parts = (0..daemons).map(|index| Place { index, daemons }.part(&vm, total));
+        let parts: Vec<u32> = parts.collect();
+        prop_assert_eq!(parts.iter().sum::<u32>(), total);
+        let spread = parts.iter().max().copied().unwrap_or_default()
+            - parts.iter().min().copied().unwrap_or_default();
+        prop_assert!(spread <= 1);
+    }
+}
+
+/// The remainder does not always go to the same daemons.
+#[test]
+fn remainders_are_spread_over_the_daemons() {
+    let mut got = [0_u32; 6];
+    for number in 0..600 {
+        let vm = VmName::new(&format!("vm-{number}")).expect("a name");
+        for (index, got) in (0..).zip(&mut got) {
+            *got += Place { index, daemons: 6 }.part(&vm, 8);
+        }
+    }
+    assert_eq!(got.iter().sum::<u32>(), 4_800);
+    assert!(got.iter().all(|got| (760..=840).contains(got)), "{got:?}");
+}
--- a/crates/crosspathd/src/driver.rs
+++ b/crates/crosspathd/src/driver.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use crosspath_plan::wave::Observed;
-use crosspath_plan::{evacuate, place, wave};
 use crosspath_state::name::VmName;
 use crosspath_state::record::{Change, Revision};
 use crosspath_state::{State, Stored, vm};
@@ -44,11 +43,7 @@
     let state = core.state();
     let observed = observe(core, &state).await;
     jobs.reconcile(core, &state).await;
-    let mut changes = wave::advance(&state, &observed);
-    changes.extend(evacuate::resume(&state));
-    changes.extend(wave::starts(&state));
-    changes.extend(place::pending(&state).changes);
-    commit(core, changes).await;
+    commit(core, crosspath_plan::decide(&state, &observed)).await;
 }
 
 async fn commit(core: &Core, changes: Vec<Change>) {
--- /dev/null
+++ b/crates/crosspathd/tests/site/cut.rs
@@ -0,0 +1,110 @@
+//! A daemon that is cut off from the log and from its peers, but not from callers and upstreams.
+
+use std::time::Duration;
+
+use crosspath_fakes::site::Site;
+use serde_json::json;
+
+use crate::common::{self, Payment, SOON};
+
+async fn start() -> Site {
+    let mut plan = common::plan(6);
+    plan.cuttable = true;
+    plan.fakes.reboot_ms = 300;
+    plan.fakes.service_ms.insert("pay".to_owned(), 60);
+    let site = common::start(&plan).await;
+    common::wait_settled(&site).await;
+    site
+}
+
+async fn wait_evicted(site: &Site, through: usize, daemon: &str) {
+    site.wait(SOON, "evicted", async || {
+        let status = common::status(site, through).await;
+        let daemons = status["daemons"].as_array().cloned().unwrap_or_default();
+        daemons.iter().any(|seen| seen["name"] == daemon && seen["member"] == false)
+    })
+    .await
+    .expect("evicted");
+    // Fresh keys are younger than the take-over by twice the skew.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_is_cut_off_grants_no_key() {
+    let site = start().await;
+    site.set_cut_off(1, true);
+    wait_evicted(&site, 0, "entry-2").await;
+    let payments = common::payments(80);
+    for payment in &payments {
+        assert_eq!(payment.send(&site, 0).await.word(), "upstream/");
+    }
+    // The cut-off daemon still believes that it owns a third of them.
+    for payment in &payments {
+        let told = payment.send(&site, 1).await;
+        assert_eq!(told.word(), "unknown/key_not_asked");
+        assert!(told.retry_after);
+    }
+    assert_eq!(common::most_runs(&site), 1);
+    site.set_cut_off(1, false);
+    site.wait_ready(1).await.expect("a member again");
+    // While partitions are handed to it, their keys are not asked for.
+    common::wait_settled(&site).await;
+    for payment in &payments {
+        assert_eq!(payment.send(&site, 1).await.word(), "recorded/");
+    }
+    assert_eq!(common::most_runs(&site), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wave_goes_on_and_cuts_nothing_off_while_a_daemon_is_cut_off() {
+    let site = start().await;
+    site.set_cut_off(2, true);
+    wait_evicted(&site, 0, "entry-3").await;
+    common::put(&site, 0, "/v1/waves/w", json!({ "pools": ["counter"] })).await.expect("accepted");
+    let mut answered = 0;
+    for _ in 0..80 {
+        // It knows nothing of the wave, and sends to VMs that drain; they refuse before they run,
+        // and reboot only when they run nothing.
+        let payments: Vec<_> = (0..5).map(|_| Payment::new("pay", false)).collect();
+        let sends = futures::future::join_all(payments.iter().map(|p| p.send(&site, 2))).await;
+        for (payment, told) in payments.iter().zip(sends) {
+            answered += u32::from(told.outcome == "upstream");
+            assert!(told.outcome != "not_run" || payment.runs(&site) == 0);
+        }
+    }
+    site.wait(SOON, "done", async || {
+        common::get(&site, 0, "/v1/waves/w").await["status"]["phase"]["phase"] == "done"
+    })
+    .await
+    .expect("the wave ends");
+    let cut: u32 = site.fakes.audits().iter().map(|vm| vm.cut_off).sum();
+    assert_eq!(cut, 0);
+    assert!(answered > 380, "{answered} of 400 were answered");
+    assert!(common::most_runs(&site) <= 1);
+    site.set_cut_off(2, false);
+    site.wait_ready(2).await.expect("a member again");
+    site.wait(SOON, "caught up", async || {
+        common::applied(&site, 2).await >= common::applied(&site, 0).await
+    })
+    .await
+    .expect("caught up");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_the_log_keeps_its_lease_from_its_guard() {
+    let site = start().await;
+    site.set_cut_from_platform(1, true);
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    assert_eq!(common::status(&site, 1).await["lease_valid"], true);
+    for payment in common::payments(40) {
+        assert_eq!(payment.send(&site, 1).await.word(), "upstream/");
+    }
+    let refused = common::put(&site, 1, "/v1/teams/late", json!({ "max_cores": 1 })).await;
+    assert!(refused.is_err());
+    site.set_cut_from_platform(1, false);
+    site.wait(SOON, "accepted", async || {
+        common::put(&site, 1, "/v1/teams/late", json!({ "max_cores": 1 })).await.is_ok()
+    })
+    .await
+    .expect("accepted again");
+}
--- a/crates/crosspathd/tests/site/main.rs
+++ b/crates/crosspathd/tests/site/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod common;
 mod config;
+mod cut;
 mod log_faults;
 mod owner;
 mod payments;
--- a/crates/crosspathd/tests/site/stop.rs
+++ b/crates/crosspathd/tests/site/stop.rs
@@ -48,27 +48,32 @@
     assert_eq!(Payment::new("pay", false).send(&site, 0).await.word(), "upstream/");
 }
 
-/// New work stops within 3 s of the log knowing; here of the change being accepted.
+/// Every live daemon has stopped sending before the VM itself refuses, and what is in flight there
+/// finishes before the reboot.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_leaving_upstream_gets_no_new_work() {
-    let site = common::start(&common::plan(4)).await;
+async fn a_drain_refuses_and_cuts_off_nothing() {
+    let mut plan = common::plan(4);
+    plan.fakes.service_ms.insert("pay".to_owned(), 250);
+    let site = common::start(&plan).await;
     common::put(&site, 0, "/v1/waves/w", serde_json::json!({ "pools": ["counter"] }))
         .await
         .expect("accepted");
-    site.wait(common::SOON, "draining", async || {
-        let vms = common::get(&site, 0, "/v1/vms").await;
-        vms["items"]
-            .as_array()
-            .is_some_and(|vms| vms.iter().any(|vm| vm["status"]["phase"] == "draining"))
-    })
-    .await
-    .expect("a VM drains");
-    let mut served = 0;
-    for index in (0..common::DAEMONS).cycle().take(150) {
-        served +=
-            u32::from(Payment::new("pay", false).send(&site, index).await.outcome == "upstream");
+    let mut rounds = 0;
+    loop {
+        let payments: Vec<_> = (0..9).map(|_| Payment::new("pay", false)).collect();
+        let sends = payments.iter().enumerate();
+        let sends = sends.map(|(place, payment)| payment.send(&site, place % common::DAEMONS));
+        for told in futures::future::join_all(sends).await {
+            assert_eq!(told.word(), "upstream/");
+        }
+        rounds += 1;
+        let wave = common::get(&site, 0, "/v1/waves/w").await;
+        if wave["status"]["phase"]["phase"] == "done" {
+            break;
+        }
+        assert!(rounds < 200, "the wave does not end");
+    }
+    for vm in site.fakes.audits() {
+        assert_eq!((vm.reboots, vm.cut_off, vm.refused), (1, 0, 0), "{vm:?}");
     }
-    assert_eq!(served, 150);
-    let cut: u32 = site.fakes.audits().iter().map(|vm| vm.cut_off).sum();
-    assert_eq!(cut, 0);
 }
