Claims made again, peers' state without the log, orders that back off

A daemon cut from the log alone stayed a member and behind, and would have held a wave up for ever. Measured idle, the planner with 780 workers took a whole core and 145 MiB: failed job orders were given again every round, all at once, and every worker was looked at every 5 s. Change: a claim carries a nonce and is made again for 400 ms; a daemon that is behind its peers and without the log takes their state; orders back off from 200 ms to 26 s and at most 16 go at one time; one worker is looked at a round; a round without news decides nothing.

--- a/crates/crosspath_bench/src/slopes.rs
+++ b/crates/crosspath_bench/src/slopes.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use crosspath_fakes::config::VmConfig;
 use crosspath_fakes::site::{self, Declared, Plan, Site};
 use crosspath_http::client::{Client, Method};
 use crosspath_state::resource::{Kind, Spec};
@@ -17,6 +18,8 @@
 
 const SEED: u64 = 11;
 const IDLE: Duration = Duration::from_secs(5);
+/// Until handovers among many daemons are over.
+const SETTLE: Duration = Duration::from_secs(15);
 /// Clock ticks of `/proc/PID/stat` in a second.
 const TICKS: f64 = 100.0;
 const MIB: f64 = 1_048_576.0;
@@ -75,6 +78,12 @@
     resources
 }
 
+fn stand_ins(workers: usize) -> Vec<VmConfig> {
+    let state = fleet::generated(Size::of(workers), SEED).state;
+    let vms = state.vms.keys().cloned();
+    vms.map(|name| VmConfig { name, address: site::any(), slots: 8 }).collect()
+}
+
 fn plain(spec: &Spec) -> Value {
     let mut value = serde_json::to_value(spec).unwrap_or_default();
     value.get_mut("spec").map(Value::take).unwrap_or_default()
@@ -113,6 +122,7 @@
 pub async fn daemon(program: &Path, workers: usize) -> Result<Vec<Figure>, Error> {
     let mut plan = Plan::new(program, 1);
     plan.timing = json!({});
+    plan.fakes.vms = stand_ins(workers);
     let mut site = Site::start(&plan).await.context(SiteSnafu)?;
     preload(&site, workers).await?;
     // Settles: jobs are placed, workers are looked at.
@@ -143,9 +153,10 @@
 pub async fn daemons(program: &Path, count: usize) -> Result<Vec<Figure>, Error> {
     let mut plan = Plan::new(program, count);
     plan.timing = json!({});
+    plan.fakes.vms = stand_ins(50);
     let site = Site::start(&plan).await.context(SiteSnafu)?;
     preload(&site, 50).await?;
-    tokio::time::sleep(IDLE).await;
+    tokio::time::sleep(SETTLE).await;
     let appended = |site: &Site| {
         let operator = site.daemons[0].operator();
         async move {
--- a/crates/crosspath_peer/src/message.rs
+++ b/crates/crosspath_peer/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crosspath_route::claim::{self, Outcome, Request};
+use crosspath_route::claim::{self, Nonce, Outcome, Request};
 use crosspath_route::key::Key;
 use crosspath_state::State;
 use crosspath_state::name::{CallerName, VmName};
@@ -44,6 +44,8 @@
 pub struct Claim {
     /// The key and what is sent with it.
     pub request: Request,
+    /// Marks this attempt, so that it can be made again.
+    pub nonce: Nonce,
     /// Time within which the request ends, in ms.
     pub left_ms: u64,
 }
--- a/crates/crosspath_route/src/claim.rs
+++ b/crates/crosspath_route/src/claim.rs
@@ -29,6 +29,11 @@
     pub skew: Duration,
 }
 
+/// Marks one attempt to claim, so that a claim whose answer was lost can be made again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Nonce(pub u64);
+
 /// A claim as an entry VM makes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
@@ -97,6 +102,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     request: Request,
+    nonce: Nonce,
     due: Wall,
     phase: Phase,
 }
@@ -118,15 +124,27 @@
 
     /// Claims a key at `now`, for a request that ends within `left`, for an owner that knows every
     /// claim on keys made after `since`.
-    pub fn claim(&mut self, request: &Request, left: Duration, since: Wall, now: Wall) -> Verdict {
+    pub fn claim(
+        &mut self,
+        request: &Request,
+        nonce: Nonce,
+        left: Duration,
+        since: Wall,
+        now: Wall,
+    ) -> Verdict {
         self.forget(now);
         if let Some(claim) = self.claims.get(&request.key) {
+            let again = claim.nonce == nonce && claim.request == *request;
+            if again && claim.phase == Phase::Running {
+                return Verdict::Granted;
+            }
             return verdict(claim, request, now);
         }
         if let Some(answer) = self.refusal(request.key, since, now) {
             return Verdict::Final(answer);
         }
-        let claim = Claim { request: request.clone(), due: now.after(left), phase: Phase::Running };
+        let due = now.after(left);
+        let claim = Claim { request: request.clone(), nonce, due, phase: Phase::Running };
         self.insert(request.key, claim);
         Verdict::Granted
     }
--- a/crates/crosspath_route/tests/route/claim.rs
+++ b/crates/crosspath_route/tests/route/claim.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crosspath_route::answer::{Answer, NotRun, Unknown};
-use crosspath_route::claim::{Bounds, Outcome, Recorded, Request, Table, Verdict};
+use crosspath_route::claim::{Bounds, Nonce, Outcome, Recorded, Request, Table, Verdict};
 use crosspath_route::key::Key;
 use crosspath_state::name::CallerName;
 use crosspath_state::time::Wall;
@@ -18,6 +18,7 @@
     retention: Duration::from_millis(10_000),
     skew: Duration::from_millis(SKEW_MS),
 };
+const ANY: Nonce = Nonce(0);
 const LEFT: Duration = Duration::from_millis(500);
 
 fn key_at(ms: u64) -> Key {
@@ -78,7 +79,7 @@
     let mut table = Table::new(BOUNDS);
     let mut keys: Vec<Key> = Vec::new();
     let mut fates: BTreeMap<Key, Fate> = BTreeMap::new();
-    let (mut granted, mut unknown) = (0, 0);
+    let (mut granted, mut unknown, mut nonce) = (0, 0, 0);
     for event in events {
         let clock = Wall(now + off);
         match *event {
@@ -89,7 +90,8 @@
                     continue;
                 };
                 let fate = fates.get(&key).copied().unwrap_or(Fate::NotRun);
-                match table.claim(&request(key), LEFT, since, clock) {
+                nonce += 1;
+                match table.claim(&request(key), Nonce(nonce), LEFT, since, clock) {
                     Verdict::Granted => {
                         assert_eq!(fate, Fate::NotRun, "granted twice");
                         fates.insert(key, Fate::MayHaveRun);
@@ -171,14 +173,14 @@
     let mut table = Table::new(Bounds { keys: 2, ..BOUNDS });
     let (since, now) = (Wall(0), Wall(1_000_000));
     for _ in 0..2 {
-        let verdict = table.claim(&request(key_at(now.0)), LEFT, since, now);
+        let verdict = table.claim(&request(key_at(now.0)), ANY, LEFT, since, now);
         assert_eq!(verdict, Verdict::Granted);
     }
-    let full = table.claim(&request(key_at(now.0)), LEFT, since, now);
+    let full = table.claim(&request(key_at(now.0)), ANY, LEFT, since, now);
     assert_eq!(full, Verdict::Final(Answer::NotRun(NotRun::KeysFull)));
     // Room comes back when keys are too old to be taken anyway.
     let later = Wall(now.0 + 20_000);
-    assert_eq!(table.claim(&request(key_at(later.0)), LEFT, since, later), Verdict::Granted);
+    assert_eq!(table.claim(&request(key_at(later.0)), ANY, LEFT, since, later), Verdict::Granted);
     assert_eq!(table.len(), 1);
 }
 
@@ -186,10 +188,24 @@
 fn keys_from_the_future_and_from_long_ago_are_refused() {
     let mut table = Table::new(BOUNDS);
     let now = Wall(1_000_000);
-    let ahead = table.claim(&request(key_at(now.0 + SKEW_MS + 1)), LEFT, Wall(0), now);
+    let ahead = table.claim(&request(key_at(now.0 + SKEW_MS + 1)), ANY, LEFT, Wall(0), now);
     assert_eq!(ahead, Verdict::Final(Answer::NotRun(NotRun::KeyFromFuture)));
-    let old = table.claim(&request(key_at(now.0 - 10_001)), LEFT, Wall(0), now);
+    let old = table.claim(&request(key_at(now.0 - 10_001)), ANY, LEFT, Wall(0), now);
     assert_eq!(old, Verdict::Final(Answer::Unknown(Unknown::KeyExpired)));
     assert!(Key::parse("not a key").is_err());
     assert!(Key::parse(&Uuid::nil().to_string()).is_err());
 }
+
+#[test]
+fn a_claim_whose_answer_was_lost_can_be_made_again() {
+    let mut table = Table::new(BOUNDS);
+    let (since, now) = (Wall(0), Wall(1_000_000));
+    let request = request(key_at(now.0));
+    let mut claim = |nonce| table.claim(&request, Nonce(nonce), LEFT, since, now);
+    assert_eq!(claim(1), Verdict::Granted);
+    assert_eq!(claim(1), Verdict::Granted);
+    assert_eq!(claim(2), Verdict::Final(Answer::Unknown(Unknown::InProgress)));
+    table.settle(&request, answered());
+    let ended = table.claim(&request, Nonce(1), LEFT, since, now);
+    assert!(matches!(ended, Verdict::Answered(_)), "{ended:?}");
+}
--- a/crates/crosspathd/src/boot.rs
+++ b/crates/crosspathd/src/boot.rs
@@ -60,20 +60,23 @@
     }
 }
 
-/// With the log down, takes the latest state that a peer has, if it is later than the own one.
+/// Without the log, takes the state of a peer that is ahead of the own one.
 pub(crate) async fn from_peers(core: &Core) {
-    if core.is_caught_up() {
-        return;
-    }
-    for (name, link) in &core.links {
-        let Ok(copy) = link.state().await else {
-            continue;
-        };
+    let applied = core.state().applied;
+    let ahead = core.seen().iter().find(|(_, seen)| seen.applied > applied).map(|(n, _)| n.clone());
+    let fresh = !core.is_caught_up();
+    let asked: Vec<_> = match ahead {
+        Some(name) => core.links.iter().filter(|(peer, _)| **peer == name).collect(),
+        None if fresh => core.links.iter().collect(),
+        None => Vec::new(),
+    };
+    for (name, link) in asked {
+        let Ok(copy) = link.state().await else { continue };
         if copy.state.digest() != copy.digest {
             log::warn!("event=peer_state_unusable peer={name}");
             continue;
         }
-        log::info!("event=started_from_peer peer={name} revision={}", copy.state.applied);
+        log::info!("event=took_state_of_peer peer={name} revision={}", copy.state.applied);
         core.outcomes().skipped();
         publish_later(core, copy.state);
     }
--- a/crates/crosspathd/src/claims.rs
+++ b/crates/crosspathd/src/claims.rs
@@ -4,15 +4,19 @@
 
 use crosspath_peer::{Claim, LookUp, Settle};
 use crosspath_route::answer::{Answer, Final, Unknown};
-use crosspath_route::claim::{Outcome, Request, Verdict};
+use crosspath_route::claim::{Nonce, Outcome, Request, Verdict};
 use crosspath_route::key::Key;
 use crosspath_state::name::{CallerName, DaemonName};
+use tokio::time::Instant;
 
 use crate::clock;
 use crate::core::Core;
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const SETTLE_TRIES: u32 = 3;
+/// How long a claim is tried; the caller waits for it.
+const PATIENCE: Duration = Duration::from_millis(400);
+const PAUSE: Duration = Duration::from_millis(50);
 
 /// Decides on a key of a partition that this daemon owns.
 pub(crate) fn claim_here(core: &Core, claim: &Claim) -> Verdict {
@@ -28,7 +32,7 @@
         return Verdict::NotOwner;
     }
     let left = Duration::from_millis(claim.left_ms);
-    claims.claim(&claim.request, left, ownership.since, clock::wall())
+    claims.claim(&claim.request, claim.nonce, left, ownership.since, clock::wall())
 }
 
 pub(crate) fn settle_here(core: &Core, settle: Settle) {
@@ -54,33 +58,45 @@
     Final(Final),
 }
 
-/// Claims a key with its owner.
+/// Claims a key with its owner. While the owner cannot be asked, or changes, the claim is made
+/// again for a short time.
 pub(crate) async fn claim(core: &Core, request: &Request, left: Duration) -> Claimed {
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    let claim = Claim { request: request.clone(), left_ms };
-    // An earlier request with this key may have been run, so "not run" would be a guess.
-    let away = Final::unknown(Unknown::KeyNotAsked);
-    let Some(owner) = owner(core, request.key) else {
-        return Claimed::Final(away);
-    };
-    let verdict = if owner == core.settings.name {
-        claim_here(core, &claim)
-    } else {
-        let Some(link) = core.links.get(&owner) else {
-            return Claimed::Final(away);
-        };
-        match tokio::time::timeout(left, link.claim(claim)).await {
-            Ok(Ok(verdict)) => verdict,
-            // The claim may stand, and then keeps the key from being run; nothing was sent.
-            Ok(Err(_)) | Err(_) => return Claimed::Final(away),
+    let nonce = Nonce(rand::random());
+    let claim = Claim { request: request.clone(), nonce, left_ms };
+    let until = Instant::now() + left.min(PATIENCE);
+    loop {
+        let mut states = core.state.subscribe();
+        states.borrow_and_update();
+        match ask(core, &claim, until).await {
+            Some(Verdict::Granted) => return Claimed::Granted,
+            Some(verdict @ (Verdict::Answered(_) | Verdict::AnsweredLarge { .. })) => {
+                return Claimed::Recorded(verdict);
+            }
+            Some(Verdict::Final(answer)) => return Claimed::Final(with_retry(answer)),
+            Some(Verdict::NotOwner) | None => {}
         }
-    };
-    match verdict {
-        Verdict::Granted => Claimed::Granted,
-        Verdict::Answered(_) | Verdict::AnsweredLarge { .. } => Claimed::Recorded(verdict),
-        Verdict::NotOwner => Claimed::Final(away),
-        Verdict::Final(answer) => Claimed::Final(with_retry(answer)),
+        let pause = tokio::time::sleep(PAUSE);
+        tokio::select! {
+            _ = states.changed() => {}
+            () = pause => {}
+        }
+        if Instant::now() >= until {
+            // An earlier request with this key may have been run: "not run" would be a guess.
+            return Claimed::Final(Final::unknown(Unknown::KeyNotAsked));
+        }
+    }
+}
+
+/// What the owner says; none when it gives no answer.
+async fn ask(core: &Core, claim: &Claim, until: Instant) -> Option<Verdict> {
+    let owner = owner(core, claim.request.key)?;
+    if owner == core.settings.name {
+        return Some(claim_here(core, claim));
     }
+    let link = core.links.get(&owner)?;
+    let answer = tokio::time::timeout_at(until, link.claim(claim.clone())).await;
+    answer.ok()?.ok()
 }
 
 fn with_retry(answer: Answer) -> Final {
--- a/crates/crosspathd/src/committer.rs
+++ b/crates/crosspathd/src/committer.rs
@@ -169,8 +169,13 @@
         if let Some(verdicts) = settled(core, id, SETTLE).await {
             return Ok(verdicts);
         }
-        if is_fenced(core, id) {
-            return Err(CommitError::NotAccepted);
+        match passed_by(core, id) {
+            Passed::Not => {}
+            Passed::Fenced => return Err(CommitError::NotAccepted),
+            Passed::Folded => {
+                let change = outcomes::change_id(id, 0);
+                return Err(CommitError::Unknown { change });
+            }
         }
     }
 }
@@ -183,15 +188,25 @@
     }
 }
 
-/// Whether a later batch of this daemon's name was folded, so that this one never will be.
-fn is_fenced(core: &Core, id: &BatchId) -> bool {
+/// Where the state is, seen from a batch without a verdict.
+enum Passed {
+    /// Before the batch.
+    Not,
+    /// Past it: a later batch of this daemon's name was folded, so that this one never will be.
+    Fenced,
+    /// Past it, by a state taken from elsewhere: it was folded, with a verdict not known here.
+    Folded,
+}
+
+fn passed_by(core: &Core, id: &BatchId) -> Passed {
     let state = core.state();
-    let last = state.writers.get(&id.writer.daemon);
-    let seen = core.outcomes().get(id).is_some();
-    let newer = |last: &crosspath_state::LastWrite| {
-        (last.incarnation, last.sequence) > (id.writer.incarnation, id.sequence)
-    };
-    !seen && last.is_some_and(newer)
+    let Some(last) = state.writers.get(&id.writer.daemon) else { return Passed::Not };
+    let last = (last.incarnation, last.sequence);
+    match last.cmp(&(id.writer.incarnation, id.sequence)) {
+        std::cmp::Ordering::Less => Passed::Not,
+        std::cmp::Ordering::Equal => Passed::Folded,
+        std::cmp::Ordering::Greater => Passed::Fenced,
+    }
 }
 
 /// Waits until the batch is folded.
--- a/crates/crosspathd/src/driver.rs
+++ b/crates/crosspathd/src/driver.rs
@@ -12,38 +12,69 @@
 use crosspath_state::record::{Change, Revision};
 use crosspath_state::{State, Stored, vm};
 use crosspath_worker::{JobState, Report};
+use futures::StreamExt as _;
 use futures::future::join_all;
+use futures::stream;
 
 use crate::core::Core;
 use crate::jobs::Jobs;
 use crate::peers;
 
-/// Rounds between two looks at every worker.
-const SWEEP_EVERY: u32 = 100;
+/// Workers looked at together.
+const AT_ONCE: usize = 16;
+
+/// What this daemon knows while it plans.
+#[derive(Debug, Default)]
+struct Round {
+    jobs: Jobs,
+    /// The revision that the last decisions were made on, if they changed nothing.
+    settled: Option<Revision>,
+    /// The worker looked at last, besides those that are out.
+    looked_at: Option<VmName>,
+}
 
 /// Decides and carries out until the daemon ends.
 pub(crate) async fn run(core: Arc<Core>) {
-    let mut jobs = Jobs::default();
-    let mut rounds = 0;
+    let mut planning: Option<Round> = None;
     loop {
         tokio::time::sleep(core.settings.timing.decide).await;
         if !core.is_planner() || !core.is_log_up() || core.is_stopping() {
-            rounds = 0;
+            planning = None;
             continue;
         }
-        if rounds == 0 {
-            jobs = sweep(&core).await;
-        }
-        rounds = (rounds + 1) % SWEEP_EVERY;
-        round(&core, &mut jobs).await;
+        let round = match planning.as_mut() {
+            Some(round) => round,
+            None => planning.insert(Round { jobs: sweep(&core).await, ..Round::default() }),
+        };
+        round.step(&core).await;
     }
 }
 
-async fn round(core: &Core, jobs: &mut Jobs) {
-    let state = core.state();
-    let observed = observe(core, &state).await;
-    jobs.reconcile(core, &state).await;
-    commit(core, crosspath_plan::decide(&state, &observed)).await;
+impl Round {
+    async fn step(&mut self, core: &Core) {
+        let state = core.state();
+        self.look_at_next(core, &state).await;
+        self.jobs.reconcile(core, &state).await;
+        let is_out = |vm: &Vm| vm.status.wave().is_some();
+        if self.settled == Some(state.applied) && !state.vms.values().any(is_out) {
+            return;
+        }
+        let observed = observe(core, &state).await;
+        let changes = crosspath_plan::decide(&state, &observed);
+        self.settled = changes.is_empty().then_some(state.applied);
+        commit(core, changes).await;
+    }
+
+    /// Looks at one worker after the other, so that what changed there by itself is found in time.
+    async fn look_at_next(&mut self, core: &Core, state: &State) {
+        let after = |vm: &&VmName| self.looked_at.as_ref().is_none_or(|last| *vm > last);
+        let next = state.vms.keys().find(after).or_else(|| state.vms.keys().next());
+        let Some((next, vm)) = next.and_then(|next| state.vms.get_key_value(next)) else { return };
+        if let Some(report) = look(core, next, vm).await {
+            self.jobs.learn(next, &report);
+        }
+        self.looked_at = Some(next.clone());
+    }
 }
 
 async fn commit(core: &Core, changes: Vec<Change>) {
@@ -131,17 +162,28 @@
     !report.drained || core.worker.report(vm).await.is_ok_and(|report| !report.drained)
 }
 
-/// Looks at every worker: takes back orders that an earlier planner left behind, and learns which
-/// jobs run where.
+/// Looks at every worker and learns which jobs run where.
 async fn sweep(core: &Core) -> Jobs {
     let state = core.state();
-    let looks = state.vms.iter().map(|(name, vm)| async move {
-        let report = core.worker.report(name).await.ok()?;
-        if vm.status.takes_work() {
-            order_drained(core, name, &report, false).await;
-        }
-        Some((name.clone(), report))
+    let vms: Vec<(VmName, Vm)> =
+        state.vms.iter().map(|(name, vm)| (name.clone(), vm.clone())).collect();
+    let looks = stream::iter(vms).map(|(name, vm)| async move {
+        let report = look(core, &name, &vm).await?;
+        Some((name, report))
     });
-    let reports = join_all(looks).await;
-    Jobs::learned(reports.into_iter().flatten())
+    let reports = looks.buffer_unordered(AT_ONCE).collect::<Vec<_>>().await;
+    let mut jobs = Jobs::default();
+    for (vm, report) in reports.into_iter().flatten() {
+        jobs.learn(&vm, &report);
+    }
+    jobs
+}
+
+/// Looks at a worker, and takes back a drain that an earlier planner left behind.
+async fn look(core: &Core, name: &VmName, vm: &Vm) -> Option<Report> {
+    let report = core.worker.report(name).await.ok()?;
+    if vm.status.takes_work() {
+        order_drained(core, name, &report, false).await;
+    }
+    Some(report)
 }
--- a/crates/crosspathd/src/jobs.rs
+++ b/crates/crosspathd/src/jobs.rs
@@ -1,30 +1,56 @@
 //! Brings the jobs on the workers into line with the state.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crosspath_state::name::{JobName, VmName};
+use crosspath_state::time::Monotonic;
 use crosspath_state::{State, job};
 use crosspath_worker::{JobState, Report};
-use futures::future::join_all;
+use futures::StreamExt as _;
+use futures::stream;
 
+use crate::clock;
 use crate::core::Core;
 
-/// What the workers were last known to do, by job.
+/// Orders under way at one time.
+const AT_ONCE: usize = 16;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const MAX_DOUBLINGS: u32 = 7;
+
+/// What the workers were last known to do, by job, and orders that failed.
 #[derive(Debug, Default)]
 pub(crate) struct Jobs {
     known: BTreeMap<JobName, BTreeMap<VmName, JobState>>,
+    failed: BTreeMap<(VmName, JobName), Failed>,
+}
+
+/// How often an order failed in a row, and when it may be given again.
+#[derive(Debug, Clone, Copy)]
+struct Failed {
+    times: u32,
+    not_before: Monotonic,
+}
+
+impl Failed {
+    fn again(before: Option<Self>, now: Monotonic) -> Self {
+        let times = before.map_or(0, |before| before.times + 1);
+        let pause = FIRST_PAUSE * 2_u32.pow(times.min(MAX_DOUBLINGS));
+        Self { times, not_before: now.after(pause) }
+    }
 }
 
 impl Jobs {
-    /// What the workers report.
-    pub(crate) fn learned(reports: impl Iterator<Item = (VmName, Report)>) -> Self {
-        let mut jobs = Self::default();
-        for (vm, report) in reports {
-            for job in report.jobs {
-                jobs.known.entry(job.job).or_default().insert(vm.clone(), job.state);
-            }
+    /// Notes what a worker reports, in place of what it was thought to do.
+    pub(crate) fn learn(&mut self, vm: &VmName, report: &Report) {
+        for places in self.known.values_mut() {
+            places.remove(vm);
+        }
+        for job in &report.jobs {
+            self.known.entry(job.job.clone()).or_default().insert(vm.clone(), job.state);
         }
-        jobs
+        self.known.retain(|_, places| !places.is_empty());
     }
 
     /// Gives the orders that are missing. A job that moved is stopped where it was before it is
@@ -37,20 +63,33 @@
     }
 
     async fn give(&mut self, core: &Core, orders: Vec<Order>) {
-        if orders.is_empty() || !core.is_planner() {
+        let now = clock::monotonic();
+        let due = orders.into_iter().filter(|order| self.is_due(order, now));
+        let due: Vec<_> = due.collect();
+        if due.is_empty() || !core.is_planner() {
             return;
         }
-        let orders = orders.into_iter().map(|order| async move {
+        let given = stream::iter(due).map(|order| async move {
             let done = core.worker.set_job(&order.vm, &order.job, order.state).await.is_ok();
             (order, done)
         });
-        for (order, done) in join_all(orders).await {
+        for (order, done) in given.buffer_unordered(AT_ONCE).collect::<Vec<_>>().await {
+            let key = (order.vm.clone(), order.job.clone());
             if done {
+                self.failed.remove(&key);
                 self.note(order);
+            } else {
+                let failed = Failed::again(self.failed.get(&key).copied(), now);
+                self.failed.insert(key, failed);
             }
         }
     }
 
+    fn is_due(&self, order: &Order, now: Monotonic) -> bool {
+        let failed = self.failed.get(&(order.vm.clone(), order.job.clone()));
+        failed.is_none_or(|failed| failed.not_before <= now)
+    }
+
     fn note(&mut self, order: Order) {
         let places = self.known.entry(order.job.clone()).or_default();
         match order.state {
--- a/crates/crosspathd/tests/site/cut.rs
+++ b/crates/crosspathd/tests/site/cut.rs
@@ -108,3 +108,24 @@
     .await
     .expect("accepted again");
 }
+
+/// Without the log it takes the state from a peer, stops sending to VMs that drain, and the wave
+/// waits for that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_the_log_follows_its_peers() {
+    let site = start().await;
+    site.set_cut_from_platform(1, true);
+    common::put(&site, 0, "/v1/waves/w", json!({ "pools": ["counter"] })).await.expect("accepted");
+    let mut rounds = 0;
+    while common::get(&site, 0, "/v1/waves/w").await["status"]["phase"]["phase"] != "done" {
+        let payments: Vec<_> = (0..4).map(|_| Payment::new("pay", false)).collect();
+        let sends = futures::future::join_all(payments.iter().map(|p| p.send(&site, 1))).await;
+        assert!(sends.iter().all(|told| told.word() == "upstream/"), "{sends:?}");
+        rounds += 1;
+        assert!(rounds < 400, "the wave does not end");
+    }
+    for vm in site.fakes.audits() {
+        assert_eq!((vm.reboots, vm.cut_off, vm.refused), (1, 0, 0), "{vm:?}");
+    }
+    assert_eq!(common::status(&site, 1).await["log_up"], false);
+}
