--- a/crates/crosspath/src/api.rs
+++ b/crates/crosspath/src/api.rs
@@ -9,22 +9,32 @@
 use http::{Request, header};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
+use snafu::OptionExt as _;
 
 use crate::args::Connection;
-use crate::error::Error;
+use crate::error::{Error, NoTokenSnafu};
 
 const TIMEOUT: Duration = Duration::from_secs(15);
+const TOKEN_VARIABLE: &str = "CROSSPATH_TOKEN";
 
 /// One daemon's resource API.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub(crate) struct Api {
     client: Client,
+    token: String,
 }
 
 impl Api {
-    pub(crate) fn new(connection: &Connection) -> Self {
-        let client = Client::new(connection.server, TIMEOUT).with_token(&connection.token);
-        Self { client }
+    /// Takes the token from the command line, or else from the environment.
+    pub(crate) fn new(connection: &Connection) -> Result<Self, Error> {
+        let token = connection.token.clone().or_else(|| std::env::var(TOKEN_VARIABLE).ok());
+        let token = token.context(NoTokenSnafu { variable: TOKEN_VARIABLE })?;
+        let client = Client::new(connection.server, TIMEOUT).with_token(&token);
+        Ok(Self { client, token })
+    }
+
+    pub(crate) fn token(&self) -> &str {
+        &self.token
     }
 
     async fn call<T: DeserializeOwned>(
--- a/crates/crosspath/src/args.rs
+++ b/crates/crosspath/src/args.rs
@@ -21,7 +21,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Connection {
     pub(crate) server: SocketAddr,
-    pub(crate) token: String,
+    /// None when it is in the environment, which the help text must not show.
+    pub(crate) token: Option<String>,
 }
 
 /// A word that is not a kind of resource.
@@ -158,9 +159,9 @@
         .help("Address of a daemon's resource API")
         .argument::<SocketAddr>("ADDRESS");
     let token = long("token")
-        .env("CROSSPATH_TOKEN")
-        .help("Bearer token; better given as CROSSPATH_TOKEN, which others cannot list")
-        .argument::<String>("TOKEN");
+        .help("Bearer token; better set as CROSSPATH_TOKEN, which other users cannot list")
+        .argument::<String>("TOKEN")
+        .optional();
     construct!(Connection { server, token })
 }
 
--- a/crates/crosspath/src/commands.rs
+++ b/crates/crosspath/src/commands.rs
@@ -20,7 +20,7 @@
 
 /// Runs one command.
 pub(crate) async fn run(args: Args) -> Result<ExitStatus, Error> {
-    let api = Api::new(&args.connection);
+    let api = Api::new(&args.connection)?;
     let format = args.format;
     match args.command {
         Command::Get { kind, name } => get::run(&api, format, kind, name.as_deref()).await,
--- a/crates/crosspath/src/commands/watch.rs
+++ b/crates/crosspath/src/commands/watch.rs
@@ -29,7 +29,7 @@
     };
     let address = connection.server;
     let request = Request::get(format!("http://{address}/v1/{kind}?watch={from}"))
-        .header(header::AUTHORIZATION, format!("Bearer {}", connection.token))
+        .header(header::AUTHORIZATION, format!("Bearer {}", api.token()))
         .body(Empty::<Bytes>::new());
     let not_sent = || Error::Call { source: client::Error::NotSent { address } };
     let request = request.map_err(|_| not_sent())?;
--- a/crates/crosspath/src/error.rs
+++ b/crates/crosspath/src/error.rs
@@ -32,6 +32,8 @@
     Shape { file: PathBuf, field: String, source: serde_json::Error },
     #[snafu(display("{}: resource {name}: {source}", file.display()))]
     Name { file: PathBuf, name: String, source: crosspath_state::name::InvalidName },
+    #[snafu(display("no token; set {variable} or write --token"))]
+    NoToken { variable: &'static str },
     #[snafu(display("{}", problem.message))]
     Refused { status: u16, problem: Box<Problem> },
     #[snafu(display("{source}"))]
@@ -45,7 +47,9 @@
 impl Error {
     pub(crate) fn exit_status(&self) -> ExitStatus {
         match self {
-            Self::Read { .. } | Self::Shape { .. } | Self::Name { .. } => ExitStatus::BadInput,
+            Self::Read { .. } | Self::Shape { .. } | Self::Name { .. } | Self::NoToken { .. } => {
+                ExitStatus::BadInput
+            }
             Self::Refused { status: 400 | 413 | 422, .. } => ExitStatus::BadInput,
             Self::Refused { status: 503, .. } => ExitStatus::NotAccepted,
             Self::Refused { status: 504, .. } => ExitStatus::Unknown,
--- /dev/null
+++ b/crates/crosspath_settings/tests/settings/main.rs
@@ -0,0 +1,70 @@
+//! Settings as users write them.
+
+use std::io::Write as _;
+
+use crosspath_settings::{Options, load};
+use serde_json::{Value, json};
+
+fn good() -> Value {
+    json!({
+        "name": "entry-1", "data_centre": "dc-1",
+        "listen": {
+            "callers": "127.0.0.1:7001", "operators": "127.0.0.1:7002", "peers": "127.0.0.1:7003"
+        },
+        "peers": [{ "name": "entry-2", "address": "127.0.0.1:7013" }],
+        "peer_token": "0123456789abcdef", "platform": "127.0.0.1:7000",
+        "operators": [{ "name": "ana", "token_sha256": "ab".repeat(32), "rights": ["read"] }]
+    })
+}
+
+fn says(settings: &Value) -> String {
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(settings.to_string().as_bytes()).expect("written");
+    match load(file.path()) {
+        Ok(settings) => format!("ok: {}", settings.name),
+        Err(error) => error.to_string().replace(&*file.path().to_string_lossy(), "FILE"),
+    }
+}
+
+/// The good settings with one field set.
+fn with(pointer: &str, value: Value) -> String {
+    let mut settings = good();
+    let (parent, field) = pointer.rsplit_once('/').expect("a pointer");
+    let parent = settings.pointer_mut(parent).expect("a parent");
+    parent[field] = value;
+    says(&settings)
+}
+
+#[test]
+fn good_settings_are_taken() {
+    assert_eq!(says(&good()), "ok: entry-1");
+}
+
+#[test]
+fn errors_name_file_field_value_and_remedy() {
+    let mut said = vec![
+        with("/name", json!("Entry 1")),
+        with("/listen/peers", json!("127.0.0.1:7001")),
+        with("/peer_token", json!("short")),
+        with("/peers/0/name", json!("entry-1")),
+        with("/operators/0/token_sha256", json!("ab")),
+        with("/operators/0/rights", json!(["admin"])),
+        with("/limits", json!({ "header_bytes": 10 })),
+        with("/limits", json!({ "headerbytes": 10 })),
+        with("/limits", json!({ "batch_ceiling_percent": 0 })),
+        with("/timing", json!({ "lease_ms": 1500 })),
+        with("/timing", json!({ "tenure_ms": 100 })),
+        with("/platform", json!("nowhere")),
+    ];
+    said.push(says(&json!({})));
+    insta::assert_snapshot!(said.join("\n"));
+}
+
+/// The committed schema is the program's own.
+#[test]
+fn the_schema_is_current() {
+    let schema = schemars::schema_for!(Options);
+    let current = serde_json::to_string_pretty(&schema).expect("JSON") + "\n";
+    let committed = include_str!("../../schema/crosspathd.schema.json");
+    assert_eq!(current, committed, "write it anew: crosspathd --settings-schema");
+}
--- a/crates/crosspathd/src/driver.rs
+++ b/crates/crosspathd/src/driver.rs
@@ -20,12 +20,16 @@
 use crate::jobs::Jobs;
 use crate::peers;
 
+/// Rounds between looks at one further worker.
+const LOOK_EVERY: u32 = 4;
+
 /// Workers looked at together.
 const AT_ONCE: usize = 16;
 
 /// What this daemon knows while it plans.
 #[derive(Debug, Default)]
 struct Round {
+    number: u32,
     jobs: Jobs,
     /// The revision that the last decisions were made on, if they changed nothing.
     settled: Option<Revision>,
@@ -53,8 +57,14 @@
 impl Round {
     async fn step(&mut self, core: &Core) {
         let state = core.state();
-        self.look_at_next(core, &state).await;
-        self.jobs.reconcile(core, &state).await;
+        self.number = self.number.wrapping_add(1);
+        let looks = self.number.is_multiple_of(LOOK_EVERY);
+        if looks {
+            self.look_at_next(core, &state).await;
+        }
+        if looks || self.settled != Some(state.applied) {
+            self.jobs.reconcile(core, &state).await;
+        }
         let is_out = |vm: &Vm| vm.status.wave().is_some();
         if self.settled == Some(state.applied) && !state.vms.values().any(is_out) {
             return;
--- a/crates/crosspathd/src/watcher.rs
+++ b/crates/crosspathd/src/watcher.rs
@@ -16,7 +16,7 @@
 use crate::clock;
 use crate::core::Core;
 
-const INTERVAL: Duration = Duration::from_millis(500);
+const INTERVAL: Duration = Duration::from_millis(1_000);
 const TICK: Duration = Duration::from_millis(100);
 
 /// Keeps the pools' VMs up to date with the state and with the list.
