--- a/crates/crosspath_bench/src/main.rs
+++ b/crates/crosspath_bench/src/main.rs
@@ -67,6 +67,9 @@
     for daemons in [6, 12, 24] {
         figures.extend(slopes::daemons(&program, daemons).await?);
     }
+    for latency in [10, 200] {
+        figures.extend(slopes::in_force(&program, latency).await?);
+    }
     figures.extend(slopes::beat_bytes(&program).await?);
     Ok(figures)
 }
--- a/crates/crosspath_bench/src/slopes.rs
+++ b/crates/crosspath_bench/src/slopes.rs
@@ -8,6 +8,7 @@
 use crosspath_fakes::site::{self, Declared, Plan, Site};
 use crosspath_http::client::{Client, Method};
 use crosspath_state::resource::{Kind, Spec};
+use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 use snafu::{ResultExt as _, Snafu};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -229,3 +230,67 @@
     let (counted, _) = tokio::join!(relay, crosspath_peer::Link::beat(&link, beat));
     counted.context(ProcessSnafu { path: "loopback" })
 }
+
+const CHANGES: usize = 60;
+const BURST: usize = 100;
+
+/// Time from the acceptance of a change until it is in force on the last of six daemons, and of a
+/// burst of 100 from the first being sent.
+///
+/// # Errors
+///
+/// [`Error`].
+pub async fn in_force(program: &Path, log_latency_ms: u64) -> Result<Vec<Figure>, Error> {
+    let mut plan = Plan::new(program, 6);
+    plan.timing = json!({});
+    plan.fakes.log_latency_ms = log_latency_ms;
+    let site = Site::start(&plan).await.context(SiteSnafu)?;
+    tokio::time::sleep(IDLE).await;
+    let mut times = Histogram::<u64>::new(3).expect("three figures are allowed");
+    for number in 0..CHANGES {
+        let revision = put_team(&site, number % 6, number).await?;
+        let accepted = Instant::now();
+        everywhere(&site, revision).await?;
+        let millis = u64::try_from(accepted.elapsed().as_millis()).unwrap_or(u64::MAX);
+        times.record(millis).expect("resizes");
+    }
+    let started = Instant::now();
+    let puts = (0..BURST).map(|number| put_team(&site, number % 6, number));
+    let mut newest = 0;
+    for revision in futures::future::join_all(puts).await {
+        newest = newest.max(revision?);
+    }
+    everywhere(&site, newest).await?;
+    let burst = started.elapsed().as_secs_f64() * 1_000.0;
+    let figure =
+        |what: &str, value| Figure::new(format!("{what}_log_{log_latency_ms}_ms"), value, "ms");
+    Ok(vec![
+        figure("config_in_force_ms_p50", times.value_at_quantile(0.5) as f64),
+        figure("config_in_force_ms_p99", times.value_at_quantile(0.99) as f64),
+        figure("burst_of_100_in_force_ms", burst),
+    ])
+}
+
+async fn put_team(site: &Site, through: usize, number: usize) -> Result<u64, Error> {
+    let operator = site.daemons[through].operator();
+    let body = json!({ "spec": { "max_cores": number } });
+    let path = format!("/v1/teams/team-{}", number % 10);
+    let put = operator.call::<Value>(Method::PUT, &path, Some(&body)).await;
+    Ok(put.context(CallSnafu)?["revision"].as_u64().unwrap_or_default())
+}
+
+/// Waits until every daemon lists the teams at `revision` or later.
+async fn everywhere(site: &Site, revision: u64) -> Result<(), Error> {
+    let waits = site.daemons.iter().map(|daemon| async move {
+        let operator = daemon.operator();
+        loop {
+            let list = operator.call::<Value>(Method::GET, "/v1/teams", None::<&()>).await;
+            let applied = list.context(CallSnafu)?["revision"].as_u64();
+            if applied >= Some(revision) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+    futures::future::join_all(waits).await.into_iter().collect()
+}
--- a/crates/crosspathd/tests/site/main.rs
+++ b/crates/crosspathd/tests/site/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod config;
 mod cut;
+mod entry;
 mod log_faults;
 mod owner;
 mod payments;
