Capacity page, keys bounded in bytes, placement by reference

Cause: the page of slopes was missing. Working it out showed that the keys of an owner were bounded in number only: 100,000 of them with 16 KiB each. And one job took 1.72 ms to place among 780 workers, most of it names copied to count the spread.

--- a/crates/crosspath_bench/src/lib.rs
+++ b/crates/crosspath_bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod figure;
 pub mod fleet;
 pub mod overload;
+pub mod report;
 pub mod slopes;
 pub mod slots;
 pub mod timed;
--- a/crates/crosspath_bench/src/main.rs
+++ b/crates/crosspath_bench/src/main.rs
@@ -1,4 +1,4 @@
-//! `crosspath_bench counts [--check] | timed | slopes`: one JSON object a line.
+//! `crosspath_bench counts [--check] | report | timed | slopes`: one JSON object a line.
 
 use std::io::Write as _;
 use std::path::PathBuf;
@@ -6,7 +6,7 @@
 
 use bpaf::Bpaf;
 use crosspath_bench::figure::{self, Figure};
-use crosspath_bench::{counts, slopes, timed};
+use crosspath_bench::{counts, report, slopes, timed};
 
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
@@ -15,9 +15,12 @@
     /// Counted figures, the same on every run
     #[bpaf(command)]
     Counts {
-        /// End with an error when a figure is past its bound
+        /// End with an error when a figure is past its bound, or docs/CAPACITY.md says another
         check: bool,
     },
+    /// Write the counted figures into docs/CAPACITY.md
+    #[bpaf(command)]
+    Report,
     /// Timed figures with their spread
     #[bpaf(command)]
     Timed,
@@ -44,7 +47,15 @@
     for name in &lost {
         eprintln!("{name} has a bound but is not measured");
     }
-    if broken.is_empty() && lost.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    let current = report::is_current(figures).unwrap_or_else(|error| {
+        eprintln!("{error}");
+        false
+    });
+    if !current {
+        eprintln!("docs/CAPACITY.md says other figures; run: crosspath_bench report");
+    }
+    let kept = broken.is_empty() && lost.is_empty() && current;
+    if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 /// The daemon's program, built beside this one.
@@ -82,6 +93,13 @@
             print(&figures);
             if checked { check(&figures) } else { ExitCode::SUCCESS }
         }
+        Options::Report => match report::write(&figure::bounded(counts::all())) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        },
         Options::Timed => {
             print(&timed::decisions());
             ExitCode::SUCCESS
--- a/crates/crosspath_plan/src/place.rs
+++ b/crates/crosspath_plan/src/place.rs
@@ -75,34 +75,35 @@
     Planner::new(&view).place(&mut Rooms::new(&view), &job.spec).err()
 }
 
-type Spread = BTreeMap<(TeamName, PoolName, DataCentre, Rack), u32>;
+type Domain<'a> = (&'a TeamName, &'a PoolName, &'a DataCentre, &'a Rack);
+type Spread<'a> = BTreeMap<Domain<'a>, u32>;
 
 struct Planner<'a> {
     view: &'a View<'a>,
-    cores_of: BTreeMap<TeamName, u32>,
-    spread: Spread,
+    cores_of: BTreeMap<&'a TeamName, u32>,
+    spread: Spread<'a>,
 }
 
 impl<'a> Planner<'a> {
     fn new(view: &'a View<'a>) -> Self {
         let state = view.state;
-        let mut cores_of: BTreeMap<TeamName, u32> = BTreeMap::new();
+        let mut cores_of: BTreeMap<&TeamName, u32> = BTreeMap::new();
         let mut spread = Spread::new();
         for job in state.jobs.values() {
             let Some(vm) = job.status.phase.vm().and_then(|vm| state.vms.get(vm)) else {
                 continue;
             };
-            *cores_of.entry(job.spec.team.clone()).or_default() += job.spec.cores;
+            *cores_of.entry(&job.spec.team).or_default() += job.spec.cores;
             *spread.entry(domain(&job.spec, &vm.spec)).or_default() += 1;
         }
         Self { view, cores_of, spread }
     }
 
-    fn place(&mut self, rooms: &mut Rooms<'_>, job: &job::Spec) -> Result<VmName, Obstacle> {
+    fn place(&mut self, rooms: &mut Rooms<'_>, job: &'a job::Spec) -> Result<VmName, Obstacle> {
         self.check_ever(job)?;
         let state = self.view.state;
         let quota = state.teams.get(&job.team).map_or(0, |team| team.spec.max_cores);
-        let used = self.cores_of.entry(job.team.clone()).or_default();
+        let used = self.cores_of.entry(&job.team).or_default();
         if *used + job.cores > quota {
             return Err(Obstacle::QuotaUsed);
         }
@@ -143,9 +144,6 @@
     }
 }
 
-fn domain(
-    job: &job::Spec,
-    vm: &crosspath_state::vm::Spec,
-) -> (TeamName, PoolName, DataCentre, Rack) {
-    (job.team.clone(), job.pool.clone(), vm.data_centre.clone(), vm.rack.clone())
+fn domain<'a>(job: &'a job::Spec, vm: &'a crosspath_state::vm::Spec) -> Domain<'a> {
+    (&job.team, &job.pool, &vm.data_centre, &vm.rack)
 }
--- a/crates/crosspath_route/src/claim.rs
+++ b/crates/crosspath_route/src/claim.rs
@@ -23,6 +23,8 @@
 pub struct Bounds {
     /// Keys kept.
     pub keys: usize,
+    /// Bytes of answers kept, over all keys.
+    pub answer_bytes: usize,
     /// How long a key is good for.
     pub retention: Duration,
     /// Largest difference between two wall clocks.
@@ -73,6 +75,16 @@
     NotRun,
 }
 
+impl Outcome {
+    /// Bytes of the answer that is kept.
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Answered(recorded) => recorded.body.len(),
+            Self::AnsweredLarge { .. } | Self::Unknown(_) | Self::NotRun => 0,
+        }
+    }
+}
+
 /// What the owner says to a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -107,19 +119,29 @@
     phase: Phase,
 }
 
+impl Claim {
+    fn answer_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Running => 0,
+            Phase::Ended(outcome) => outcome.bytes(),
+        }
+    }
+}
+
 /// The owner's table.
 #[derive(Debug)]
 pub struct Table {
     bounds: Bounds,
     claims: BTreeMap<Key, Claim>,
     order: VecDeque<Key>,
+    answer_bytes: usize,
 }
 
 impl Table {
     /// Makes an empty table.
     #[must_use]
     pub fn new(bounds: Bounds) -> Self {
-        Self { bounds, claims: BTreeMap::new(), order: VecDeque::new() }
+        Self { bounds, claims: BTreeMap::new(), order: VecDeque::new(), answer_bytes: 0 }
     }
 
     /// Claims a key at `now`, for a request that ends within `left`, for an owner that knows every
@@ -150,7 +172,7 @@
     }
 
     fn refusal(&self, key: Key, since: Wall, now: Wall) -> Option<Answer> {
-        let Bounds { keys, retention, skew } = self.bounds;
+        let Bounds { keys, retention, skew, .. } = self.bounds;
         let created = key.created();
         match () {
             () if now > created.after(retention) => Some(Answer::Unknown(Unknown::KeyExpired)),
@@ -178,6 +200,14 @@
             self.claims.remove(&request.key);
             return;
         }
+        let bytes = outcome.bytes();
+        let outcome = match outcome {
+            Outcome::Answered(recorded) if self.answer_bytes + bytes > self.bounds.answer_bytes => {
+                Outcome::AnsweredLarge { status: recorded.status }
+            }
+            outcome => outcome,
+        };
+        self.answer_bytes += outcome.bytes();
         claim.phase = Phase::Ended(outcome);
     }
 
@@ -209,6 +239,7 @@
     pub fn clear(&mut self) {
         self.claims.clear();
         self.order.clear();
+        self.answer_bytes = 0;
     }
 
     /// How many keys it holds.
@@ -224,6 +255,7 @@
     }
 
     fn insert(&mut self, key: Key, claim: Claim) {
+        self.answer_bytes += claim.answer_bytes();
         self.claims.insert(key, claim);
         self.order.push_back(key);
     }
@@ -236,7 +268,8 @@
             if now <= key.created().after(kept_for) {
                 return;
             }
-            self.claims.remove(key);
+            let gone = self.claims.remove(key);
+            self.answer_bytes -= gone.map_or(0, |gone| gone.answer_bytes());
             self.order.pop_front();
         }
     }
--- a/crates/crosspath_route/tests/route/claim.rs
+++ b/crates/crosspath_route/tests/route/claim.rs
@@ -15,6 +15,7 @@
 const SKEW_MS: u64 = 50;
 const BOUNDS: Bounds = Bounds {
     keys: 1_000,
+    answer_bytes: 100_000,
     retention: Duration::from_millis(10_000),
     skew: Duration::from_millis(SKEW_MS),
 };
@@ -209,3 +210,21 @@
     let ended = table.claim(&request, Nonce(1), LEFT, since, now);
     assert!(matches!(ended, Verdict::Answered(_)), "{ended:?}");
 }
+
+#[test]
+fn answers_are_kept_within_bounds_in_bytes() {
+    let mut table = Table::new(Bounds { answer_bytes: 10, ..BOUNDS });
+    let (since, now) = (Wall(0), Wall(1_000_000));
+    let mut end = |now: Wall| {
+        let request = request(key_at(now.0));
+        assert_eq!(table.claim(&request, ANY, LEFT, since, now), Verdict::Granted);
+        table.settle(&request, answered());
+        table.claim(&request, Nonce(9), LEFT, since, now)
+    };
+    let kept = |verdict: &Verdict| matches!(verdict, Verdict::Answered(_));
+    // Four bytes each: the third would be too much, and is known by its status only.
+    assert!(kept(&end(now)) && kept(&end(now)));
+    assert_eq!(end(now), Verdict::AnsweredLarge { status: 200 });
+    // Room comes back as keys are forgotten.
+    assert!(kept(&end(Wall(now.0 + 20_000))));
+}
--- a/crates/crosspath_settings/src/options.rs
+++ b/crates/crosspath_settings/src/options.rs
@@ -89,10 +89,12 @@
     pub batch_ceiling_percent: Option<u32>,
     /// One of this many grants goes to waiting batch; default 8.
     pub batch_floor_every: Option<u32>,
-    /// Payment keys kept; default 100,000.
+    /// Payment keys kept by one daemon; default 40,000.
     pub keys: Option<u32>,
     /// Bytes of an answer kept for re-sends; default 16,384.
     pub answer_bytes: Option<u64>,
+    /// Bytes of answers kept for re-sends, over all keys of one daemon; default 8,388,608.
+    pub answers_total_bytes: Option<u64>,
     /// Time that a payment key is good for, in ms; default 600,000.
     pub key_retention_ms: Option<u64>,
 }
--- a/crates/crosspath_settings/src/settings.rs
+++ b/crates/crosspath_settings/src/settings.rs
@@ -96,6 +96,8 @@
     pub keys: u32,
     /// Bytes of an answer kept.
     pub answer_bytes: u64,
+    /// Bytes of all answers kept.
+    pub answers_total_bytes: u64,
     /// How long a payment key is good for.
     pub key_retention: Duration,
 }
@@ -215,8 +217,9 @@
             queue: options.queue.unwrap_or(1_024),
             batch_ceiling_percent: options.batch_ceiling_percent.unwrap_or(75),
             batch_floor_every: options.batch_floor_every.unwrap_or(8),
-            keys: options.keys.unwrap_or(100_000),
+            keys: options.keys.unwrap_or(40_000),
             answer_bytes: options.answer_bytes.unwrap_or(16 * 1024),
+            answers_total_bytes: options.answers_total_bytes.unwrap_or(8 * 1024 * 1024),
             key_retention: ms(options.key_retention_ms, 600_000),
         };
         let head = limits.header_bytes;
--- a/crates/crosspathd/src/core.rs
+++ b/crates/crosspathd/src/core.rs
@@ -82,6 +82,8 @@
         let settings = parts.settings;
         let bounds = Bounds {
             keys: settings.limits.keys as usize,
+            answer_bytes: usize::try_from(settings.limits.answers_total_bytes)
+                .unwrap_or(usize::MAX),
             retention: settings.limits.key_retention,
             skew: settings.timing.skew,
         };
