--- a/crates/crosspath_caller/src/answer.rs
+++ b/crates/crosspath_caller/src/answer.rs
@@ -122,6 +122,8 @@
 ) -> Response<Body> {
     let headers = answer.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    // An upstream must not speak in this system's name.
+    headers.remove(REASON);
     if let Some(reason) = reason {
         headers.insert(REASON, HeaderValue::from_static(reason));
     }
--- a/crates/crosspath_fakes/src/site.rs
+++ b/crates/crosspath_fakes/src/site.rs
@@ -28,6 +28,9 @@
 /// The operator's token at every site.
 pub const OPERATOR_TOKEN: &str = "operator-demo-token";
 
+/// The token of an operator who may only read.
+pub const READER_TOKEN: &str = "reader-demo-token";
+
 /// What the daemons of every site show each other.
 pub const PEER_TOKEN: &str = "peer-demo-token-0123456789";
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -464,7 +467,10 @@
     let peers = peers.map(
         |(other, peer)| json!({ "name": peer.name, "address": through(Some(other), peer.peers) }),
     );
-    let token = crosspath_settings::token::Hash::of(OPERATOR_TOKEN).to_hex();
+    let operator = |name: &str, token: &str, rights: &[&str]| {
+        let token = crosspath_settings::token::Hash::of(token).to_hex();
+        json!({ "name": name, "token_sha256": token, "rights": rights })
+    };
     json!({
         "name": own.name,
         "data_centre": plan.data_centres[index % plan.data_centres.len()],
@@ -472,7 +478,10 @@
         "peers": peers.collect::<Vec<_>>(),
         "peer_token": PEER_TOKEN,
         "platform": through(None, platform),
-        "operators": [{ "name": "demo", "token_sha256": token, "rights": ["read", "write"] }],
+        "operators": [
+            operator("demo", OPERATOR_TOKEN, &["read", "write"]),
+            operator("reader", READER_TOKEN, &["read"]),
+        ],
         "limits": plan.limits,
         "timing": plan.timing,
     })
--- a/crates/crosspathd/tests/site/api.rs
+++ b/crates/crosspathd/tests/site/api.rs
@@ -176,3 +176,32 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_without_the_token_are_refused() {
+    let site = common::start(&common::plan(1)).await;
+    let call = r#"{"jsonrpc":"2.0","id":1,"method":"state","params":[]}"#;
+    for (token, status) in [("wrong", 401), (crosspath_fakes::site::PEER_TOKEN, 200)] {
+        let client = Client::new(site.daemons[0].peers, SOON).with_token(token);
+        let request = Request::post("/").header("content-type", "application/json");
+        let answer = client.send(request, Bytes::from_static(call.as_bytes())).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.head.status, status, "{token}");
+        let told = String::from_utf8_lossy(&answer.body).contains("counter");
+        assert_eq!(told, status == 200);
+    }
+}
+
+/// An operator that may only read changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_and_writes_are_separate_rights() {
+    let site = common::start(&common::plan(1)).await;
+    let reader = Client::new(site.daemons[0].operators, SOON)
+        .with_token(crosspath_fakes::site::READER_TOKEN);
+    let body = json!({ "spec": { "max_cores": 1 } }).to_string();
+    let put = reader.send(Request::put("/v1/teams/team"), body.into()).await.expect("an answer");
+    assert_eq!(put.head.status, 403);
+    let get = reader.send(Request::get("/v1/teams/team"), Bytes::new()).await.expect("an answer");
+    assert_eq!(get.head.status, 200);
+    assert!(String::from_utf8_lossy(&get.body).contains("\"max_cores\":100"));
+}
--- a/crates/crosspathd/tests/site/stop.rs
+++ b/crates/crosspathd/tests/site/stop.rs
@@ -77,3 +77,21 @@
         assert_eq!((vm.reboots, vm.cut_off, vm.refused), (1, 0, 0), "{vm:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_signal_ends_at_once() {
+    let mut plan = common::plan(1);
+    plan.timing["stop_wait_ms"] = serde_json::json!(20_000);
+    let mut site = common::start(&plan).await;
+    site.daemons[0].terminate();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(!site.daemons[0].has_ended());
+    site.daemons[0].terminate();
+    for _ in 0..100 {
+        if site.daemons[0].has_ended() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("it goes on: {}", site.log_of(0));
+}
