The overload figure as a small struct; leftovers removed

Cause: read as a newcomer: the virtual-time run of the dispatch was one function of 70 lines with a closure of five arguments; two signatures asked for more than they used. Change: a Pool with arrive, run_until and end; no change of behaviour.

--- a/crates/crosspath_bench/src/overload.rs
+++ b/crates/crosspath_bench/src/overload.rs
@@ -50,6 +50,88 @@
     Felt { p99_ms: latencies.value_at_quantile(0.99).max(1), answered }
 }
 
+/// A request that was not answered yet.
+struct Open {
+    arrived: u64,
+    class: Class,
+    /// Once it has a slot.
+    vm: Option<VmName>,
+}
+
+/// One pool behind the product's dispatch, in virtual time.
+struct Pool {
+    dispatch: Dispatch,
+    rng: SmallRng,
+    caller: CallerName,
+    /// When a request ends, and its ticket; the earliest first.
+    ends: BinaryHeap<Reverse<(u64, u64)>>,
+    open: BTreeMap<u64, Open>,
+    latencies: Histogram<u64>,
+}
+
+impl Pool {
+    fn new(seed: u64) -> Self {
+        let bounds = Bounds { queue: 1_024, batch_ceiling_percent: 75, batch_floor_every: 8 };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut dispatch = Dispatch::new(bounds);
+        let vm = |number| VmName::new(&format!("vm-{number}")).expect("a name");
+        let targets: Vec<_> =
+            (0..VMS).map(|number| Target { vm: vm(number), slots: SLOTS, local: true }).collect();
+        dispatch.set_targets(&targets, Monotonic(START_MS), &mut rng);
+        Self {
+            dispatch,
+            rng,
+            caller: CallerName::new("caller").expect("a name"),
+            ends: BinaryHeap::new(),
+            open: BTreeMap::new(),
+            latencies: Histogram::new(3).expect("three figures are allowed"),
+        }
+    }
+
+    fn arrive(&mut self, ticket: u64, arrived: u64, class: Class) {
+        let deadline = Monotonic(arrived + DEADLINE_MS);
+        let ask = Ask { ticket: Ticket(ticket), caller: self.caller.clone(), class, deadline };
+        let vm = match self.dispatch.offer(ask, Monotonic(arrived), &mut self.rng) {
+            Offer::Assigned(vm) => Some(vm),
+            Offer::Waiting => None,
+            Offer::Refused(_) => return,
+        };
+        if vm.is_some() {
+            self.ends.push(Reverse((arrived + SERVICE_MS, ticket)));
+        }
+        self.open.insert(ticket, Open { arrived, class, vm });
+    }
+
+    /// Ends what ends until then, in order; what waits takes its slots.
+    fn run_until(&mut self, until: u64) {
+        while let Some(Reverse((at, ticket))) = self.ends.peek().copied() {
+            if at > until {
+                return;
+            }
+            self.ends.pop();
+            self.end(at, ticket);
+        }
+    }
+
+    fn end(&mut self, at: u64, ticket: u64) {
+        let Some(Open { arrived, class, vm: Some(vm) }) = self.open.remove(&ticket) else { return };
+        if class == Class::Urgent && at - arrived <= DEADLINE_MS {
+            self.latencies.record(at - arrived).expect("in range");
+        }
+        for ticket in self.dispatch.expire(Monotonic(at)) {
+            self.open.remove(&ticket.0);
+        }
+        let end = Use::Answered(Duration::from_millis(SERVICE_MS));
+        let grants = self.dispatch.release(&vm, class, end, Monotonic(at), &mut self.rng);
+        for grant in grants {
+            if let Some(waiting) = self.open.get_mut(&grant.ticket.0) {
+                waiting.vm = Some(grant.vm);
+                self.ends.push(Reverse((at + SERVICE_MS, grant.ticket.0)));
+            }
+        }
+    }
+}
+
 /// The product's dispatch.
 ///
 /// # Panics
@@ -57,57 +139,15 @@
 /// Never.
 #[must_use]
 pub fn ours(load: f64, seed: u64) -> Felt {
-    let bounds = Bounds { queue: 1_024, batch_ceiling_percent: 75, batch_floor_every: 8 };
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mut dispatch = Dispatch::new(bounds);
-    let vm = |number| VmName::new(&format!("vm-{number}")).expect("a name");
-    let targets: Vec<_> =
-        (0..VMS).map(|number| Target { vm: vm(number), slots: SLOTS, local: true }).collect();
-    dispatch.set_targets(&targets, Monotonic(START_MS), &mut rng);
-    let caller = CallerName::new("caller").expect("a name");
-    let mut ends: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
-    let mut open: BTreeMap<u64, (u64, Class, Option<VmName>)> = BTreeMap::new();
-    let mut latencies = Histogram::<u64>::new(3).expect("three figures are allowed");
+    let mut pool = Pool::new(seed);
     let mut sent = 0;
-    let mut finish = |until: u64,
-                      dispatch: &mut Dispatch,
-                      ends: &mut BinaryHeap<Reverse<(u64, u64)>>,
-                      open: &mut BTreeMap<u64, (u64, Class, Option<VmName>)>,
-                      rng: &mut SmallRng| {
-        while let Some(Reverse((at, ticket))) = ends.peek().copied().filter(|e| e.0.0 <= until) {
-            ends.pop();
-            let Some((arrived, class, Some(vm))) = open.remove(&ticket) else { continue };
-            if class == Class::Urgent && at - arrived <= DEADLINE_MS {
-                latencies.record(at - arrived).expect("in range");
-            }
-            for ticket in dispatch.expire(Monotonic(at)) {
-                open.remove(&ticket.0);
-            }
-            let end = Use::Answered(Duration::from_millis(SERVICE_MS));
-            for grant in dispatch.release(&vm, class, end, Monotonic(at), rng) {
-                if let Some(waiting) = open.get_mut(&grant.ticket.0) {
-                    waiting.2 = Some(grant.vm);
-                    ends.push(Reverse((at + SERVICE_MS, grant.ticket.0)));
-                }
-            }
-        }
-    };
     for (ticket, (at, class)) in (0..).zip(arrivals(load, seed)) {
-        finish(at, &mut dispatch, &mut ends, &mut open, &mut rng);
+        pool.run_until(at);
         sent += u64::from(class == Class::Urgent);
-        let deadline = Monotonic(at + DEADLINE_MS);
-        let ask = Ask { ticket: Ticket(ticket), caller: caller.clone(), class, deadline };
-        match dispatch.offer(ask, Monotonic(at), &mut rng) {
-            Offer::Assigned(vm) => {
-                open.insert(ticket, (at, class, Some(vm)));
-                ends.push(Reverse((at + SERVICE_MS, ticket)));
-            }
-            Offer::Waiting => drop(open.insert(ticket, (at, class, None))),
-            Offer::Refused(_) => {}
-        }
+        pool.arrive(ticket, at, class);
     }
-    finish(u64::MAX, &mut dispatch, &mut ends, &mut open, &mut rng);
-    felt(&latencies, sent)
+    pool.run_until(u64::MAX);
+    felt(&pool.latencies, sent)
 }
 
 /// One queue in the order of arrival, as long as it gets; those past their deadline are dropped.
--- a/crates/crosspathd/src/handover.rs
+++ b/crates/crosspathd/src/handover.rs
@@ -5,7 +5,6 @@
 //! deciding.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use crosspath_operator::CommitError;
 use crosspath_peer::Transfer;
@@ -63,7 +62,7 @@
 }
 
 /// Gives the member with the fewest partitions what this one has beyond its fair part.
-pub(crate) async fn balance(core: Arc<Core>) {
+pub(crate) async fn balance(core: &Core) {
     let state = core.state();
     let own = core.settings.name.clone();
     let mine: Vec<u16> = state.partitions_of(&own).collect();
@@ -77,6 +76,6 @@
         return;
     }
     if let Some(to) = writer(&state, poorest) {
-        hand_over(&core, mine.into_iter().take(surplus).collect(), to).await;
+        hand_over(core, mine.into_iter().take(surplus).collect(), to).await;
     }
 }
--- a/crates/crosspathd/src/membership.rs
+++ b/crates/crosspathd/src/membership.rs
@@ -108,7 +108,7 @@
     }
 }
 
-async fn step(core: &Arc<Core>) {
+async fn step(core: &Core) {
     let (state, own) = (core.state(), core.own());
     if !state.is_member(&own) {
         return join(core, &state, &own).await;
@@ -120,7 +120,7 @@
         name_guard(core, &state, &own).await;
     }
     evict(core).await;
-    handover::balance(Arc::clone(core)).await;
+    handover::balance(core).await;
 }
 
 async fn join(core: &Core, state: &State, own: &Writer) {
--- a/crates/crosspathd/tests/site/common.rs
+++ b/crates/crosspathd/tests/site/common.rs
@@ -70,8 +70,6 @@
             .await
             .expect("in force");
     }
-    // The pools follow the state at once, and routes use the whole part of a VM's slots after
-    // slow start.
 }
 
 pub(crate) async fn status(site: &Site, index: usize) -> Value {
