An accepted change can be read at once where it was accepted

Cause: about one site test in 400 failed while its resources were declared: the PUT was accepted and answered 404, 'does not exist'. The verdict of a batch is noted while its page is folded, the state is published after the page, and the answer was read in between. Ruled out: the log's answer, a fenced batch (the body of the answer, caught by repeating the tests 12 times, named the resource). Change: whoever waits for a batch waits for the published state too. A test puts 480 resources from three daemons and reads each with its answer.

--- a/crates/crosspathd/src/committer.rs
+++ b/crates/crosspathd/src/committer.rs
@@ -215,8 +215,12 @@
     let until = Instant::now() + patience;
     loop {
         states.borrow_and_update();
-        if let Some(verdicts) = core.outcomes().get(id) {
-            return Some(verdicts.clone());
+        // The verdict is there before the state that it led to: whoever is told of a change must be
+        // able to read it.
+        let published = !matches!(passed_by(core, id), Passed::Not);
+        let verdicts = core.outcomes().get(id).cloned();
+        if let Some(verdicts) = verdicts.filter(|_| published) {
+            return Some(verdicts);
         }
         tokio::time::timeout_at(until, states.changed()).await.ok()?.ok()?;
     }
--- a/crates/crosspathd/tests/site/config.rs
+++ b/crates/crosspathd/tests/site/config.rs
@@ -90,3 +90,19 @@
     let line = String::from_utf8(line.to_vec()).expect("text");
     assert!(line.contains("\"new\"") && line.contains("changed"), "{line}");
 }
+
+/// Whoever is told that a change is accepted can read it at once, at the same daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_change_can_be_read_at_once() {
+    let site = common::start(&common::plan(1)).await;
+    for round in 0..40 {
+        let puts = (0..12).map(|number| {
+            let path = format!("/v1/teams/team-{round}-{number}");
+            let site = &site;
+            async move { common::put(site, number % 3, &path, json!({ "max_cores": 1 })).await }
+        });
+        for put in futures::future::join_all(puts).await {
+            assert!(put.expect("accepted and there")["revision"].as_u64().is_some());
+        }
+    }
+}
