--- a/crates/crosspathd/src/committer.rs
+++ b/crates/crosspathd/src/committer.rs
@@ -169,10 +169,14 @@
         if let Some(verdicts) = settled(core, id, SETTLE).await {
             return Ok(verdicts);
         }
-        match passed_by(core, id) {
-            Passed::Not => {}
-            Passed::Fenced => return Err(CommitError::NotAccepted),
-            Passed::Folded => {
+        let passed = passed_by(core, id);
+        // Folded between the last look and this one.
+        let verdicts = core.outcomes().get(id).cloned();
+        match (passed, verdicts) {
+            (Passed::Not, _) => {}
+            (Passed::Folded | Passed::Fenced, Some(verdicts)) => return Ok(verdicts),
+            (Passed::Fenced, None) => return Err(CommitError::NotAccepted),
+            (Passed::Folded, None) => {
                 let change = outcomes::change_id(id, 0);
                 return Err(CommitError::Unknown { change });
             }
