--- /dev/null
+++ b/crates/crosspath_border/src/operator.rs
@@ -0,0 +1,78 @@
+//! What operators write: the configuration and waves of upkeep.
+
+use std::sync::Arc;
+
+use crosspath_job::record::{Advice, Policy};
+use serde::{Deserialize, Serialize};
+
+/// A queue of jobs, found by host and path.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Queue {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Host that callers name.
+    pub host: Arc<str>,
+    /// Path before the job's identifier.
+    pub prefix: Arc<str>,
+    /// The pool that runs its tasks.
+    pub pool: Arc<str>,
+    /// What it demands.
+    pub policy: Policy,
+    /// Whether workers must be asked for.
+    pub advice: Option<Advice>,
+}
+
+/// A pool of VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pool {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Whether its VMs are off and cost nothing.
+    pub spare: bool,
+}
+
+/// A configuration, whole.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Config {
+    /// Rises with each change.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Pools.
+    pub pools: Vec<Pool>,
+    /// Bytes of a request body that are taken.
+    pub body_bytes: u64,
+}
+
+/// VMs that are to have their upkeep.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// The VMs.
+    pub vms: Vec<Arc<str>>,
+    /// Time that it may take, in ms from when it was written.
+    pub deadline_ms: u64,
+    /// VMs in upkeep at one time.
+    pub maximum: u32,
+}
+
+/// How far a wave is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WaveState {
+    /// Some VM has not had its upkeep.
+    Running,
+    /// All have.
+    Completed,
+}
+
+/// One record of the operators.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// A configuration.
+    Config(Config),
+    /// A wave.
+    Wave(Wave),
+    /// A kind of record that this daemon does not know.
+    Other,
+}
--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -73,8 +73,15 @@
     /// Makes a client; each call takes at most `timeout`.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self::with_connect_timeout(address, timeout, timeout)
+    }
+
+    /// As [`Self::new`], with a bound of its own for a new connection. A connection that is not
+    /// made within `connect` is [`Error::NotSent`].
+    #[must_use]
+    pub fn with_connect_timeout(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeout));
+        connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
         let pool = Pool::builder(TokioExecutor::new()).build(connector);
         Self { pool, address, timeout, token: None }
@@ -144,7 +151,12 @@
         self.send_within(request, body, self.timeout).await
     }
 
-    async fn send_within(
+    /// As [`Self::send`], with a time of its own.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn send_within(
         &self,
         request: http::request::Builder,
         body: Bytes,
--- /dev/null
+++ b/crates/crosspath_job/src/progress.rs
@@ -0,0 +1,74 @@
+//! How far a job is, as its record keeps it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// State of a job as callers see it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// No task has begun.
+    #[default]
+    Queued,
+    /// Some task has begun.
+    Running,
+    /// Every task has ended successfully.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+impl State {
+    /// Whether it never changes again.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// What is kept of one task that has not simply not begun.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TaskProgress {
+    /// It ended successfully.
+    #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
+    pub done: bool,
+    /// Runs that failed.
+    #[serde(rename = "f", skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// Number of the last run that was counted as failed, so that its end, listed again to a new
+    /// owner, is not counted twice.
+    #[serde(rename = "r", skip_serializing_if = "is_zero_u64")]
+    pub failed_run: u64,
+    /// Newest checkpoint of a run that ended.
+    #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<Arc<str>>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+/// How far a job is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Its state.
+    #[serde(rename = "s")]
+    pub state: State,
+    /// Tasks by "TIME.STEP.INDEX"; those without an entry have not ended yet.
+    #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub tasks: BTreeMap<String, TaskProgress>,
+    /// When it ended, in ms since 1970; 0 before.
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero_u64")]
+    pub ended_ms: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero_u64(value: &u64) -> bool {
+    *value == 0
+}
--- /dev/null
+++ b/crates/crosspath_job/src/spec.rs
@@ -0,0 +1,238 @@
+//! What a caller asks for: steps of tasks, perhaps at several times.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Bytes of a job's text at most; the callers' interface promises it.
+pub const MAX_TEXT_BYTES: usize = 4_000;
+/// Tasks of one step at most. Far above any job seen; bounds what one caller can make us hold.
+pub const MAX_STEP_TASKS: u32 = 4_096;
+/// Steps of one job at most; bounds as [`MAX_STEP_TASKS`] does.
+pub const MAX_STEPS: usize = 256;
+/// Times of one job at most; bounds as [`MAX_STEP_TASKS`] does.
+pub const MAX_TIMES: u32 = 10_000;
+
+/// What a task needs of a worker, or what a worker has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory in MB.
+    pub mem_mb: u64,
+    /// Accelerators.
+    pub gpus: u64,
+}
+
+impl Room {
+    /// Whether `self` fits into `free`.
+    #[must_use]
+    pub fn fits(&self, free: &Self) -> bool {
+        self.cpu_millis <= free.cpu_millis && self.mem_mb <= free.mem_mb && self.gpus <= free.gpus
+    }
+
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.cpu_millis += other.cpu_millis;
+        self.mem_mb += other.mem_mb;
+        self.gpus += other.gpus;
+    }
+
+    /// What is left after taking `other`; 0 where `other` is larger.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            mem_mb: self.mem_mb.saturating_sub(other.mem_mb),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+}
+
+/// One step of a job: tasks that are alike.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Step {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What each needs.
+    pub room: Room,
+    /// The caller's guess of one task's duration, in ms.
+    #[serde(skip_serializing_if = "is_default")]
+    pub estimate_ms: u64,
+    /// Steps that must have ended before.
+    #[serde(skip_serializing_if = "is_default")]
+    pub after: Vec<u32>,
+    /// Whether tasks save checkpoints.
+    #[serde(skip_serializing_if = "is_default")]
+    pub checkpoints: bool,
+    /// Whether the tasks run only all together.
+    #[serde(skip_serializing_if = "is_default")]
+    pub gang: bool,
+    /// Whether a gang is slow when spread over racks.
+    #[serde(skip_serializing_if = "is_default")]
+    pub same_rack: bool,
+    /// Label that the worker must have.
+    #[serde(skip_serializing_if = "is_default")]
+    pub requires: Option<Arc<str>>,
+    /// Rack near the step's data.
+    #[serde(skip_serializing_if = "is_default")]
+    pub near: Option<Arc<str>>,
+    /// Most tasks of the step on one worker; 0 is no limit.
+    #[serde(skip_serializing_if = "is_default")]
+    pub per_worker: u32,
+    /// Whether a second copy of a task may run beside the first.
+    #[serde(skip_serializing_if = "is_default")]
+    pub speculative: bool,
+    /// Whether tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_default")]
+    pub lasting: bool,
+    /// What the tasks execute; tasks of one image behave alike.
+    #[serde(skip_serializing_if = "is_default")]
+    pub image: Option<Arc<str>>,
+    /// Target for the tail of a lasting task's answer times, in ms; 0 is none.
+    #[serde(skip_serializing_if = "is_default")]
+    pub tail_target_ms: u64,
+    /// Whether the tasks use only processor time that others leave.
+    #[serde(skip_serializing_if = "is_default")]
+    pub filler: bool,
+    /// Tasks of a lasting step that the system may take away at one time.
+    #[serde(skip_serializing_if = "is_default")]
+    pub may_miss: Option<u32>,
+}
+
+impl Step {
+    /// What one task reserves of a worker.
+    #[must_use]
+    pub fn reserved(&self) -> Room {
+        let cpu_millis = if self.filler { 0 } else { self.room.cpu_millis };
+        Room { cpu_millis, ..self.room }
+    }
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+/// Times at which all steps run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Repeat {
+    /// Number of times.
+    pub count: u32,
+    /// The first, in ms since 1970.
+    pub first_ms: u64,
+    /// Between two, in ms.
+    pub every_ms: u64,
+}
+
+/// A job as submitted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Text that each task gets unchanged.
+    pub text: Arc<str>,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// Times; none runs the steps once, at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub repeat: Option<Repeat>,
+}
+
+/// A specification that contradicts itself or passes a bound.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum SpecError {
+    /// The text is too long.
+    #[snafu(display("spec is {bytes} bytes long; at most {MAX_TEXT_BYTES} are taken"))]
+    TextTooLong {
+        /// Its length.
+        bytes: usize,
+    },
+    /// No step, or too many.
+    #[snafu(display("{steps} steps; 1 to {MAX_STEPS} are taken"))]
+    StepCount {
+        /// Their number.
+        steps: usize,
+    },
+    /// A step without tasks, or with too many.
+    #[snafu(display("steps[{step}] has {tasks} tasks; 1 to {MAX_STEP_TASKS} are taken"))]
+    TaskCount {
+        /// The step.
+        step: usize,
+        /// Its tasks.
+        tasks: u32,
+    },
+    /// A step waits for one that is not before it.
+    #[snafu(display("steps[{step}] comes after step {after}, which is not an earlier one"))]
+    After {
+        /// The step.
+        step: usize,
+        /// What it waits for.
+        after: u32,
+    },
+    /// Too many times.
+    #[snafu(display("{times} times; at most {MAX_TIMES} are taken"))]
+    TimeCount {
+        /// Their number.
+        times: u32,
+    },
+}
+
+impl Spec {
+    /// Number of times that the steps run.
+    #[must_use]
+    pub fn times(&self) -> u32 {
+        self.repeat.map_or(1, |repeat| repeat.count.max(1))
+    }
+
+    /// When a time is due, in ms since 1970; 0 without times.
+    #[must_use]
+    pub fn due_ms(&self, time: u32) -> u64 {
+        self.repeat.map_or(0, |repeat| {
+            repeat.first_ms.saturating_add(u64::from(time).saturating_mul(repeat.every_ms))
+        })
+    }
+
+    /// Checks what the types leave open.
+    ///
+    /// # Errors
+    ///
+    /// [`SpecError`], the first that is found.
+    pub fn check(&self) -> Result<(), SpecError> {
+        let bytes = self.text.len();
+        if bytes > MAX_TEXT_BYTES {
+            return TextTooLongSnafu { bytes }.fail();
+        }
+        let steps = self.steps.len();
+        if steps == 0 || steps > MAX_STEPS {
+            return StepCountSnafu { steps }.fail();
+        }
+        if self.times() > MAX_TIMES {
+            return TimeCountSnafu { times: self.times() }.fail();
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.tasks == 0 || step.tasks > MAX_STEP_TASKS {
+                return TaskCountSnafu { step: number, tasks: step.tasks }.fail();
+            }
+            let later = step.after.iter().find(|after| **after as usize >= number);
+            if let Some(after) = later {
+                return AfterSnafu { step: number, after: *after }.fail();
+            }
+        }
+        Ok(())
+    }
+
+    /// Longest chain of the caller's estimates from a step to the end, per step, in ms.
+    #[must_use]
+    pub fn chains_ms(&self) -> Vec<u64> {
+        let mut rest = vec![0; self.steps.len()];
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            rest[number] += step.estimate_ms;
+            let through = rest[number];
+            for after in &step.after {
+                let before = &mut rest[*after as usize];
+                *before = through.max(*before);
+            }
+        }
+        rest
+    }
+}
--- /dev/null
+++ b/crates/crosspath_node/src/daemon.rs
@@ -0,0 +1,169 @@
+//! Starts the daemon's listeners and tasks, and waits for the end.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::advice::Advisor;
+use crosspath_border::entry::Handler;
+use crosspath_border::store::Store;
+use crosspath_border::vm::Fleet;
+use crosspath_border::worker::Runner;
+use crosspath_http::body;
+use crosspath_http::server::{self, Limits, Stage};
+use http::Response;
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::gateway::Gateway;
+use crate::node::{Node, Parts};
+use crate::settings::Settings;
+use crate::{clock, feed, membership, rpc};
+
+/// From unready to the end of taking connections: the balancer asks each second and stops after two
+/// misses.
+const UNREADY: Duration = Duration::from_millis(2_600);
+/// Left of the grace when what is in flight is cut off.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+type Serving = Pin<Box<dyn Future<Output = ()> + Send>>;
+type Serve = fn(TcpListener, Limits, watch::Receiver<Stage>, Arc<dyn Handler>) -> Serving;
+
+/// What the daemon needs of the platform.
+#[derive(Debug)]
+pub struct Ports {
+    /// The log.
+    pub store: Arc<dyn Store>,
+    /// Workers.
+    pub runner: Arc<dyn Runner>,
+    /// VMs; none where they are not managed.
+    pub fleet: Option<Arc<dyn Fleet>>,
+    /// The advice service; none where there is none.
+    pub advisor: Option<Arc<dyn Advisor>>,
+    /// Serves callers.
+    pub serve_callers: Serve,
+    /// Answers the balancer.
+    pub serve_readiness: Serve,
+}
+
+/// The daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}; is another process there?"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Signals cannot be listened for.
+    #[snafu(display("cannot listen for signals: {source}"))]
+    Signals {
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// [`RunError`] when it cannot start.
+pub async fn run(settings: Settings, ports: Ports) -> Result<(), RunError> {
+    clock::now();
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let listeners = [
+        bind(settings.callers).await?,
+        bind(settings.readiness).await?,
+        bind(settings.peers).await?,
+        bind(settings.metrics).await?,
+    ];
+    let member = format!("{}/{}/{:x}", settings.peers, settings.name, clock::wall_ms());
+    log::info!("event=started daemon={} member={member}", settings.name);
+    let Ports { store, runner, fleet, advisor, serve_callers, serve_readiness } = ports;
+    let node = Arc::new(Node::new(Parts {
+        settings,
+        member: member.into(),
+        store,
+        runner,
+        fleet,
+        advisor,
+    }));
+    let callers = serve(&node, listeners, serve_callers, serve_readiness);
+    drop(tokio::spawn(feed::follow_operators(Arc::clone(&node))));
+    drop(tokio::spawn(feed::follow_workers(Arc::clone(&node))));
+    drop(tokio::spawn(feed::follow_map(Arc::clone(&node))));
+    let member = tokio::spawn(membership::run(Arc::clone(&node)));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Nothing in the settings can change while the daemon runs; requests go on.
+            _ = hangup.recv() => log::info!("event=settings_unchanged"),
+        }
+    }
+    stop(&node, member, callers).await;
+    Ok(())
+}
+
+fn serve(
+    node: &Arc<Node>,
+    listeners: [TcpListener; 4],
+    serve_callers: Serve,
+    serve_readiness: Serve,
+) -> tokio::task::JoinHandle<()> {
+    let [callers, readiness, peers, metrics] = listeners;
+    let handler: Arc<dyn Handler> = Arc::new(Gateway::new(Arc::clone(node)));
+    let stop = || node.stage.subscribe();
+    // Peers and the balancer are answered to the very end.
+    let (_sender, never) = watch::channel(Stage::Serving);
+    let readiness =
+        serve_readiness(readiness, Limits::default(), never.clone(), Arc::clone(&handler));
+    drop(tokio::spawn(readiness));
+    drop(tokio::spawn(rpc::serve(peers, never.clone(), Arc::clone(node))));
+    drop(tokio::spawn(serve_metrics(metrics, never, Arc::clone(node))));
+    std::mem::forget(_sender);
+    tokio::spawn(serve_callers(callers, Limits::default(), stop(), handler))
+}
+
+async fn serve_metrics(listener: TcpListener, stop: watch::Receiver<Stage>, node: Arc<Node>) {
+    server::serve(listener, Limits::default(), stop, move |_, _| {
+        let text = node.metrics.text();
+        async move { Response::new(body::full(text)) }
+    })
+    .await;
+}
+
+/// Unready first, so that the balancer sends callers elsewhere, and shards to others; then no
+/// further connections, while what is in flight finishes.
+async fn stop(
+    node: &Arc<Node>,
+    member: tokio::task::JoinHandle<()>,
+    callers: tokio::task::JoinHandle<()>,
+) {
+    let began = clock::now();
+    log::info!("event=stopping");
+    node.stopping.send_replace(true);
+    // A join under way could undo the leaving.
+    member.await.ok();
+    membership::leave(node).await;
+    tokio::time::sleep((began + UNREADY).saturating_sub(clock::now())).await;
+    node.stage.send_replace(Stage::Finishing);
+    let left = (began + node.settings.stop_grace).saturating_sub(clock::now() + GRACE_MARGIN);
+    if tokio::time::timeout(left, callers).await.is_err() {
+        log::warn!("event=stop_cut_off");
+    }
+    node.stage.send_replace(Stage::Ended);
+    log::info!("event=stopped after_ms={}", clock::now().saturating_sub(began).as_millis());
+}
--- /dev/null
+++ b/crates/crosspath_node/src/feed.rs
@@ -0,0 +1,256 @@
+//! Following partitions of others: the configuration, waves, the worker list, the map of shards.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::operator::Change;
+use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored, Topic};
+use crosspath_schedule::Event;
+
+use crate::clock;
+use crate::node::{FLEET_SHARD, Node, only_partition};
+use crate::table::Table;
+
+/// For which a read waits at the store. Short enough that a silent cut is noticed soon.
+const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// Between reads of the worker list: some dozens of workers write every 1.5 s, and reading each
+/// record as it comes would cost a call for each.
+const WORKERS_PAUSE: Duration = Duration::from_millis(350);
+/// After a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows one partition: `take` gets the newest record of each key, then each record as it comes.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    partition: Partition,
+    next: Option<u64>,
+}
+
+impl Feed {
+    pub(crate) fn new(partition: Partition) -> Self {
+        Self { partition, next: None }
+    }
+
+    /// Begins at an offset, what came before being known.
+    pub(crate) fn from(partition: Partition, next: u64) -> Self {
+        Self { partition, next: Some(next) }
+    }
+
+    /// Whether it has read up to an end once.
+    fn is_started(&self) -> bool {
+        self.next.is_some()
+    }
+
+    /// Reads what is new, waiting for it at most `wait`.
+    pub(crate) async fn read(&mut self, node: &Node, wait: Duration) -> Result<Vec<Stored>, Error> {
+        let Some(next) = self.next else {
+            let (records, end) = newest(node, self.partition).await?;
+            self.next = Some(end);
+            return Ok(records);
+        };
+        match node.store.read(self.partition, next, wait).await {
+            Ok(page) => {
+                node.set_standing(|standing| standing.store_answered = clock::now());
+                self.next = Some(next + page.records.len() as u64);
+                Ok(page.records)
+            }
+            Err(Error::Gone { first }) => {
+                log::info!("event=records_gone partition={} first={first}", self.partition);
+                self.next = None;
+                Ok(Vec::new())
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
+
+/// Newest record of each key, and the offset from which to follow.
+///
+/// Pages are not one snapshot, so following begins where the partition ended at the first of them.
+pub(crate) async fn newest(node: &Node, partition: Partition) -> Result<(Vec<Stored>, u64), Error> {
+    let mut records: Vec<Stored> = Vec::new();
+    let mut end = None;
+    loop {
+        let after = records.last().map(|record| record.key.clone());
+        let page = node.store.newest(partition, after.as_deref()).await?;
+        end = end.or(Some(page.end));
+        let more = page.more && !page.records.is_empty();
+        records.extend(page.records);
+        if !more {
+            break;
+        }
+    }
+    node.set_standing(|standing| standing.store_answered = clock::now());
+    Ok((records, end.unwrap_or_default()))
+}
+
+/// Follows the operators' records.
+pub(crate) async fn follow_operators(node: Arc<Node>) {
+    let mut feed = Feed::new(only_partition(Topic::Operators));
+    loop {
+        match feed.read(&node, LONG_WAIT).await {
+            Ok(records) => {
+                for record in &records {
+                    take_operators(&node, record);
+                }
+            }
+            Err(error) => {
+                log::info!("event=operators_unread error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_operators(node: &Node, record: &Stored) {
+    if record.value.is_empty() {
+        return;
+    }
+    match node.store.change(record) {
+        Ok(Change::Config(config)) => {
+            let table = node.table();
+            let known = table.as_ref().map_or(0, |table| table.version);
+            if table.is_some() && config.version <= known {
+                return;
+            }
+            log::info!("event=config version={} before={known}", config.version);
+            let table = table.as_deref().cloned().unwrap_or_default();
+            let table: Table = table.after(config);
+            node.set_table(table);
+        }
+        Ok(Change::Wave(wave)) => {
+            log::info!(
+                "event=wave wave={} vms={} deadline_ms={} maximum={}",
+                wave.number,
+                wave.vms.len(),
+                wave.deadline_ms,
+                wave.maximum
+            );
+            node.waves().entry(wave.number).or_insert((wave, clock::now()));
+        }
+        Ok(Change::Other) => {}
+        Err(error) => log::warn!("event=operator_record_unreadable error=\"{error}\""),
+    }
+}
+
+/// Follows the worker list.
+pub(crate) async fn follow_workers(node: Arc<Node>) {
+    let mut feed = Feed::new(only_partition(Topic::Workers));
+    loop {
+        let whole = !feed.is_started();
+        match feed.read(&node, Duration::ZERO).await {
+            Ok(records) => take_workers(&node, &records, whole && feed.is_started()),
+            Err(error) => {
+                log::info!("event=workers_unread error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        }
+        if feed.is_started() {
+            tokio::time::sleep(WORKERS_PAUSE).await;
+        }
+    }
+}
+
+fn take_workers(node: &Node, records: &[Stored], whole: bool) {
+    let mut events = Vec::new();
+    {
+        let mut directory = node.directory();
+        if whole {
+            let there: std::collections::BTreeSet<&str> =
+                records.iter().map(|record| record.key.as_str()).collect();
+            let gone: Vec<_> =
+                directory.entries.keys().filter(|id| !there.contains(&***id)).cloned().collect();
+            for id in gone {
+                let entry = directory.entries.remove(&id);
+                events.extend(entry.map(|entry| (entry.pool, Event::WorkerGone(id))));
+            }
+            directory.loaded = true;
+        }
+        for record in records {
+            if record.value.is_empty() {
+                let entry = directory.entries.remove(record.key.as_str());
+                let gone = Event::WorkerGone(record.key.as_str().into());
+                events.extend(entry.map(|entry| (entry.pool, gone)));
+                continue;
+            }
+            match node.store.worker(record) {
+                Ok(entry) => {
+                    let known = directory.entries.insert(Arc::clone(&entry.id), entry.clone());
+                    let same = known.is_some_and(|known| {
+                        crosspath_border::worker::Entry { clock_ms: entry.clock_ms, ..known }
+                            == entry
+                    });
+                    if !same {
+                        events.push((Arc::clone(&entry.pool), Event::WorkerSeen(entry)));
+                    }
+                }
+                Err(error) => log::warn!("event=worker_entry_unreadable error=\"{error}\""),
+            }
+        }
+    }
+    let owned = node.owned();
+    for (pool, event) in events {
+        for handle in owned.values().filter(|handle| handle.pool() == Some(&pool)) {
+            handle.send(event.clone());
+        }
+    }
+}
+
+/// Keeps the map from pools to shards, and adds pools that it lacks.
+pub(crate) async fn follow_map(node: Arc<Node>) {
+    let partition = only_partition(Topic::ShardMap);
+    loop {
+        let missing = missing_pools(&node);
+        if missing.is_empty() {
+            node.changed.notified().await;
+            continue;
+        }
+        if let Err(error) = extend_map(&node, partition, &missing).await {
+            log::info!("event=map_not_extended error=\"{error}\"");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn missing_pools(node: &Node) -> Vec<Arc<str>> {
+    let Some(table) = node.table() else { return Vec::new() };
+    let wanted = table.config.pools.iter().filter(|pool| !pool.spare).map(|pool| &pool.name);
+    let map = node.shard_map();
+    wanted.filter(|name| !map.contains_key(*name)).cloned().collect()
+}
+
+/// Reads the map, and appends what is missing if nobody else has in between.
+async fn extend_map(node: &Node, partition: Partition, missing: &[Arc<str>]) -> Result<(), Error> {
+    let (records, end) = newest(node, partition).await?;
+    let mut used: BTreeMap<u32, String> = BTreeMap::new();
+    for record in records {
+        let number = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
+        let Some(number) = number else {
+            log::warn!("event=map_record_unreadable key={}", record.key);
+            continue;
+        };
+        node.add_to_map(&record.key, number);
+        used.insert(number, record.key);
+    }
+    let map = node.shard_map();
+    let absent = missing.iter().filter(|name| !map.contains_key(*name));
+    let free = (FLEET_SHARD + 1..node.settings.shards).filter(|number| !used.contains_key(number));
+    let records: Vec<Keyed> = absent
+        .zip(free)
+        .map(|(name, number)| Keyed { key: name.to_string(), value: number.to_string().into() })
+        .collect();
+    if records.is_empty() {
+        return Ok(());
+    }
+    node.store.append(partition, &records, Guard::At(end)).await?;
+    log::info!("event=map_extended pools={}", records.len());
+    for record in records {
+        let number = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
+        if let Some(number) = number {
+            node.add_to_map(&record.key, number);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/crosspath_node/src/gateway.rs
@@ -0,0 +1,174 @@
+//! What callers are answered.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use crosspath_border::entry::{Cancelled, Handler, Resolved, Shown, Submitted};
+use crosspath_border::operator::Queue;
+use crosspath_job::record::{Accepted, Record};
+use crosspath_job::{JobId, Spec};
+
+use crate::appender::{self, Outcome};
+use crate::clock;
+use crate::metrics::Call;
+use crate::node::Node;
+use crate::rpc::{self, Answer, Question};
+
+/// Share of a caller's patience that is used for tries.
+const PATIENCE: f64 = 0.6;
+/// Between questions to a holder that is not known or is taking over.
+const ASK_PAUSE: Duration = Duration::from_millis(60);
+/// A caller that was refused comes back after this: about the time of a takeover.
+const RETRY_AFTER_S: u32 = 1;
+/// Bytes of a body before there is a configuration.
+const DEFAULT_BODY: u64 = 262_144;
+
+/// The callers' side of the daemon.
+#[derive(Debug)]
+pub struct Gateway {
+    node: Arc<Node>,
+}
+
+impl Gateway {
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    fn until(&self, within: Duration) -> Duration {
+        clock::now() + within.mul_f64(PATIENCE)
+    }
+
+    /// Asks the holders of all shards where the queue's jobs may be; none when one does not answer.
+    async fn find(&self, queue: &Queue, job: JobId, until: Duration) -> Option<Shown> {
+        let pools = match self.node.table() {
+            Some(table) => table.pools_of(queue),
+            None => [Arc::clone(&queue.pool)].into(),
+        };
+        let mut unsure = false;
+        for pool in pools {
+            let Some(shard) = self.node.shard_of(&pool) else {
+                unsure = true;
+                continue;
+            };
+            match self.ask_state(shard, job, until).await {
+                Some(Some(state)) => return Some(Shown::State(state)),
+                Some(None) => {}
+                None => unsure = true,
+            }
+        }
+        (!unsure).then_some(Shown::None)
+    }
+
+    async fn ask_state(
+        &self,
+        shard: u32,
+        job: JobId,
+        until: Duration,
+    ) -> Option<Option<crosspath_job::progress::State>> {
+        loop {
+            let question = Question::State { shard, job };
+            if let Some(Answer::State(state)) = rpc::ask_holder(&self.node, shard, question).await {
+                return Some(state);
+            }
+            if clock::now() + ASK_PAUSE > until {
+                return None;
+            }
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Gateway {
+    fn resolve(&self, host: &str, path: &str) -> Resolved {
+        let Some(table) = self.node.table() else { return Resolved::Unready };
+        match table.resolve(host, path) {
+            Some((queue, rest)) => Resolved::Queue(queue, rest),
+            None => Resolved::Unknown,
+        }
+    }
+
+    fn body_limit(&self) -> u64 {
+        self.node.table().map_or(DEFAULT_BODY, |table| table.config.body_bytes)
+    }
+
+    fn is_ready(&self) -> bool {
+        let pools_known = self.node.table().is_some_and(|table| {
+            let serving = table.config.pools.iter().filter(|pool| !pool.spare);
+            serving.into_iter().all(|pool| self.node.shard_of(&pool.name).is_some())
+        });
+        pools_known && !self.node.is_stopping()
+    }
+
+    async fn submit(&self, queue: &Queue, job: JobId, spec: Spec, within: Duration) -> Submitted {
+        let began = clock::now();
+        let Some(shard) = self.node.shard_of(&queue.pool) else {
+            log::info!("event=submit job={job} queue={} outcome=no_shard", queue.name);
+            return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S };
+        };
+        let accepted = Accepted {
+            queue: Arc::clone(&queue.name),
+            pool: Arc::clone(&queue.pool),
+            policy: queue.policy,
+            advice: queue.advice,
+            at_ms: clock::wall_ms(),
+            spec,
+        };
+        let record = Record::Accepted(job, Arc::new(accepted));
+        let outcome = appender::append(&self.node, shard, &record, self.until(within)).await;
+        let took = clock::now().saturating_sub(began);
+        log::info!(
+            "event=submit job={job} queue={} shard={shard} outcome={outcome:?} took_ms={}",
+            queue.name,
+            took.as_millis()
+        );
+        self.node.metrics.called(Call::Submit, &queue.name, took);
+        match outcome {
+            Outcome::Kept => Submitted::Accepted,
+            Outcome::NotKept => Submitted::NotTaken { retry_after_s: RETRY_AFTER_S },
+            Outcome::Unknown => Submitted::Unknown,
+        }
+    }
+
+    async fn state(&self, queue: &Queue, job: JobId, within: Duration) -> Shown {
+        let began = clock::now();
+        let shown = self.find(queue, job, self.until(within)).await;
+        let took = clock::now().saturating_sub(began);
+        log::info!("event=state job={job} shown={shown:?} took_ms={}", took.as_millis());
+        self.node.metrics.called(Call::State, &queue.name, took);
+        shown.unwrap_or(Shown::Unavailable { retry_after_s: RETRY_AFTER_S })
+    }
+
+    async fn cancel(&self, queue: &Queue, job: JobId, within: Duration) -> Cancelled {
+        let began = clock::now();
+        let until = self.until(within);
+        let Some(shard) = self.node.shard_of(&queue.pool) else {
+            return Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S };
+        };
+        let outcome = appender::append(&self.node, shard, &Record::Cancelled(job), until).await;
+        let took = clock::now().saturating_sub(began);
+        log::info!("event=cancel job={job} outcome={outcome:?} took_ms={}", took.as_millis());
+        self.node.metrics.called(Call::Cancel, &queue.name, took);
+        match outcome {
+            Outcome::Kept => Cancelled::Done,
+            Outcome::NotKept => Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S },
+            Outcome::Unknown => Cancelled::Unknown,
+        }
+    }
+
+    async fn waiting(&self, queue: &Queue) -> Option<u64> {
+        let table = self.node.table()?;
+        let mut total = 0;
+        for pool in table.pools_of(queue) {
+            let shard = self.node.shard_of(&pool)?;
+            let question = Question::Waiting { shard, queue: Arc::clone(&queue.name) };
+            let Some(Answer::Waiting(waiting)) = rpc::ask_holder(&self.node, shard, question).await
+            else {
+                return None;
+            };
+            total += waiting;
+        }
+        Some(total)
+    }
+}
--- /dev/null
+++ b/crates/crosspath_node/src/lib.rs
@@ -0,0 +1,25 @@
+//! The daemon on a platform that keeps the log.
+//!
+//! Every daemon takes jobs from callers and appends them to their shard of the log. The daemons form
+//! a group among which the platform deals the shards; the owner of a shard runs its scheduler. What
+//! stands here is wiring: tasks, calls and time. Decisions are in `crosspath_schedule` and
+//! `crosspath_plan`; the platform's protocols are behind the traits of `crosspath_border`.
+
+mod appender;
+mod clock;
+mod daemon;
+mod feed;
+mod fleet;
+mod gateway;
+mod membership;
+mod metrics;
+mod node;
+mod rpc;
+pub mod settings;
+mod shard;
+mod table;
+mod watch;
+
+pub use daemon::{Ports, RunError, run};
+pub use gateway::Gateway;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/crosspath_node/src/membership.rs
@@ -0,0 +1,96 @@
+//! Staying a member of the group of owners, and owning the shards that it deals.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::store::{Join, Membership};
+
+use crate::clock;
+use crate::node::{FLEET_SHARD, Node};
+use crate::shard::{self, Handle};
+
+/// Silence after which the group deals this daemon's shards to others. Short, since nothing new
+/// starts in an owner's shards meanwhile; long enough for some joins to be lost.
+pub(crate) const TTL: Duration = Duration::from_millis(1_200);
+/// Between joins: four fit into the silence that is allowed.
+const INTERVAL: Duration = Duration::from_millis(300);
+/// A join without an answer is sent again after this.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// This daemon counts itself out so much earlier than the group does.
+const MARGIN: Duration = Duration::from_millis(50);
+/// Between readings of who holds what, besides those after changes.
+const HOLDERS_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Joins again and again, and starts and ends ownership as the group deals.
+pub(crate) async fn run(node: Arc<Node>) {
+    let ttl = TTL.max(node.settings.membership_least);
+    let mut generation = 0;
+    let mut refreshed = Duration::ZERO;
+    while !node.is_stopping() {
+        let sent = clock::now();
+        let join = Join { member: Arc::clone(&node.member), ttl, generation };
+        match tokio::time::timeout(TIMEOUT, node.store.join(&join)).await {
+            Ok(Ok(membership)) => {
+                node.set_standing(|standing| {
+                    standing.until = sent + ttl - MARGIN;
+                    standing.store_answered = clock::now();
+                });
+                let changed = membership.generation != generation;
+                generation = membership.generation;
+                own(&node, &membership);
+                if changed || clock::now() > refreshed + HOLDERS_INTERVAL {
+                    refreshed = clock::now();
+                    drop(tokio::spawn(refresh_holders(Arc::clone(&node))));
+                }
+            }
+            Ok(Err(error)) => log::info!("event=join_failed error=\"{error}\""),
+            Err(_) => log::info!("event=join_failed error=\"timed out\""),
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Ends ownership of shards that were dealt away, before the next join tells the group so; begins
+/// that of new ones.
+fn own(node: &Arc<Node>, membership: &Membership) {
+    let dealt: BTreeSet<u32> = membership.shards.iter().copied().collect();
+    let pools = shard::pools_by_shard(&node.shard_map());
+    let mut owned = node.owned();
+    owned.retain(|number, handle| {
+        let stays = dealt.contains(number) && !handle.is_over();
+        if !stays {
+            log::info!("event=shard_released shard={number}");
+            handle.stop();
+        }
+        stays
+    });
+    for number in dealt {
+        let pool = pools.get(&number);
+        if (number == FLEET_SHARD || pool.is_some()) && !owned.contains_key(&number) {
+            log::info!("event=shard_dealt shard={number}");
+            owned.insert(number, Handle::start(node, number, pool.cloned()));
+        }
+    }
+}
+
+async fn refresh_holders(node: Arc<Node>) {
+    match node.store.holders().await {
+        Ok(holders) => {
+            let holders: HashMap<_, _> =
+                holders.into_iter().map(|holder| (holder.shard, holder.member)).collect();
+            node.set_holders(holders);
+        }
+        Err(error) => log::info!("event=holders_unread error=\"{error}\""),
+    }
+}
+
+/// Leaves the group on a planned stop, so that others own at once what this daemon owned.
+pub(crate) async fn leave(node: &Node) {
+    node.owned().clear();
+    match tokio::time::timeout(TIMEOUT, node.store.leave(&node.member)).await {
+        Ok(Ok(())) => log::info!("event=left_group"),
+        Ok(Err(error)) => log::info!("event=leave_failed error=\"{error}\""),
+        Err(_) => log::info!("event=leave_failed error=\"timed out\""),
+    }
+}
--- /dev/null
+++ b/crates/crosspath_node/src/metrics.rs
@@ -0,0 +1,80 @@
+//! The daemon's metrics, as OpenMetrics text.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// From 1 ms to some seconds, doubling.
+const BUCKETS: u16 = 14;
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+
+/// What a caller asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Call {
+    /// A job was submitted.
+    Submit,
+    /// A job's state was asked for.
+    State,
+    /// A job was cancelled.
+    Cancel,
+}
+
+impl Call {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Submit => "submit",
+            Self::State => "state",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Labels {
+    call: &'static str,
+    queue: String,
+}
+
+/// Every metric of the daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    latency: Family<Labels, Histogram, fn() -> Histogram>,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let latency = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let mut registry = Registry::with_prefix("crosspath");
+        let help = "Time from a caller's request to its answer, by call and queue";
+        registry.register_with_unit("call_latency", help, Unit::Seconds, latency.clone());
+        Self { registry: Mutex::new(registry), latency }
+    }
+}
+
+impl Metrics {
+    /// A call was answered after `took`.
+    pub(crate) fn called(&self, call: Call, queue: &str, took: Duration) {
+        let labels = Labels { call: call.name(), queue: queue.to_owned() };
+        self.latency.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &registry) {
+            log::warn!("event=metrics_not_encoded error=\"{error}\"");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/crosspath_node/src/node.rs
@@ -0,0 +1,200 @@
+//! What the daemon's tasks share.
+//!
+//! Locks are held for moments only and never two at a time, so their order does not matter.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crosspath_border::advice::Advisor;
+use crosspath_border::operator::Wave;
+use crosspath_border::store::{Partition, Store, Topic};
+use crosspath_border::vm::Fleet;
+use crosspath_border::worker::{Entry, Runner};
+use crosspath_http::server::Stage;
+use tokio::sync::{Notify, watch};
+
+use crate::appender::Appenders;
+use crate::metrics::Metrics;
+use crate::rpc::Peers;
+use crate::settings::Settings;
+use crate::shard::Handle;
+use crate::table::Table;
+
+/// The shard of the fleet: waves, moves, pool sizes.
+pub(crate) const FLEET_SHARD: u32 = 0;
+
+/// The worker list as last read.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    pub(crate) entries: BTreeMap<Arc<str>, Entry>,
+    /// Whether it was read to its end at least once.
+    pub(crate) loaded: bool,
+}
+
+/// The right to act as a member of the group.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Standing {
+    /// Until when the group surely counts this daemon as a member.
+    pub(crate) until: Duration,
+    /// When the store last answered anything.
+    pub(crate) store_answered: Duration,
+}
+
+/// What the daemon's tasks share.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    /// Names this daemon and this life of it; holds the address for peers.
+    pub(crate) member: Arc<str>,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) runner: Arc<dyn Runner>,
+    pub(crate) fleet: Option<Arc<dyn Fleet>>,
+    pub(crate) advisor: Option<Arc<dyn Advisor>>,
+    pub(crate) peers: Peers,
+    pub(crate) appenders: Appenders,
+    pub(crate) metrics: Metrics,
+    pub(crate) stage: watch::Sender<Stage>,
+    pub(crate) stopping: watch::Sender<bool>,
+    /// Rung when the configuration, the map, or the holders change.
+    pub(crate) changed: Notify,
+    table: Mutex<Option<Arc<Table>>>,
+    directory: Mutex<Directory>,
+    waves: Mutex<BTreeMap<u64, (Wave, Duration)>>,
+    map: Mutex<BTreeMap<Arc<str>, u32>>,
+    holders: Mutex<HashMap<u32, Arc<str>>>,
+    owned: Mutex<BTreeMap<u32, Handle>>,
+    standing: Mutex<Standing>,
+}
+
+/// Everything that the daemon is built from.
+#[derive(Debug)]
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) member: Arc<str>,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) runner: Arc<dyn Runner>,
+    pub(crate) fleet: Option<Arc<dyn Fleet>>,
+    pub(crate) advisor: Option<Arc<dyn Advisor>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    pub(crate) fn new(parts: Parts) -> Self {
+        let Parts { settings, member, store, runner, fleet, advisor } = parts;
+        Self {
+            settings,
+            member,
+            store,
+            runner,
+            fleet,
+            advisor,
+            peers: Peers::default(),
+            appenders: Appenders::default(),
+            metrics: Metrics::default(),
+            stage: watch::Sender::new(Stage::Serving),
+            stopping: watch::Sender::new(false),
+            changed: Notify::new(),
+            table: Mutex::default(),
+            directory: Mutex::default(),
+            waves: Mutex::default(),
+            map: Mutex::default(),
+            holders: Mutex::default(),
+            owned: Mutex::default(),
+            standing: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn table(&self) -> Option<Arc<Table>> {
+        lock(&self.table).clone()
+    }
+
+    pub(crate) fn set_table(&self, table: Table) {
+        *lock(&self.table) = Some(Arc::new(table));
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
+        lock(&self.directory)
+    }
+
+    pub(crate) fn waves(&self) -> MutexGuard<'_, BTreeMap<u64, (Wave, Duration)>> {
+        lock(&self.waves)
+    }
+
+    pub(crate) fn shard_of(&self, pool: &str) -> Option<u32> {
+        lock(&self.map).get(pool).copied()
+    }
+
+    pub(crate) fn shard_map(&self) -> BTreeMap<Arc<str>, u32> {
+        lock(&self.map).clone()
+    }
+
+    pub(crate) fn add_to_map(&self, pool: &str, shard: u32) {
+        lock(&self.map).insert(pool.into(), shard);
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn pool_of(&self, shard: u32) -> Option<Arc<str>> {
+        let map = lock(&self.map);
+        map.iter().find(|(_, number)| **number == shard).map(|(pool, _)| Arc::clone(pool))
+    }
+
+    pub(crate) fn set_holders(&self, holders: HashMap<u32, Arc<str>>) {
+        *lock(&self.holders) = holders;
+        self.changed.notify_waiters();
+    }
+
+    /// Address of the daemon that holds a shard.
+    pub(crate) fn holder(&self, shard: u32) -> Option<SocketAddr> {
+        address_of(lock(&self.holders).get(&shard)?)
+    }
+
+    /// Addresses of all daemons that hold some shard, but this one.
+    pub(crate) fn other_daemons(&self) -> Vec<SocketAddr> {
+        let mut found: Vec<_> =
+            lock(&self.holders).values().filter_map(|member| address_of(member)).collect();
+        found.sort_unstable();
+        found.dedup();
+        found.retain(|address| *address != self.settings.peers);
+        found
+    }
+
+    pub(crate) fn owned(&self) -> MutexGuard<'_, BTreeMap<u32, Handle>> {
+        lock(&self.owned)
+    }
+
+    pub(crate) fn standing(&self) -> Standing {
+        *lock(&self.standing)
+    }
+
+    pub(crate) fn set_standing(&self, change: impl FnOnce(&mut Standing)) {
+        change(&mut lock(&self.standing));
+    }
+
+    /// Whether this daemon may act as owner at `now`.
+    pub(crate) fn may_act(&self, now: Duration) -> bool {
+        now < self.standing().until && !*self.stopping.borrow()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+}
+
+pub(crate) fn shard_partition(number: u32) -> Partition {
+    Partition { topic: Topic::Shards, number }
+}
+
+pub(crate) fn only_partition(topic: Topic) -> Partition {
+    Partition { topic, number: 0 }
+}
+
+/// A member's text is its address for peers and a number of its life.
+pub(crate) fn address_of(member: &str) -> Option<SocketAddr> {
+    member.split('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/crosspath_node/src/rpc.rs
@@ -0,0 +1,183 @@
+//! What daemons ask each other: JSON over HTTP on the peers' address.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use crosspath_border::store::{Error, Guard, Keyed};
+use crosspath_http::body::{self, Body};
+use crosspath_http::client::{Client, Error as CallError, Method};
+use crosspath_http::server::{self, Limits, Stage};
+use crosspath_job::JobId;
+use crosspath_job::progress::State;
+use crosspath_schedule::report;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::node::{Node, shard_partition};
+
+/// A peer is at most some ms away; one that does not answer within this is asked no longer.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// For a new connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Bytes of a question at most: some appended jobs.
+const MAX_BODY: u64 = 2 * 1024 * 1024;
+const PATH: &str = "/peer";
+
+/// A question.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Question {
+    /// State of a job.
+    State { shard: u32, job: JobId },
+    /// Number of a queue's jobs that wait.
+    Waiting { shard: u32, queue: Arc<str> },
+    /// VMs that are to become vacant, and how the pool is.
+    Pool { shard: u32, vacate: BTreeSet<Arc<str>> },
+    /// Append records for a daemon that the store turns away.
+    Append { shard: u32, records: Vec<(String, String)> },
+    /// How long ago the store answered.
+    Store,
+}
+
+/// An answer.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Answer {
+    /// State of a job; none when the owner does not know it.
+    State(Option<State>),
+    /// Number of jobs.
+    Waiting(u64),
+    /// A pool.
+    Pool(report::Pool),
+    /// Records were appended.
+    Appended,
+    /// Records were not appended; whether that is sure.
+    NotAppended { surely: bool },
+    /// Ms since the store last answered.
+    Store { answered_ms_ago: u64 },
+    /// The daemon does not own the shard now.
+    NotOwner,
+}
+
+/// Connections to peers.
+#[derive(Debug, Default)]
+pub(crate) struct Peers(Mutex<HashMap<SocketAddr, Client>>);
+
+impl Peers {
+    fn client(&self, address: SocketAddr) -> Client {
+        let mut clients = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let client = clients.entry(address);
+        let make = || Client::with_connect_timeout(address, CONNECT_TIMEOUT, TIMEOUT);
+        client.or_insert_with(make).clone()
+    }
+
+    /// Asks a peer.
+    pub(crate) async fn ask(
+        &self,
+        address: SocketAddr,
+        question: &Question,
+    ) -> Result<Answer, CallError> {
+        self.client(address).call(Method::POST, PATH, Some(question)).await
+    }
+}
+
+/// Appends through a peer.
+pub(crate) async fn relay_append(
+    node: &Node,
+    peer: SocketAddr,
+    shard: u32,
+    records: &[Keyed],
+) -> Result<(), Error> {
+    let text =
+        |record: &Keyed| (record.key.clone(), String::from_utf8_lossy(&record.value).into_owned());
+    let records = records.iter().map(text).collect();
+    match node.peers.ask(peer, &Question::Append { shard, records }).await {
+        Ok(Answer::Appended) => Ok(()),
+        Ok(Answer::NotAppended { surely: true }) | Err(CallError::NotSent { .. }) => {
+            Err(Error::NotReached)
+        }
+        _ => Err(Error::NoAnswer),
+    }
+}
+
+/// Serves peers until the stop says so.
+pub(crate) async fn serve(listener: TcpListener, stop: watch::Receiver<Stage>, node: Arc<Node>) {
+    server::serve(listener, Limits::default(), stop, move |request, _| {
+        let node = Arc::clone(&node);
+        async move { call(&node, request).await }
+    })
+    .await;
+}
+
+async fn call(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let whole = match body::read(request.into_body(), MAX_BODY, TIMEOUT).await {
+        Ok(whole) => whole,
+        Err(error) => {
+            log::warn!("event=peer_question_unread error=\"{error}\"");
+            return body::json(StatusCode::BAD_REQUEST, &error.to_string());
+        }
+    };
+    match serde_json::from_slice::<Question>(&whole) {
+        Ok(question) => body::json(StatusCode::OK, &answer(node, question).await),
+        Err(error) => {
+            log::warn!("event=peer_question_unreadable error=\"{error}\"");
+            body::json(StatusCode::BAD_REQUEST, &error.to_string())
+        }
+    }
+}
+
+/// Answers a question, of a peer or of this daemon itself.
+pub(crate) async fn answer(node: &Arc<Node>, question: Question) -> Answer {
+    match question {
+        Question::State { shard, job } => {
+            let owned = node.owned();
+            let state = owned.get(&shard).and_then(|handle| handle.state(job));
+            state.map_or(Answer::NotOwner, Answer::State)
+        }
+        Question::Waiting { shard, queue } => {
+            let owned = node.owned();
+            let waiting = owned.get(&shard).and_then(|handle| handle.waiting(&queue));
+            waiting.map_or(Answer::NotOwner, Answer::Waiting)
+        }
+        Question::Pool { shard, vacate } => {
+            let owned = node.owned();
+            let pool = owned.get(&shard).and_then(|handle| handle.report(vacate));
+            pool.map_or(Answer::NotOwner, Answer::Pool)
+        }
+        Question::Append { shard, records } => append(node, shard, records).await,
+        Question::Store => {
+            let since = clock::now().saturating_sub(node.standing().store_answered);
+            Answer::Store { answered_ms_ago: u64::try_from(since.as_millis()).unwrap_or(u64::MAX) }
+        }
+    }
+}
+
+async fn append(node: &Node, shard: u32, records: Vec<(String, String)>) -> Answer {
+    let keyed = |(key, value): (String, String)| Keyed { key, value: value.into() };
+    let records: Vec<_> = records.into_iter().map(keyed).collect();
+    match node.store.append(shard_partition(shard), &records, Guard::Free).await {
+        Ok(_) => Answer::Appended,
+        Err(error) => Answer::NotAppended { surely: error.is_not_done() },
+    }
+}
+
+/// Asks the holder of a shard, which may be this daemon.
+pub(crate) async fn ask_holder(node: &Arc<Node>, shard: u32, question: Question) -> Option<Answer> {
+    if node.owned().contains_key(&shard) {
+        return Some(answer(node, question).await);
+    }
+    let address = node.holder(shard)?;
+    match node.peers.ask(address, &question).await {
+        Ok(answer) => Some(answer),
+        Err(error) => {
+            log::info!("event=holder_silent shard={shard} peer={address} error=\"{error}\"");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/crosspath_node/src/settings.rs
@@ -0,0 +1,189 @@
+//! Settings of the daemon: a JSON file, read and checked.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use snafu::{ResultExt as _, Snafu};
+
+/// Settings as written.
+#[derive(Debug, Clone, Deserialize)]
+struct Options {
+    name: Arc<str>,
+    data_centre: Arc<str>,
+    listen: ListenOptions,
+    platform: PlatformOptions,
+    leases: LeaseOptions,
+    #[serde(default)]
+    costs: Costs,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct ListenOptions {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct PlatformOptions {
+    log: SocketAddr,
+    vms: Option<SocketAddr>,
+    advice: Option<SocketAddr>,
+    shards: u32,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct LeaseOptions {
+    longest_hold_ms: u64,
+    membership_least_ms: u64,
+    vm_order_ms: u64,
+    keep_ended_s: u64,
+    stop_grace_s: u64,
+}
+
+/// What the deployment pays, in one unit; only ratios matter.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(default)]
+pub struct Costs {
+    /// For a VM in a pool that serves, a second.
+    pub vm_second: f64,
+    /// For a VM that changes its pool.
+    pub vm_move: f64,
+}
+
+impl Default for Costs {
+    /// As observed where the deployment does not say: a move costs as much as a VM for about a
+    /// second.
+    fn default() -> Self {
+        Self { vm_second: 0.078, vm_move: 0.088 }
+    }
+}
+
+/// Settings of a daemon.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this daemon.
+    pub name: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub readiness: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's log.
+    pub log: SocketAddr,
+    /// The platform's list of VMs; none where VMs are not managed.
+    pub vms: Option<SocketAddr>,
+    /// The advice service; none where there is none.
+    pub advice: Option<SocketAddr>,
+    /// Partitions of a topic.
+    pub shards: u32,
+    /// Longest lease that workers give.
+    pub longest_hold: Duration,
+    /// Shortest silence after which the group forgets a member.
+    pub membership_least: Duration,
+    /// For which no other daemon may give orders for a VM after one has.
+    pub vm_order: Duration,
+    /// How long an ended job can be asked for.
+    pub keep_ended: Duration,
+    /// From the signal to stop to being killed.
+    pub stop_grace: Duration,
+    /// What the deployment pays.
+    pub costs: Costs,
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The file cannot be read.
+    #[snafu(display("cannot read settings {}: {source}; check the path", file.display()))]
+    Read {
+        /// The file.
+        file: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The file has another shape.
+    #[snafu(display("settings {}: field {field}: {source}", file.display()))]
+    Shape {
+        /// The file.
+        file: PathBuf,
+        /// The field.
+        field: String,
+        /// What the decoder says.
+        source: serde_json::Error,
+    },
+    /// A field cannot be used.
+    #[snafu(display("settings {}: field {field}: {value}: {remedy}", file.display()))]
+    Value {
+        /// The file.
+        file: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// What to write instead.
+        remedy: &'static str,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// [`Error`] when the file cannot be read, has another shape, or a field cannot be used.
+pub fn load(file: &Path) -> Result<Settings, Error> {
+    let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
+    let decoder = &mut serde_json::Deserializer::from_str(&text);
+    let options: Options = serde_path_to_error::deserialize(decoder).map_err(|error| {
+        let field = error.path().to_string();
+        Error::Shape { file: file.to_owned(), field, source: error.into_inner() }
+    })?;
+    resolve(file, options)
+}
+
+fn resolve(file: &Path, options: Options) -> Result<Settings, Error> {
+    let require = |met: bool, field: &'static str, value: String, remedy: &'static str| {
+        if met {
+            return Ok(());
+        }
+        ValueSnafu { file, field, value, remedy }.fail()
+    };
+    let Options { name, data_centre, listen, platform, leases, costs } = options;
+    require(!name.is_empty(), "name", name.to_string(), "write the VM's name")?;
+    let shards = platform.shards;
+    require(shards >= 2, "platform.shards", shards.to_string(), "write 2 or more")?;
+    let hold = leases.longest_hold_ms;
+    require(hold >= 1_000, "leases.longest_hold_ms", hold.to_string(), "write 1000 or more")?;
+    let grace = leases.stop_grace_s;
+    require(grace >= 1, "leases.stop_grace_s", grace.to_string(), "write 1 or more")?;
+    let listeners = [listen.callers, listen.readiness, listen.peers, listen.metrics];
+    let clash = (1..listeners.len()).any(|at| listeners[..at].contains(&listeners[at]));
+    require(!clash, "listen", format!("{listeners:?}"), "give each listener a port of its own")?;
+    Ok(Settings {
+        name,
+        data_centre,
+        callers: listen.callers,
+        readiness: listen.readiness,
+        peers: listen.peers,
+        metrics: listen.metrics,
+        log: platform.log,
+        vms: platform.vms,
+        advice: platform.advice,
+        shards,
+        longest_hold: Duration::from_millis(hold),
+        membership_least: Duration::from_millis(leases.membership_least_ms),
+        vm_order: Duration::from_millis(leases.vm_order_ms),
+        keep_ended: Duration::from_secs(leases.keep_ended_s),
+        stop_grace: Duration::from_secs(grace),
+        costs,
+    })
+}
--- /dev/null
+++ b/crates/crosspath_node/src/shard.rs
@@ -0,0 +1,496 @@
+//! Owning a shard: claiming it, following its records, carrying out what its scheduler decides.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use crosspath_border::advice::Error as AdviceError;
+use crosspath_border::store::{Error, Guard, Keyed, Stored};
+use crosspath_border::worker::{Error as WorkerError, Start};
+use crosspath_job::progress::State;
+use crosspath_job::record::{Claim, Record};
+use crosspath_job::{JobId, TaskId};
+use crosspath_schedule::lease::Terms;
+use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::clock;
+use crate::feed::{self, Feed};
+use crate::membership::TTL;
+use crate::node::{FLEET_SHARD, Node, shard_partition};
+use crate::watch::{self, Watch};
+
+/// What a look extends leases to; see [`Terms::hold`].
+const HOLD: Duration = Duration::from_millis(5_000);
+/// What a start asks for; see [`Terms::start`].
+const START: Duration = Duration::from_millis(2_000);
+/// A worker's clock may run 2 % slow; as much again for ours.
+const CLOCK_SLACK: f64 = 0.04;
+/// Between decisions when nothing happens.
+const TICK: Duration = Duration::from_millis(50);
+/// Between decisions while changes gather for a commit.
+const GATHER_TICK: Duration = Duration::from_millis(12);
+/// For which a read of the shard waits for a record.
+const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// After a call of the store that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// A start that could not be sent within this since it was decided is given up.
+const ORDER_PATIENCE: Duration = Duration::from_millis(250);
+/// Events taken in before the next decision.
+const MAX_EVENTS: usize = 64;
+
+type Shared = Arc<Mutex<Option<Scheduler>>>;
+
+/// A shard that this daemon holds.
+#[derive(Debug)]
+pub(crate) struct Handle {
+    pool: Option<Arc<str>>,
+    events: mpsc::UnboundedSender<Event>,
+    scheduler: Shared,
+    task: JoinHandle<()>,
+}
+
+fn scheduler(shared: &Shared) -> std::sync::MutexGuard<'_, Option<Scheduler>> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Handle {
+    /// Begins to own a shard.
+    pub(crate) fn start(node: &Arc<Node>, number: u32, pool: Option<Arc<str>>) -> Self {
+        let (events, receiver) = mpsc::unbounded_channel();
+        let shared = Shared::default();
+        let task = if number == FLEET_SHARD {
+            tokio::spawn(crate::fleet::run(Arc::clone(node)))
+        } else {
+            let owner = Owner {
+                node: Arc::clone(node),
+                number,
+                pool: pool.clone().unwrap_or_default(),
+                shared: Arc::clone(&shared),
+                events: events.clone(),
+            };
+            tokio::spawn(owner.run(receiver))
+        };
+        Self { pool, events, scheduler: shared, task }
+    }
+
+    pub(crate) fn pool(&self) -> Option<&Arc<str>> {
+        self.pool.as_ref()
+    }
+
+    pub(crate) fn send(&self, event: Event) {
+        // An owner that has ended needs no events.
+        self.events.send(event).ok();
+    }
+
+    /// State of a job, none within when it is not known; none while taking over.
+    pub(crate) fn state(&self, job: JobId) -> Option<Option<State>> {
+        scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.state(job))
+    }
+
+    pub(crate) fn waiting(&self, queue: &str) -> Option<u64> {
+        scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.waiting(queue))
+    }
+
+    pub(crate) fn report(&self, vacate: BTreeSet<Arc<str>>) -> Option<report::Pool> {
+        self.send(Event::Vacate(vacate));
+        scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.report(clock::now()))
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.task.is_finished()
+    }
+
+    /// Ends at once: nothing is ordered or kept after this.
+    pub(crate) fn stop(&self) {
+        self.task.abort();
+        *scheduler(&self.scheduler) = None;
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// A claim that the store has taken.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Claimed {
+    pub(crate) epoch: u64,
+    /// Fencing token towards workers and the platform: the claim's place in the log.
+    pub(crate) token: u64,
+    /// Offset after the claim.
+    pub(crate) end: u64,
+}
+
+/// Claims a shard with an epoch higher than any before.
+pub(crate) async fn claim(node: &Node, number: u32) -> Claimed {
+    let mut epoch = 1;
+    loop {
+        let claim = Claim { owner: Arc::clone(&node.member), epoch };
+        let record = Record::Claim(claim);
+        let records = [Keyed { key: record.key(), value: record.value().into() }];
+        let guard = Guard::Owner { epoch, sequence: 1 };
+        match node.store.append(shard_partition(number), &records, guard).await {
+            Ok(appended) => {
+                let token = appended.offset + 1;
+                log::info!("event=shard_claimed shard={number} epoch={epoch} token={token}");
+                return Claimed { epoch, token, end: appended.end };
+            }
+            Err(Error::Fenced { epoch: seen }) => epoch = seen.max(epoch) + 1,
+            // The epoch is another owner's, or an own claim's whose answer was lost.
+            Err(Error::Sequence { .. }) => epoch += 1,
+            Err(error) => {
+                log::info!("event=claim_failed shard={number} epoch={epoch} error=\"{error}\"");
+                // The claim may be carried out later: a repeated one is not to be taken for it.
+                epoch += 1;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn decode(records: &[Stored]) -> Vec<Record> {
+    let decoded = records.iter().filter_map(|stored| {
+        let record = Record::decode(&stored.key, &stored.value);
+        record.inspect_err(|error| log::warn!("event=record_unreadable error=\"{error}\"")).ok()
+    });
+    decoded.collect()
+}
+
+/// The owner of a pool's shard.
+#[derive(Debug)]
+struct Owner {
+    node: Arc<Node>,
+    number: u32,
+    pool: Arc<str>,
+    shared: Shared,
+    events: mpsc::UnboundedSender<Event>,
+}
+
+/// What the owner keeps beside its scheduler.
+#[derive(Debug)]
+struct Duties {
+    claimed: Claimed,
+    sequence: u64,
+    terms: Terms,
+    watches: HashMap<Arc<str>, Arc<Watch>>,
+}
+
+impl Drop for Duties {
+    fn drop(&mut self) {
+        for watch in self.watches.values() {
+            watch.end();
+        }
+    }
+}
+
+impl Owner {
+    async fn run(self, mut receiver: mpsc::UnboundedReceiver<Event>) {
+        let claimed = claim(&self.node, self.number).await;
+        let (records, end) = self.newest().await;
+        let terms = Terms {
+            hold: HOLD.min(self.node.settings.longest_hold),
+            start: START,
+            clock_slack: CLOCK_SLACK,
+        };
+        let settings =
+            Settings { terms, keep_ended: self.node.settings.keep_ended, membership_ttl: TTL };
+        let now = clock::now();
+        let mut taken = Scheduler::new(settings, claimed.epoch, now);
+        taken.take_over(now, clock::wall_ms(), decode(&records), self.workers());
+        *scheduler(&self.shared) = Some(taken);
+        let follower = tokio::spawn(follow(
+            Arc::clone(&self.node),
+            self.number,
+            end,
+            claimed.epoch,
+            self.events.clone(),
+        ));
+        let duties = Duties { claimed, sequence: 1, terms, watches: HashMap::new() };
+        let _follower = AbortOnDrop(follower);
+        self.serve(duties, &mut receiver).await;
+        *scheduler(&self.shared) = None;
+        log::info!("event=shard_left shard={}", self.number);
+    }
+
+    async fn newest(&self) -> (Vec<Stored>, u64) {
+        loop {
+            match feed::newest(&self.node, shard_partition(self.number)).await {
+                Ok(found) => return found,
+                Err(error) => {
+                    log::info!("event=shard_unread shard={} error=\"{error}\"", self.number);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// The pool's workers, if the list was read.
+    fn workers(&self) -> Option<Vec<crosspath_border::worker::Entry>> {
+        let directory = self.node.directory();
+        let own = directory.entries.values().filter(|entry| entry.pool == self.pool);
+        directory.loaded.then(|| own.cloned().collect())
+    }
+
+    async fn serve(&self, mut duties: Duties, receiver: &mut mpsc::UnboundedReceiver<Event>) {
+        let mut events = Vec::new();
+        let mut may_act = true;
+        let mut gathers = false;
+        let mut ticked = Duration::ZERO;
+        loop {
+            let pause = if gathers { GATHER_TICK } else { TICK };
+            let heard = tokio::time::timeout(pause, receiver.recv_many(&mut events, MAX_EVENTS));
+            if matches!(heard.await, Ok(0)) {
+                return;
+            }
+            let now = clock::now();
+            if now >= ticked + TICK {
+                ticked = now;
+                events.push(Event::Tick);
+            }
+            let acts = self.node.may_act(now);
+            if acts != may_act {
+                may_act = acts;
+                log::info!("event=may_act shard={} may_act={acts}", self.number);
+                events.push(Event::MayAct(acts));
+            }
+            let Some(actions) = self.decide(now, &mut events, &mut gathers) else { return };
+            for action in actions {
+                self.carry_out(&mut duties, action);
+            }
+        }
+    }
+
+    /// Feeds the scheduler; none when the shard has another owner.
+    fn decide(
+        &self,
+        now: Duration,
+        events: &mut Vec<Event>,
+        gathers: &mut bool,
+    ) -> Option<Vec<Action>> {
+        let mut shared = scheduler(&self.shared);
+        let scheduler = shared.as_mut()?;
+        let wall_ms = clock::wall_ms();
+        for event in events.drain(..) {
+            scheduler.handle(now, wall_ms, event);
+        }
+        if scheduler.is_superseded() {
+            log::info!("event=shard_superseded shard={}", self.number);
+            return None;
+        }
+        let actions = scheduler.decide(now, wall_ms);
+        *gathers = scheduler.gathers();
+        Some(actions)
+    }
+
+    fn carry_out(&self, duties: &mut Duties, action: Action) {
+        match action {
+            Action::Start { worker, task, run, text, checkpoint, ticket } => {
+                let Some(watch) = duties.watches.get(&worker.id) else { return };
+                let token = duties.claimed.token;
+                let start = Start { task, run, text, deadline_ms: 0, token, checkpoint, ticket };
+                let order = Order::new(self, watch, duties);
+                drop(tokio::spawn(order.start(start)));
+            }
+            Action::Stop { worker, task, run } => {
+                let Some(watch) = duties.watches.get(&worker.id) else { return };
+                drop(tokio::spawn(Order::new(self, watch, duties).stop(task, run)));
+            }
+            Action::Pace { worker, task, run, percent } => {
+                let Some(watch) = duties.watches.get(&worker.id) else { return };
+                drop(tokio::spawn(Order::new(self, watch, duties).pace(task, run, percent)));
+            }
+            Action::Advise { step, workers } => {
+                let (node, events) = (Arc::clone(&self.node), self.events.clone());
+                drop(tokio::spawn(async move {
+                    let answer = match &node.advisor {
+                        Some(advisor) => advisor.ask(step, &workers).await,
+                        None => Err(AdviceError::NoAnswer),
+                    };
+                    events.send(Event::Advised { step, asked: workers, answer }).ok();
+                }));
+            }
+            Action::Commit { records } => {
+                duties.sequence += 1;
+                let guard = Guard::Owner { epoch: duties.claimed.epoch, sequence: duties.sequence };
+                let keep = keep(Arc::clone(&self.node), self.number, records, guard);
+                let (events, shared) = (self.events.clone(), Arc::clone(&self.shared));
+                drop(tokio::spawn(async move {
+                    if keep.await {
+                        events.send(Event::Committed).ok();
+                    } else {
+                        *scheduler(&shared) = None;
+                    }
+                }));
+            }
+            Action::Acknowledge { worker, number } => {
+                if let Some(watch) = duties.watches.get(&worker) {
+                    watch.acknowledge(number);
+                }
+            }
+            Action::Watch { worker, clock_ms } => {
+                let watch = Arc::new(Watch::new(worker.clone(), clock_ms));
+                let token = duties.claimed.token;
+                let run = watch::run(
+                    Arc::clone(&self.node),
+                    Arc::clone(&watch),
+                    duties.terms,
+                    token,
+                    self.events.clone(),
+                );
+                drop(tokio::spawn(run));
+                duties.watches.insert(worker.id, watch);
+            }
+            Action::Unwatch { worker } => {
+                if let Some(watch) = duties.watches.remove(&worker.id) {
+                    watch.end();
+                }
+                self.node.runner.forget(&worker);
+            }
+        }
+    }
+}
+
+/// An order to a worker on its way.
+#[derive(Debug)]
+struct Order {
+    node: Arc<Node>,
+    watch: Arc<Watch>,
+    events: mpsc::UnboundedSender<Event>,
+    terms: Terms,
+    token: u64,
+    decided: Duration,
+}
+
+impl Order {
+    fn new(owner: &Owner, watch: &Arc<Watch>, duties: &Duties) -> Self {
+        Self {
+            node: Arc::clone(&owner.node),
+            watch: Arc::clone(watch),
+            events: owner.events.clone(),
+            terms: duties.terms,
+            token: duties.claimed.token,
+            decided: clock::now(),
+        }
+    }
+
+    async fn start(self, mut start: Start) {
+        let answer = self.try_start(&mut start).await;
+        let worker = Arc::clone(&self.watch.target.id);
+        let (task, run) = (start.task, start.run);
+        self.events.send(Event::StartAnswered { worker, task, run, answer }).ok();
+    }
+
+    async fn try_start(
+        &self,
+        start: &mut Start,
+    ) -> Result<crosspath_border::worker::Started, WorkerError> {
+        let permit = self.watch.orders.acquire().await;
+        let Ok(_permit) = permit else { return Err(WorkerError::NotReached) };
+        let now = clock::now();
+        // Too late, or by now another daemon may be the owner: the order is not sent.
+        if now > self.decided + ORDER_PATIENCE || !self.node.may_act(now) {
+            return Err(WorkerError::NotReached);
+        }
+        start.deadline_ms = self.watch.deadline_ms(now, self.terms.start);
+        let answer = self.node.runner.start(&self.watch.target, start).await?;
+        if let Some(clock_ms) = answer.clock_ms {
+            self.watch.heard(clock_ms);
+        }
+        Ok(answer.value)
+    }
+
+    async fn stop(self, task: TaskId, run: u64) {
+        let answer = self.node.runner.stop(&self.watch.target, task, run, self.token).await;
+        let worker = Arc::clone(&self.watch.target.id);
+        let answer = answer.map(|clocked| clocked.value);
+        self.events.send(Event::StopAnswered { worker, task, run, answer }).ok();
+    }
+
+    async fn pace(self, task: TaskId, run: u64, percent: u32) {
+        let target = &self.watch.target;
+        let answer = self.node.runner.pace(target, task, run, percent, self.token).await;
+        if let Err(error) = answer {
+            let worker = &target.id;
+            log::info!("event=pace_failed task={task} run={run} worker={worker} error=\"{error}\"");
+        }
+    }
+}
+
+/// Appends as owner until the store has answered; whether the shard is still owned.
+async fn keep(node: Arc<Node>, number: u32, records: Vec<Record>, guard: Guard) -> bool {
+    let keyed = |record: &Record| Keyed { key: record.key(), value: record.value().into() };
+    let records: Vec<_> = records.iter().map(keyed).collect();
+    loop {
+        match node.store.append(shard_partition(number), &records, guard).await {
+            Ok(_) => {
+                node.set_standing(|standing| standing.store_answered = clock::now());
+                return true;
+            }
+            Err(error @ (Error::Fenced { .. } | Error::Sequence { .. })) => {
+                log::info!("event=commit_refused shard={number} error=\"{error}\"");
+                return false;
+            }
+            Err(error) => {
+                log::info!("event=commit_failed shard={number} error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        if node.is_stopping() && node.owned().get(&number).is_none() {
+            return false;
+        }
+    }
+}
+
+/// Passes on what others append to the shard; ends when a later owner claims it.
+async fn follow(
+    node: Arc<Node>,
+    number: u32,
+    from: u64,
+    epoch: u64,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let mut feed = Feed::from(shard_partition(number), from);
+    loop {
+        let records = match feed.read(&node, LONG_WAIT).await {
+            Ok(records) => records,
+            Err(error) => {
+                log::info!("event=shard_unread shard={number} error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        for record in decode(&records) {
+            let event = match record {
+                Record::Accepted(job, accepted) => Event::Accepted(job, accepted),
+                Record::Cancelled(job) => Event::Cancelled(job),
+                Record::Claim(claim) if claim.epoch > epoch => {
+                    log::info!("event=shard_claimed_elsewhere shard={number} by={}", claim.owner);
+                    events.send(Event::Superseded).ok();
+                    return;
+                }
+                Record::Claim(_) | Record::Progress(..) | Record::Dropped(_) => continue,
+            };
+            if events.send(event).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Shards with a pool, by number.
+pub(crate) fn pools_by_shard(map: &BTreeMap<Arc<str>, u32>) -> BTreeMap<u32, Arc<str>> {
+    map.iter().map(|(pool, number)| (*number, Arc::clone(pool))).collect()
+}
--- /dev/null
+++ b/crates/crosspath_node/src/table.rs
@@ -0,0 +1,49 @@
+//! Which queue a request belongs to.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crosspath_border::operator::{Config, Queue};
+
+/// Queues of the newest configuration, and pools that queues had before.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Table {
+    pub(crate) version: u64,
+    pub(crate) config: Arc<Config>,
+    /// Queues by host, longest prefix first.
+    by_host: HashMap<Arc<str>, Vec<Arc<Queue>>>,
+    /// Every pool that a queue ever had in this process's life.
+    pools: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+}
+
+impl Table {
+    /// The table after a configuration, which must be newer.
+    pub(crate) fn after(&self, config: Config) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Arc<Queue>>> = HashMap::new();
+        let mut pools = self.pools.clone();
+        for queue in &config.queues {
+            let known = pools.entry(Arc::clone(&queue.name)).or_default();
+            known.insert(Arc::clone(&queue.pool));
+            let host = by_host.entry(Arc::clone(&queue.host)).or_default();
+            host.push(Arc::new(queue.clone()));
+        }
+        for queues in by_host.values_mut() {
+            queues.sort_by_key(|queue| std::cmp::Reverse(queue.prefix.len()));
+        }
+        Self { version: config.version, config: Arc::new(config), by_host, pools }
+    }
+
+    /// The queue with the longest prefix of `path`, and the rest of the path.
+    pub(crate) fn resolve(&self, host: &str, path: &str) -> Option<(Arc<Queue>, String)> {
+        let queues = self.by_host.get(host)?;
+        let queue = queues.iter().find(|queue| path.starts_with(&*queue.prefix))?;
+        Some((Arc::clone(queue), path[queue.prefix.len()..].to_owned()))
+    }
+
+    /// Pools where jobs of the queue may be.
+    pub(crate) fn pools_of(&self, queue: &Queue) -> BTreeSet<Arc<str>> {
+        let mut pools = self.pools.get(&queue.name).cloned().unwrap_or_default();
+        pools.insert(Arc::clone(&queue.pool));
+        pools
+    }
+}
--- /dev/null
+++ b/crates/crosspath_node/src/watch.rs
@@ -0,0 +1,133 @@
+//! Looking at one worker, again and again: extends leases, hears of ends, acknowledges them.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use crosspath_border::worker::{Error, Hold, Target};
+use crosspath_schedule::Event;
+use crosspath_schedule::lease::{Clock, Terms};
+use tokio::sync::{Notify, Semaphore, mpsc};
+
+use crate::clock;
+use crate::node::Node;
+
+/// For which a worker waits for an end. Leases are extended this often.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// For which the next look waits for ends to be kept, so that it can acknowledge them.
+const KEEP_PATIENCE: Duration = Duration::from_millis(120);
+/// Between looks while ends cannot be kept: the worker would answer at once, over and over.
+const UNKEPT_PAUSE: Duration = Duration::from_millis(200);
+/// After a look that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Orders to one worker at a time: each has a connection of its own.
+const ORDERS: usize = 2;
+
+/// What the looks and the shard's owner share of one worker.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    pub(crate) target: Target,
+    /// Orders under way.
+    pub(crate) orders: Semaphore,
+    clock: Mutex<Clock>,
+    acknowledged: AtomicU64,
+    kept: Notify,
+    over: AtomicBool,
+}
+
+impl Watch {
+    pub(crate) fn new(target: Target, clock_ms: u64) -> Self {
+        let clock = Clock { shown_ms: clock_ms, heard: clock::now() };
+        Self {
+            target,
+            orders: Semaphore::new(ORDERS),
+            clock: Mutex::new(clock),
+            acknowledged: AtomicU64::new(0),
+            kept: Notify::new(),
+            over: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn deadline_ms(&self, now: Duration, length: Duration) -> u64 {
+        self.clock.lock().unwrap_or_else(PoisonError::into_inner).deadline_ms(now, length)
+    }
+
+    /// Takes in what the worker's clock showed.
+    pub(crate) fn heard(&self, shown_ms: u64) {
+        let clock = Clock { shown_ms, heard: clock::now() };
+        *self.clock.lock().unwrap_or_else(PoisonError::into_inner) = clock;
+    }
+
+    /// Ends up to a number are kept.
+    pub(crate) fn acknowledge(&self, number: u64) {
+        self.acknowledged.fetch_max(number, Ordering::Relaxed);
+        self.kept.notify_one();
+    }
+
+    pub(crate) fn end(&self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.kept.notify_one();
+    }
+
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::Relaxed)
+    }
+}
+
+/// Looks at a worker until the watch ends.
+pub(crate) async fn run(
+    node: Arc<Node>,
+    watch: Arc<Watch>,
+    terms: Terms,
+    token: u64,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let mut failing = false;
+    let mut unkept = 0;
+    while !watch.is_over() {
+        let sent = clock::now();
+        let acknowledged = watch.acknowledged.load(Ordering::Relaxed);
+        // A worker that did not answer may still hear: its leases must be able to run out.
+        let extended = !failing && node.may_act(sent);
+        let wait = if failing || unkept > acknowledged { Duration::ZERO } else { WAIT };
+        let deadline_ms = extended.then(|| watch.deadline_ms(sent, terms.hold));
+        let hold = Hold { token, acknowledged, deadline_ms, wait };
+        let answer = node.runner.hold(&watch.target, &hold).await;
+        if watch.is_over() {
+            return;
+        }
+        let worker = Arc::clone(&watch.target.id);
+        match answer {
+            Ok(held) => {
+                failing = false;
+                watch.heard(held.clock_ms);
+                unkept = held.ended.iter().map(|ended| ended.number).max().unwrap_or(0);
+                if events.send(Event::Held { worker, sent, extended, held }).is_err() {
+                    return;
+                }
+                await_kept(&watch, unkept).await;
+            }
+            Err(error) => {
+                failing = true;
+                if events.send(Event::HoldFailed { worker, sent, extended, error }).is_err() {
+                    return;
+                }
+                let pause = if error == Error::Fenced { WAIT } else { RETRY_PAUSE };
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+/// Waits until ends up to `number` are kept, but not for long.
+async fn await_kept(watch: &Watch, number: u64) {
+    let is_kept = || watch.acknowledged.load(Ordering::Relaxed) >= number || watch.is_over();
+    let kept = async {
+        while !is_kept() {
+            watch.kept.notified().await;
+        }
+    };
+    if tokio::time::timeout(KEEP_PATIENCE, kept).await.is_err() {
+        tokio::time::sleep(UNKEPT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/action.rs
@@ -0,0 +1,79 @@
+//! What the scheduler wants done.
+
+use std::sync::Arc;
+
+use crosspath_border::advice::StepId;
+use crosspath_border::worker::Target;
+use crosspath_job::TaskId;
+use crosspath_job::record::Record;
+
+/// One thing to do.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Start a run.
+    Start {
+        /// Where.
+        worker: Target,
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// The job's text.
+        text: Arc<str>,
+        /// Where to go on from.
+        checkpoint: Option<Arc<str>>,
+        /// Ticket of the advice service.
+        ticket: Option<Arc<str>>,
+    },
+    /// Stop a run.
+    Stop {
+        /// Where.
+        worker: Target,
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// Where.
+        worker: Target,
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// The share.
+        percent: u32,
+    },
+    /// Ask which workers may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<Arc<str>>,
+    },
+    /// Append records as the shard's owner; answered by `Event::Committed`.
+    Commit {
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// Tell the worker that ends up to a number are kept.
+    Acknowledge {
+        /// The worker.
+        worker: Arc<str>,
+        /// The number.
+        number: u64,
+    },
+    /// Begin to look at a worker, again and again.
+    Watch {
+        /// The worker.
+        worker: Target,
+        /// Its clock in ms, as its entry gave it.
+        clock_ms: u64,
+    },
+    /// Look at a worker no more.
+    Unwatch {
+        /// The worker.
+        worker: Target,
+    },
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/commit.rs
@@ -0,0 +1,129 @@
+//! What is kept in the log, and when workers may forget ends.
+//!
+//! An end is acknowledged to its worker only after the progress that it made is kept. One commit is
+//! under way at a time; what changes meanwhile goes into the next.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_job::JobId;
+use crosspath_job::progress::State;
+use crosspath_job::record::{Record, keys_of};
+
+use crate::action::Action;
+use crate::scheduler::Scheduler;
+
+/// Changes wait this long for others, to save calls of the store. An end that awaits its
+/// acknowledgement holds up the next look at its worker, so this is short.
+const GATHER: Duration = Duration::from_millis(12);
+/// Records in one commit at most, to stay far below the store's bound on a call.
+const MAX_RECORDS: usize = 400;
+
+/// Commits under way and to come.
+#[derive(Debug, Default)]
+pub(crate) struct Commits {
+    dirty: BTreeSet<JobId>,
+    since: Duration,
+    in_flight: Option<InFlight>,
+    forgotten: Vec<JobId>,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    states: Vec<(JobId, State)>,
+    ends: BTreeMap<Arc<str>, u64>,
+}
+
+impl Commits {
+    /// Whether changes wait for a commit that is not under way yet.
+    pub(crate) fn gathers(&self) -> bool {
+        self.in_flight.is_none() && !self.dirty.is_empty()
+    }
+
+    /// The job's progress is to be kept.
+    pub(crate) fn touch(&mut self, now: Duration, job: JobId) {
+        if self.dirty.is_empty() {
+            self.since = now;
+        }
+        self.dirty.insert(job);
+    }
+}
+
+impl Scheduler {
+    pub(crate) fn commit(&mut self, now: Duration, wall_ms: u64) {
+        if self.commits.in_flight.is_some() {
+            return;
+        }
+        if self.commits.dirty.is_empty() && self.commits.forgotten.is_empty() {
+            return self.acknowledge_all();
+        }
+        if !self.commits.dirty.is_empty() && now < self.commits.since + GATHER {
+            return;
+        }
+        let mut records = Vec::new();
+        let mut states = Vec::new();
+        let whole = self.commits.dirty.len() <= MAX_RECORDS;
+        while let Some(id) = self.commits.dirty.pop_first() {
+            if let Some(job) = self.jobs.get(&id) {
+                records.push(Record::Progress(id, job.progress(wall_ms)));
+                states.push((id, job.state));
+            }
+            if records.len() >= MAX_RECORDS {
+                break;
+            }
+        }
+        for id in std::mem::take(&mut self.commits.forgotten) {
+            records.extend(keys_of(id).map(Record::Dropped));
+        }
+        let ends = if whole { self.ends_seen() } else { BTreeMap::new() };
+        self.commits.since = now;
+        self.commits.in_flight = Some(InFlight { states, ends });
+        self.actions.push(Action::Commit { records });
+    }
+
+    fn ends_seen(&self) -> BTreeMap<Arc<str>, u64> {
+        let unacknowledged = self.workers.iter();
+        let unacknowledged =
+            unacknowledged.filter(|(_, worker)| worker.ends_seen > worker.ends_acknowledged);
+        unacknowledged.map(|(id, worker)| (Arc::clone(id), worker.ends_seen)).collect()
+    }
+
+    /// Nothing is to be kept: ends that changed nothing are acknowledged at once.
+    fn acknowledge_all(&mut self) {
+        for (id, number) in self.ends_seen() {
+            self.acknowledge(&id, number);
+        }
+    }
+
+    fn acknowledge(&mut self, id: &Arc<str>, number: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.ends_acknowledged = worker.ends_acknowledged.max(number);
+        self.actions.push(Action::Acknowledge { worker: Arc::clone(id), number });
+    }
+
+    pub(crate) fn committed(&mut self) {
+        let Some(InFlight { states, ends }) = self.commits.in_flight.take() else { return };
+        for (id, state) in states {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.kept = state;
+            }
+        }
+        for (id, number) in ends {
+            self.acknowledge(&id, number);
+        }
+    }
+
+    /// Drops jobs that ended long ago.
+    pub(crate) fn forget_ended(&mut self, now: Duration) {
+        let keep = self.settings.keep_ended;
+        let over = |job: &&crate::job::Job| {
+            job.kept.is_final() && now > job.ended + keep && job.running().is_empty()
+        };
+        let over: Vec<_> = self.jobs.values().filter(over).map(|job| job.id).collect();
+        for id in over {
+            self.jobs.remove(&id);
+            self.commits.forgotten.push(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/event.rs
@@ -0,0 +1,86 @@
+//! What the scheduler hears.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::advice::{self, StepId};
+use crosspath_border::worker::{Entry, Error, Held, Started};
+use crosspath_job::record::Accepted;
+use crosspath_job::{JobId, TaskId};
+
+/// One thing that has happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A job was accepted.
+    Accepted(JobId, Arc<Accepted>),
+    /// A job's cancelling was asked for.
+    Cancelled(JobId),
+    /// The worker list has a new or changed entry.
+    WorkerSeen(Entry),
+    /// The worker list lost an entry.
+    WorkerGone(Arc<str>),
+    /// A look at a worker was answered.
+    Held {
+        /// The worker.
+        worker: Arc<str>,
+        /// When the look was sent.
+        sent: Duration,
+        /// Whether it extended leases.
+        extended: bool,
+        /// The answer.
+        held: Held,
+    },
+    /// A look at a worker failed.
+    HoldFailed {
+        /// The worker.
+        worker: Arc<str>,
+        /// When it was sent.
+        sent: Duration,
+        /// Whether it would have extended leases.
+        extended: bool,
+        /// How it failed.
+        error: Error,
+    },
+    /// A start was answered, or not.
+    StartAnswered {
+        /// The worker.
+        worker: Arc<str>,
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// The answer.
+        answer: Result<Started, Error>,
+    },
+    /// A stop was answered, or not.
+    StopAnswered {
+        /// The worker.
+        worker: Arc<str>,
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// The answer.
+        answer: Result<(), Error>,
+    },
+    /// The advice service answered, or not.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// The workers that were named.
+        asked: Vec<Arc<str>>,
+        /// The answer.
+        answer: Result<advice::Answer, advice::Error>,
+    },
+    /// The records of the last commit are kept.
+    Committed,
+    /// VMs that are to become vacant.
+    Vacate(BTreeSet<Arc<str>>),
+    /// Whether orders may be given now.
+    MayAct(bool),
+    /// A later owner has claimed the shard.
+    Superseded,
+    /// Time has passed.
+    Tick,
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/job.rs
@@ -0,0 +1,237 @@
+//! A job and its tasks as the shard's owner knows them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_job::progress::{Progress, State, TaskProgress};
+use crosspath_job::record::Accepted;
+use crosspath_job::{JobId, TaskId};
+
+/// How far a run is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The start was sent.
+    Starting,
+    /// The worker runs it.
+    Running,
+    /// The start got no answer; a stop is to make it void.
+    Doubtful,
+    /// A stop was sent.
+    Stopping,
+    /// The stop was answered; the next look shows its end, or that it never was.
+    Stopped,
+}
+
+/// One run of a task, that is or may be on a worker.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Number of the run.
+    pub number: u64,
+    /// The worker.
+    pub worker: Arc<str>,
+    /// How far it is.
+    pub phase: Phase,
+    /// When the start was sent, or the run was found.
+    pub sent: Duration,
+    /// When the last order for it was answered.
+    pub answered: Duration,
+    /// When a stop was last sent.
+    pub stop_sent: Duration,
+    /// Percent as last heard.
+    pub percent: u32,
+    /// When the percent last changed.
+    pub progressed: Duration,
+    /// Newest checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+    /// Gauge as last heard.
+    pub gauge: u64,
+    /// Share of its speed that it was told to work at.
+    pub pace: u32,
+}
+
+/// One task.
+#[derive(Debug, Clone, Default)]
+pub struct Task {
+    /// It ended successfully.
+    pub done: bool,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Number of the last run that was counted as failed.
+    pub failed_run: u64,
+    /// Highest number of a run that was ever seen.
+    pub last_run: u64,
+    /// Newest checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+    /// Runs that are or may be; more than one only where the step allows copies.
+    pub runs: Vec<Run>,
+    /// Workers where it failed.
+    pub failed_on: Vec<Arc<str>>,
+    /// Not placed before.
+    pub not_before: Duration,
+    /// When it last had no run any more.
+    pub freed: Duration,
+}
+
+/// The tasks of a step at one of the job's times.
+#[derive(Debug, Clone)]
+pub struct StepRun {
+    /// The tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that have not ended successfully.
+    pub left: u32,
+    /// Whether its turn has come.
+    pub open: bool,
+}
+
+/// One of the job's times.
+#[derive(Debug, Clone)]
+pub struct Instance {
+    /// Its steps.
+    pub steps: Vec<StepRun>,
+    /// Whether its time has come.
+    pub due: bool,
+}
+
+/// A job.
+#[derive(Debug)]
+pub struct Job {
+    /// Its identifier.
+    pub id: JobId,
+    /// What was accepted.
+    pub accepted: Arc<Accepted>,
+    /// When this owner first heard of it, less the age that its record shows.
+    pub since: Duration,
+    /// Its times.
+    pub instances: Vec<Instance>,
+    /// Its state.
+    pub state: State,
+    /// The state that is kept in the log.
+    pub kept: State,
+    /// When it ended; while final.
+    pub ended: Duration,
+    /// Whether it was there when the shard was taken over.
+    pub inherited: bool,
+    /// Longest chain of estimates from each step to the end, in ms.
+    pub chains_ms: Vec<u64>,
+}
+
+impl Job {
+    /// A job of which no task has begun.
+    #[must_use]
+    pub fn new(id: JobId, accepted: Arc<Accepted>, since: Duration) -> Self {
+        let spec = &accepted.spec;
+        let steps: Vec<StepRun> = spec
+            .steps
+            .iter()
+            .map(|step| {
+                let tasks = vec![Task::default(); step.tasks as usize];
+                StepRun { tasks, left: step.tasks, open: false }
+            })
+            .collect();
+        let instances = vec![Instance { steps, due: false }; spec.times() as usize];
+        let chains_ms = spec.chains_ms();
+        Self {
+            id,
+            accepted,
+            since,
+            instances,
+            state: State::Queued,
+            kept: State::Queued,
+            ended: Duration::ZERO,
+            inherited: false,
+            chains_ms,
+        }
+    }
+
+    /// Takes over what the log kept.
+    pub fn restore(&mut self, progress: &Progress, now: Duration) {
+        self.state = progress.state;
+        self.kept = progress.state;
+        self.ended = now;
+        for (key, kept) in &progress.tasks {
+            let Some(task) = parse_key(key).and_then(|(time, step, index)| {
+                let step = self.instances.get_mut(time)?.steps.get_mut(step)?;
+                let task = step.tasks.get_mut(index)?;
+                if kept.done && !task.done {
+                    step.left -= 1;
+                }
+                Some(task)
+            }) else {
+                log::warn!("event=progress_key_unknown job={} key={key}", self.id);
+                continue;
+            };
+            task.done = kept.done;
+            task.failures = kept.failures;
+            task.failed_run = kept.failed_run;
+            task.last_run = kept.failed_run;
+            task.checkpoint.clone_from(&kept.checkpoint);
+        }
+    }
+
+    /// What the log is to keep. `wall_ms` is the time of day in ms since 1970.
+    #[must_use]
+    pub fn progress(&self, wall_ms: u64) -> Progress {
+        let mut tasks = BTreeMap::new();
+        if !self.state.is_final() {
+            for (time, instance) in self.instances.iter().enumerate() {
+                for (number, step) in instance.steps.iter().enumerate() {
+                    for (index, task) in step.tasks.iter().enumerate() {
+                        let kept = TaskProgress {
+                            done: task.done,
+                            failures: task.failures,
+                            failed_run: task.failed_run,
+                            checkpoint: task.checkpoint.clone().filter(|_| !task.done),
+                        };
+                        if kept != TaskProgress::default() {
+                            tasks.insert(format!("{time}.{number}.{index}"), kept);
+                        }
+                    }
+                }
+            }
+        }
+        let ended_ms = if self.state.is_final() { wall_ms } else { 0 };
+        Progress { state: self.state, tasks, ended_ms }
+    }
+
+    /// A task.
+    #[must_use]
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        let instance = self.instances.get(id.time as usize)?;
+        instance.steps.get(id.step as usize)?.tasks.get(id.index as usize)
+    }
+
+    /// A task, to change.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let instance = self.instances.get_mut(id.time as usize)?;
+        instance.steps.get_mut(id.step as usize)?.tasks.get_mut(id.index as usize)
+    }
+
+    /// Whether every task has ended successfully.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.instances.iter().all(|instance| instance.steps.iter().all(|step| step.left == 0))
+    }
+
+    /// Identifiers of all tasks that have a run.
+    #[must_use]
+    pub fn running(&self) -> Vec<(TaskId, u64, Arc<str>)> {
+        let mut found = Vec::new();
+        for (time, instance) in (0..).zip(&self.instances) {
+            for (step, tasks) in (0..).zip(&instance.steps) {
+                for (index, task) in (0..).zip(&tasks.tasks) {
+                    let id = TaskId { job: self.id, time, step, index };
+                    let runs = task.runs.iter();
+                    found.extend(runs.map(|run| (id, run.number, Arc::clone(&run.worker))));
+                }
+            }
+        }
+        found
+    }
+}
+
+fn parse_key(key: &str) -> Option<(usize, usize, usize)> {
+    let mut parts = key.split('.').map(str::parse);
+    let mut next = || parts.next()?.ok();
+    Some((next()?, next()?, next()?))
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -0,0 +1,119 @@
+//! Emptying workers that drain or whose VM is wanted elsewhere.
+//!
+//! Brief tasks end by themselves. Lasting ones are stopped one by one, each only while the others
+//! of its step are at work, and start again elsewhere.
+
+use std::time::Duration;
+
+use crosspath_job::TaskId;
+
+use crate::job::{Job, Phase};
+use crate::report;
+use crate::scheduler::Scheduler;
+use crate::worker::Worker;
+
+/// Percent at which a lasting task is at work.
+const AT_WORK: u32 = 100;
+/// Batch tasks on a draining worker are moved by checkpoint below this percent of their work.
+const MOVE_BELOW: u32 = 70;
+
+impl Scheduler {
+    pub(crate) fn vacate_tasks(&mut self, now: Duration) {
+        let leaving = |worker: &&Worker| {
+            worker.failures == 0
+                && (worker.entry.draining || self.vacate.contains(&worker.entry.vm))
+        };
+        let mut runs: Vec<(TaskId, u64, bool)> = Vec::new();
+        for worker in self.workers.values().filter(leaving) {
+            let draining = worker.entry.draining;
+            runs.extend(worker.runs.keys().map(|(task, run)| (*task, *run, draining)));
+        }
+        for (task, run, draining) in runs {
+            if self.should_stop(now, task, run, draining) {
+                log::info!("event=run_moved task={task} run={run}");
+                self.stop_run(now, task, run);
+            }
+        }
+    }
+
+    fn should_stop(&self, now: Duration, id: TaskId, number: u64, draining: bool) -> bool {
+        let Some(step) = self.step_of(id) else { return false };
+        let Some(run) = self.run(id, number) else { return false };
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        if run.phase != Phase::Running || job.state.is_final() {
+            return false;
+        }
+        if !self.has_room_elsewhere(now, id) {
+            return false;
+        }
+        if step.lasting {
+            let limit = step.may_miss.unwrap_or(1);
+            return others_away(job, id) < limit;
+        }
+        draining && step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some()
+    }
+
+    fn has_room_elsewhere(&self, now: Duration, id: TaskId) -> bool {
+        let Some(step) = self.step_of(id) else { return false };
+        let room = step.reserved();
+        self.workers.values().any(|worker| {
+            worker.is_usable(now)
+                && !self.vacate.contains(&worker.entry.vm)
+                && room.fits(&worker.free())
+        })
+    }
+
+    /// The pool for the fleet's owner.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> report::Pool {
+        let mut pool = report::Pool::default();
+        for worker in self.workers.values() {
+            let lasting = worker
+                .runs
+                .keys()
+                .filter(|(task, _)| self.step_of(*task).is_some_and(|step| step.lasting));
+            pool.running_millis += worker.used.cpu_millis;
+            pool.vms.push(report::Vm {
+                name: worker.entry.vm.clone(),
+                cpu_millis: worker.entry.capacity.cpu_millis,
+                used_millis: worker.used.cpu_millis,
+                tasks: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
+                lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
+                usable: worker.is_usable(now),
+            });
+        }
+        for key in &self.waiting {
+            let cpu = self.step_of(key.task).map_or(0, |step| step.reserved().cpu_millis);
+            pool.waiting_millis += cpu;
+            pool.largest_millis = pool.largest_millis.max(cpu);
+        }
+        pool.blocked_millis = self.blocked_millis();
+        pool
+    }
+
+    fn blocked_millis(&self) -> u64 {
+        let mut total = 0;
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for instance in job.instances.iter().filter(|instance| instance.due) {
+                for (number, step) in instance.steps.iter().enumerate() {
+                    if !step.open {
+                        let room = job.accepted.spec.steps[number].reserved();
+                        total += room.cpu_millis * u64::from(step.left);
+                    }
+                }
+            }
+        }
+        total
+    }
+}
+
+/// Other tasks of the step that are not at work.
+fn others_away(job: &Job, id: TaskId) -> u32 {
+    let step = &job.instances[id.time as usize].steps[id.step as usize];
+    let away = (0..).zip(&step.tasks).filter(|(index, task)| {
+        let at_work =
+            task.runs.iter().any(|run| run.phase == Phase::Running && run.percent >= AT_WORK);
+        *index != id.index && !at_work
+    });
+    u32::try_from(away.count()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/pace.rs
@@ -0,0 +1,69 @@
+//! How fast fill work may run beside tasks that have a tail target.
+//!
+//! A worker's tails are compared with their targets at each look. Fill work on it is slowed at once
+//! when a tail comes near its target, and speeds up again step by step.
+
+use crosspath_job::TaskId;
+
+use crate::action::Action;
+use crate::job::Phase;
+use crate::scheduler::Scheduler;
+
+/// Tail, as a share of its target, from which fill work is slowed.
+const HIGH: f64 = 0.85;
+/// Tail, as a share of its target, below which fill work may speed up.
+const LOW: f64 = 0.6;
+/// What fill work keeps of its speed at each slowing, in percent.
+const SLOW_TO: u32 = 40;
+/// What it gains at each step up, in percent of full speed.
+const SPEED_UP: u32 = 15;
+/// Below this share it is stopped altogether, in percent.
+const LEAST: u32 = 5;
+
+impl Scheduler {
+    pub(crate) fn pace(&mut self) {
+        let mut orders = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.failures == 0) {
+            let mut pressure: f64 = 0.0;
+            let mut fillers: Vec<(TaskId, u64)> = Vec::new();
+            for (task, run) in worker.runs.keys() {
+                let Some(step) = self.step_of(*task) else { continue };
+                if step.filler {
+                    fillers.push((*task, *run));
+                } else if step.tail_target_ms > 0 {
+                    let gauge = self.run(*task, *run).map_or(0, |run| run.gauge);
+                    pressure = pressure.max(gauge as f64 / step.tail_target_ms as f64);
+                }
+            }
+            let target = worker.target();
+            orders.extend(
+                fillers.into_iter().map(|(task, run)| (target.clone(), task, run, pressure)),
+            );
+        }
+        for (worker, id, number, pressure) in orders {
+            let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
+                continue;
+            };
+            let Some(run) = task.runs.iter_mut().find(|run| run.number == number) else { continue };
+            if run.phase != Phase::Running {
+                continue;
+            }
+            let percent = paced(run.pace, pressure);
+            if percent != run.pace {
+                run.pace = percent;
+                self.actions.push(Action::Pace { worker, task: id, run: number, percent });
+            }
+        }
+    }
+}
+
+fn paced(now: u32, pressure: f64) -> u32 {
+    if pressure >= HIGH {
+        let slower = now * SLOW_TO / 100;
+        if slower < LEAST { 0 } else { slower }
+    } else if pressure < LOW {
+        (now + SPEED_UP).min(100)
+    } else {
+        now
+    }
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/place.rs
@@ -0,0 +1,381 @@
+//! Which waiting task goes where.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::advice::{self, StepId};
+use crosspath_job::TaskId;
+use crosspath_job::spec::{Room, Step};
+
+use crate::action::Action;
+use crate::job::{Job, Phase, Run};
+use crate::scheduler::Scheduler;
+use crate::worker::{BLAME_LIMIT, Worker};
+
+/// Share of a pool's workers at most that get no new work for what they did to earlier tasks.
+const MAX_BLAMED_SHARE: f64 = 0.34;
+/// Workers that one question to the advice service may name.
+const ADVICE_WORKERS: usize = 100;
+/// A question to the advice service without an answer is asked again after this.
+const ADVICE_AGAIN: Duration = Duration::from_millis(500);
+/// A ticket is not used in its last moments: the start must arrive in time.
+const TICKET_MARGIN: Duration = Duration::from_millis(300);
+/// A task that could still end in time goes before any that cannot.
+const LATE_GRACE: Duration = Duration::from_millis(0);
+
+/// Order of a waiting task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key {
+    priority: u32,
+    /// Lasting tasks first: each moment away costs.
+    brief: bool,
+    /// Latest start with which the job can end in time, in ms since the process started.
+    latest_ms: u64,
+    pub(crate) task: TaskId,
+}
+
+impl Key {
+    pub(crate) fn of(job: &Job, task: TaskId) -> Self {
+        let policy = &job.accepted.policy;
+        let step = &job.accepted.spec.steps[task.step as usize];
+        let chain = job.chains_ms.iter().max().copied().unwrap_or_default();
+        let rest = job.chains_ms[task.step as usize];
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some minutes")]
+        let allowed = (policy.stretch * chain as f64) as u64 + policy.target_ms;
+        let since = u64::try_from(job.since.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            priority: policy.priority,
+            brief: !step.lasting,
+            latest_ms: (since + allowed).saturating_sub(rest),
+            task,
+        }
+    }
+
+    fn is_late(&self, now: Duration) -> bool {
+        self.brief && Duration::from_millis(self.latest_ms) + LATE_GRACE < now
+    }
+}
+
+/// Requests for room that nothing could satisfy in this pass.
+#[derive(Debug, Default)]
+struct Misfits(Vec<Room>);
+
+impl Misfits {
+    fn cover(&self, room: &Room) -> bool {
+        self.0.iter().any(|misfit| misfit.fits(room))
+    }
+}
+
+impl Scheduler {
+    pub(crate) fn place(&mut self, now: Duration) {
+        let (late, timely): (Vec<_>, Vec<_>) =
+            self.waiting.iter().copied().partition(|key| key.is_late(now));
+        let mut misfits = Misfits::default();
+        let mut gang_tried = None;
+        for key in timely.into_iter().chain(late) {
+            let Some(step) = self.step_of(key.task) else {
+                self.waiting.remove(&key);
+                continue;
+            };
+            if step.gang {
+                let gang = (key.task.job, key.task.time, key.task.step);
+                if gang_tried != Some(gang) {
+                    gang_tried = Some(gang);
+                    self.place_gang(now, key.task);
+                }
+            } else if !misfits.cover(&step.reserved()) {
+                let anywhere = step.requires.is_none() && step.per_worker == 0;
+                let room = step.reserved();
+                if !self.place_one(now, key) && anywhere {
+                    misfits.0.push(room);
+                }
+            }
+        }
+    }
+
+    /// Whether the task was placed, or waits for something else than room.
+    fn place_one(&mut self, now: Duration, key: Key) -> bool {
+        let id = key.task;
+        let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else { return true };
+        if now < task.not_before {
+            self.place_again = true;
+            return true;
+        }
+        if self.may_be_unseen(id) {
+            return true;
+        }
+        if !self.has_advice(now, id) {
+            return true;
+        }
+        let Some(worker) = self.best_worker(now, id) else { return false };
+        let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else { return true };
+        let run = Self::next_run(self.epoch, task);
+        let checkpoint = task.checkpoint.clone();
+        self.waiting.remove(&key);
+        self.start(now, id, run, &worker, checkpoint);
+        true
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        id: TaskId,
+        run: u64,
+        worker: &Arc<str>,
+        checkpoint: Option<Arc<str>>,
+    ) {
+        let terms = self.settings.terms;
+        let ticket = self.tickets.ticket(id, worker);
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let text = Arc::clone(&job.accepted.spec.text);
+        let room = job.accepted.spec.steps[id.step as usize].reserved();
+        let Some(task) = job.task_mut(id) else { return };
+        task.last_run = run;
+        task.runs.push(Run {
+            number: run,
+            worker: Arc::clone(worker),
+            phase: Phase::Starting,
+            sent: now,
+            answered: now,
+            stop_sent: Duration::ZERO,
+            percent: 0,
+            progressed: now,
+            checkpoint: checkpoint.clone(),
+            gauge: 0,
+            pace: 100,
+        });
+        let Some(known) = self.workers.get_mut(worker) else { return };
+        known.reserve(id, run, room);
+        known.leased_until(terms.over(now, terms.start));
+        let worker = known.target();
+        self.actions.push(Action::Start { worker, task: id, run, text, checkpoint, ticket });
+    }
+
+    fn best_worker(&self, now: Duration, id: TaskId) -> Option<Arc<str>> {
+        let step = self.step_of(id)?;
+        let candidates = self.workers.values().filter(|worker| {
+            self.takes(now, worker, id, step) && step.reserved().fits(&worker.free())
+        });
+        let scored = candidates.map(|worker| (self.cost(now, worker, id, step), worker));
+        let best = scored.min_by(|(a, one), (b, other)| {
+            a.total_cmp(b).then_with(|| one.entry.id.cmp(&other.entry.id))
+        });
+        best.map(|(_, worker)| Arc::clone(&worker.entry.id))
+    }
+
+    /// Whether a task may go to a worker, room aside.
+    fn takes(&self, now: Duration, worker: &Worker, id: TaskId, step: &Step) -> bool {
+        let label = step.requires.as_ref().is_none_or(|label| worker.has_label(label));
+        let spread = step.per_worker == 0 || on_worker(worker, id) < step.per_worker;
+        label
+            && spread
+            && worker.is_usable(now)
+            && !self.vacate.contains(&worker.entry.vm)
+            && !self.is_blamed(now, worker)
+            && self.tickets.allows(id, &worker.entry.id)
+    }
+
+    fn is_blamed(&self, now: Duration, worker: &Worker) -> bool {
+        if worker.blame_at(now) < BLAME_LIMIT {
+            return false;
+        }
+        let blamed = self.workers.values().filter(|other| other.blame_at(now) >= BLAME_LIMIT);
+        let allowed = (self.workers.len() as f64 * MAX_BLAMED_SHARE).ceil();
+        blamed.count() as f64 <= allowed
+    }
+
+    /// Lower is better. Fuller workers first, so that others stay empty and can leave the pool.
+    fn cost(&self, now: Duration, worker: &Worker, id: TaskId, step: &Step) -> f64 {
+        let far = step.near.as_ref().is_some_and(|rack| !worker.has_label(rack));
+        let failed = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        let failed = failed.is_some_and(|task| task.failed_on.contains(&worker.entry.id));
+        let crowd = self.crowd(worker, step);
+        let total = worker.entry.capacity.cpu_millis.max(1) as f64;
+        let free = worker.free().cpu_millis as f64 / total;
+        let weight = |bad: bool, weight: f64| if bad { weight } else { 0.0 };
+        weight(far, 100.0)
+            + weight(failed, 50.0)
+            + weight(crowd, 10.0)
+            + worker.blame_at(now) * 2.0
+            + free
+    }
+
+    /// Whether fill work and tasks with a tail target would come together.
+    fn crowd(&self, worker: &Worker, step: &Step) -> bool {
+        if !step.filler && step.tail_target_ms == 0 {
+            return false;
+        }
+        worker.runs.keys().any(|(task, _)| {
+            let other = self.step_of(*task);
+            other.is_some_and(|other| {
+                (step.filler && other.tail_target_ms > 0)
+                    || (step.tail_target_ms > 0 && other.filler)
+            })
+        })
+    }
+
+    fn place_gang(&mut self, now: Duration, id: TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let accepted = Arc::clone(&job.accepted);
+        let step = &accepted.spec.steps[id.step as usize];
+        let tasks = &job.instances[id.time as usize].steps[id.step as usize].tasks;
+        if tasks.iter().any(|task| !task.runs.is_empty() || task.done || now < task.not_before) {
+            return;
+        }
+        if self.may_be_unseen(id) || !self.has_advice(now, id) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let tasks = &job.instances[id.time as usize].steps[id.step as usize].tasks;
+        let run = tasks.iter().map(|task| Self::next_run(self.epoch, task)).max().unwrap_or(1);
+        let checkpoint = tasks.iter().find_map(|task| task.checkpoint.clone());
+        let Some(chosen) = self.gang_workers(now, id, step) else { return };
+        for (index, worker) in (0..).zip(chosen) {
+            let member = TaskId { index, ..id };
+            let key = Key::of(&self.jobs[&id.job], member);
+            self.waiting.remove(&key);
+            self.start(now, member, run, &worker, checkpoint.clone());
+        }
+    }
+
+    /// A worker for each member, in one rack where the step asks for it and one has room.
+    fn gang_workers(&self, now: Duration, id: TaskId, step: &Step) -> Option<Vec<Arc<str>>> {
+        let usable: Vec<_> =
+            self.workers.values().filter(|worker| self.takes(now, worker, id, step)).collect();
+        if step.same_rack {
+            let mut racks: Vec<_> =
+                usable.iter().flat_map(|worker| worker.entry.labels.iter().cloned()).collect();
+            racks.sort();
+            racks.dedup();
+            for rack in racks {
+                let inside: Vec<_> =
+                    usable.iter().copied().filter(|worker| worker.has_label(&rack)).collect();
+                // A label that all share is no rack.
+                if inside.len() == usable.len() && usable.len() > 1 {
+                    continue;
+                }
+                if let Some(chosen) = fill(&inside, step) {
+                    return Some(chosen);
+                }
+            }
+        }
+        fill(&usable, step)
+    }
+
+    // Advice.
+
+    /// Whether the task needs no advice or has some; asks for it otherwise.
+    fn has_advice(&mut self, now: Duration, id: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        if job.accepted.advice.is_none() {
+            return true;
+        }
+        let step = StepId { job: id.job, time: id.time, step: id.step };
+        if self.tickets.is_fresh(now, step) {
+            return true;
+        }
+        if self.tickets.may_ask(now, step) {
+            let workers = self.workers.values().filter(|worker| worker.is_usable(now));
+            let workers: Vec<_> =
+                workers.map(|worker| Arc::clone(&worker.entry.id)).take(ADVICE_WORKERS).collect();
+            if !workers.is_empty() {
+                self.actions.push(Action::Advise { step, workers });
+            }
+        }
+        self.place_again = true;
+        false
+    }
+}
+
+/// Tasks of the same step and time on a worker.
+fn on_worker(worker: &Worker, id: TaskId) -> u32 {
+    let first = TaskId { index: 0, ..id };
+    let last = TaskId { index: u32::MAX, ..id };
+    let runs = worker.runs.range((first, 0)..=(last, u64::MAX));
+    u32::try_from(runs.count()).unwrap_or(u32::MAX)
+}
+
+/// A worker for each of a step's tasks, or none.
+fn fill(workers: &[&Worker], step: &Step) -> Option<Vec<Arc<str>>> {
+    let room = step.reserved();
+    let mut free: Vec<_> = workers.iter().map(|worker| (worker.free(), 0_u32)).collect();
+    let mut chosen = Vec::new();
+    for _ in 0..step.tasks {
+        let fits = |(free, members): &(Room, u32)| {
+            room.fits(free) && (step.per_worker == 0 || *members < step.per_worker)
+        };
+        let at = free.iter().position(fits)?;
+        free[at].0 = free[at].0.minus(&room);
+        free[at].1 += 1;
+        chosen.push(Arc::clone(&workers[at].entry.id));
+    }
+    Some(chosen)
+}
+
+/// Tickets of the advice service.
+#[derive(Debug, Default)]
+pub(crate) struct Tickets(BTreeMap<StepId, Advice>);
+
+#[derive(Debug, Default)]
+struct Advice {
+    good: BTreeMap<Arc<str>, Arc<str>>,
+    valid_until: Duration,
+    asked: Duration,
+}
+
+fn step_id(task: TaskId) -> StepId {
+    StepId { job: task.job, time: task.time, step: task.step }
+}
+
+impl Tickets {
+    fn is_fresh(&self, now: Duration, step: StepId) -> bool {
+        self.0.get(&step).is_some_and(|advice| now < advice.valid_until)
+    }
+
+    /// Whether no question for the step is on its way; notes that one is now.
+    fn may_ask(&mut self, now: Duration, step: StepId) -> bool {
+        let advice = self.0.entry(step).or_default();
+        let may = advice.asked.is_zero() || now >= advice.asked + ADVICE_AGAIN;
+        if may {
+            advice.asked = now;
+        }
+        may
+    }
+
+    pub(crate) fn advised(
+        &mut self,
+        now: Duration,
+        step: StepId,
+        _asked: Vec<Arc<str>>,
+        answer: Result<advice::Answer, advice::Error>,
+    ) {
+        let advice = self.0.entry(step).or_default();
+        match answer {
+            Ok(answer) => {
+                let valid = Duration::from_millis(answer.valid_ms).saturating_sub(TICKET_MARGIN);
+                // The ticket's time may have begun when the question was sent.
+                advice.valid_until = advice.asked + valid;
+                advice.good = answer.good.into_iter().collect();
+            }
+            Err(error) => {
+                log::info!("event=no_advice job={} step={} error=\"{error}\"", step.job, step.step);
+                advice.asked = now;
+            }
+        }
+    }
+
+    /// The step's tickets do not hold any more.
+    pub(crate) fn forget(&mut self, task: TaskId) {
+        self.0.remove(&step_id(task));
+    }
+
+    fn allows(&self, task: TaskId, worker: &Arc<str>) -> bool {
+        let advice = self.0.get(&step_id(task));
+        advice.is_none_or(|advice| advice.good.contains_key(worker))
+    }
+
+    fn ticket(&self, task: TaskId, worker: &Arc<str>) -> Option<Arc<str>> {
+        self.0.get(&step_id(task))?.good.get(worker).cloned()
+    }
+}
--- /dev/null
+++ b/crates/crosspath_schedule/src/report.rs
@@ -0,0 +1,37 @@
+//! What a shard's owner tells the fleet's owner.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// One VM of the pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Processor time that it has, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Processor time that is reserved.
+    pub used_millis: u64,
+    /// Tasks that run or may run there.
+    pub tasks: u32,
+    /// Lasting tasks among them.
+    pub lasting: u32,
+    /// Whether it takes work: listed, answering, not draining.
+    pub usable: bool,
+}
+
+/// A pool as its owner sees it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pool {
+    /// Reserved by what runs, in thousandths of a core.
+    pub running_millis: u64,
+    /// Wanted by tasks whose turn has come and that have no place.
+    pub waiting_millis: u64,
+    /// Wanted by tasks that wait for others of their job.
+    pub blocked_millis: u64,
+    /// Largest single task that waits.
+    pub largest_millis: u64,
+    /// Its VMs.
+    pub vms: Vec<Vm>,
+}
--- a/crates/crosspathd/src/commands.rs
+++ b/crates/crosspathd/src/commands.rs
@@ -1,6 +1,7 @@
 //! What the program can do, one file each.
 
 pub(crate) mod check_settings;
+pub(crate) mod platform;
 pub(crate) mod run;
 pub(crate) mod schema;
 
--- /dev/null
+++ b/crates/crosspathd/src/commands/platform.rs
@@ -0,0 +1,64 @@
+//! Runs the daemon on the users' platform.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::advice::Advisor;
+use crosspath_border::vm::Fleet;
+use crosspath_node::{Ports, Settings};
+use crosspath_platform::{HttpAdvisor, HttpFleet, HttpRunner, LogStore, ingress};
+
+use super::ExitStatus;
+
+/// For a call of the log that does not wait; slow answers take some hundred ms.
+const LOG_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// For an order to a worker; an answer takes some ms, and an order without one is made void.
+const WORKER_TIMEOUT: Duration = Duration::from_millis(400);
+/// For an order to the list of VMs; it may be slow.
+const VM_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// For advice, of which a call may take some hundred ms for many workers.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+pub(crate) fn run(file: &Path) -> ExitStatus {
+    let settings = match crosspath_node::settings::load(file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            log::error!("event=settings_refused error=\"{error}\"");
+            return ExitStatus::BadSettings;
+        }
+    };
+    // Entry VMs have a fraction of one core: more threads would only take turns.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = match runtime {
+        Ok(runtime) => runtime.block_on(crosspath_node::run(settings.clone(), ports(&settings))),
+        Err(error) => {
+            log::error!("event=not_started error=\"{error}\"");
+            return ExitStatus::NotStarted;
+        }
+    };
+    match ended {
+        Ok(()) => ExitStatus::Success,
+        Err(error) => {
+            log::error!("event=not_started error=\"{error}\"");
+            ExitStatus::NotStarted
+        }
+    }
+}
+
+fn ports(settings: &Settings) -> Ports {
+    let fleet = |address| Arc::new(HttpFleet::new(address, VM_TIMEOUT)) as Arc<dyn Fleet>;
+    let advisor = |address| Arc::new(HttpAdvisor::new(address, ADVICE_TIMEOUT)) as Arc<dyn Advisor>;
+    Ports {
+        store: Arc::new(LogStore::new(settings.log, LOG_TIMEOUT)),
+        runner: Arc::new(HttpRunner::new(WORKER_TIMEOUT)),
+        fleet: settings.vms.map(fleet),
+        advisor: settings.advice.map(advisor),
+        serve_callers: |listener, limits, stop, handler| {
+            Box::pin(ingress::serve_callers(listener, limits, stop, handler))
+        },
+        serve_readiness: |listener, limits, stop, handler| {
+            Box::pin(ingress::serve_readiness(listener, limits, stop, handler))
+        },
+    }
+}
--- a/crates/crosspathd/src/commands/run.rs
+++ b/crates/crosspathd/src/commands/run.rs
@@ -4,7 +4,7 @@
 
 use super::ExitStatus;
 
-pub(crate) async fn run(file: &Path) -> ExitStatus {
+pub(crate) fn run(file: &Path) -> ExitStatus {
     let settings = match crosspath_settings::load(file) {
         Ok(settings) => settings,
         Err(error) => {
@@ -12,7 +12,14 @@
             return ExitStatus::BadSettings;
         }
     };
-    match crosspathd::run(settings).await {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("event=not_started error=\"{error}\"");
+            return ExitStatus::NotStarted;
+        }
+    };
+    match runtime.block_on(crosspathd::run(settings)) {
         Ok(()) => ExitStatus::Success,
         Err(error) => {
             log::error!("event=not_started error=\"{error}\"");
--- a/crates/crosspathd/src/main.rs
+++ b/crates/crosspathd/src/main.rs
@@ -10,6 +10,7 @@
 #[derive(Debug, Clone)]
 enum Command {
     Run { settings: PathBuf },
+    Platform { platform: PathBuf },
     Check { check_settings: PathBuf },
     Schema,
 }
@@ -20,6 +21,10 @@
         .help("Run with the settings in this JSON file")
         .argument::<PathBuf>("FILE");
     let run = construct!(Command::Run { settings });
+    let platform = long("platform")
+        .help("Run on the users' platform with the settings in this JSON file")
+        .argument::<PathBuf>("FILE");
+    let platform = construct!(Command::Platform { platform });
     let check_settings = long("check-settings")
         .help("Check the settings in this JSON file and end")
         .argument::<PathBuf>("FILE");
@@ -27,14 +32,14 @@
     let schema = long("settings-schema")
         .help("Print the JSON schema of the settings and end")
         .req_flag(Command::Schema);
-    construct!([run, check, schema]).to_options().descr("The daemon of an entry VM")
+    construct!([run, platform, check, schema]).to_options().descr("The daemon of an entry VM")
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let status = match parser().run() {
-        Command::Run { settings } => commands::run::run(&settings).await,
+        Command::Run { settings } => commands::run::run(&settings),
+        Command::Platform { platform } => commands::platform::run(&platform),
         Command::Check { check_settings } => commands::check_settings::run(&check_settings),
         Command::Schema => commands::schema::run(),
     };
