The fleet: waves of upkeep, moves between pools, idle VMs off

Change: pure planner (crosspath_fleet); its owner claims shard 0, asks pool owners over RPC to empty VMs and orders only what they reported vacant while it was to be.

--- /dev/null
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -0,0 +1,54 @@
+//! How many VMs a pool wants, from what it runs and how fast that grows.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crosspath_schedule::report;
+
+/// Over which growth is measured.
+const WINDOW: Duration = Duration::from_millis(1_200);
+/// How far ahead is forecast: a move takes 1.5 s, hearing of it and of the new worker about 1 s.
+const LEAD: Duration = Duration::from_millis(2_500);
+/// Share of the work of later steps that is wanted already.
+const BLOCKED_SHARE: f64 = 0.5;
+/// Capacity per unit of demand: room for uneven tasks and for what the forecast misses.
+const HEADROOM: f64 = 1.25;
+/// VMs beyond that, for the first jobs of a peak and the loss of a VM.
+const RESERVE: f64 = 1.0;
+/// VMs of a pool at least: lasting tasks are spread over some VMs, and a rack may go.
+const LEAST: u32 = 4;
+
+/// Demand of a pool over the last moments.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    samples: VecDeque<(Duration, f64)>,
+}
+
+impl Demand {
+    /// Takes in a report.
+    pub(crate) fn sample(&mut self, now: Duration, pool: &report::Pool) {
+        let millis = (pool.running_millis + pool.waiting_millis) as f64
+            + pool.blocked_millis as f64 * BLOCKED_SHARE;
+        self.samples.push_back((now, millis));
+        while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Thousandths of a core that will be wanted when a move ordered now is through.
+    pub(crate) fn forecast(&self) -> f64 {
+        let Some((last_at, last)) = self.samples.back() else { return 0.0 };
+        let Some((first_at, first)) = self.samples.front() else { return 0.0 };
+        let span = last_at.saturating_sub(*first_at).as_secs_f64();
+        let growth = if span > 0.0 { ((last - first) / span).max(0.0) } else { 0.0 };
+        last + growth * LEAD.as_secs_f64()
+    }
+
+    /// VMs of `vm_millis` each that are wanted.
+    pub(crate) fn vms(&self, vm_millis: u64) -> u32 {
+        let wanted = self.forecast() * HEADROOM / vm_millis.max(1) as f64 + RESERVE;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some VMs")]
+        let wanted = wanted.ceil() as u32;
+        wanted.max(LEAST)
+    }
+}
--- /dev/null
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -0,0 +1,227 @@
+//! The planner's state, and one round of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::operator::Wave;
+use crosspath_border::vm::{Error, Order, State, Verdict, Vm};
+use crosspath_schedule::report;
+
+use crate::demand::Demand;
+use crate::intent::{Intent, Stage};
+
+/// An order without an answer is given again after this; it is the same order.
+const ORDER_AGAIN: Duration = Duration::from_millis(1_200);
+/// A VM whose order is done is back in the list within this; a move or upkeep takes about 2 s.
+const BACK_WITHIN: Duration = Duration::from_secs(5);
+/// Before a VM that was refused is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(1_000);
+/// For which a VM that is to become vacant may take; after it another is chosen.
+const VACATE_PATIENCE: Duration = Duration::from_secs(8);
+
+/// What the planner is told once.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Cost of a VM in a serving pool, a second; in one unit with `vm_move`.
+    pub vm_second: f64,
+    /// Cost of a move.
+    pub vm_move: f64,
+}
+
+impl Settings {
+    /// Idle time after which moving a VM out and back costs less than keeping it.
+    pub(crate) fn idle_pays(&self) -> Duration {
+        let seconds = 2.0 * self.vm_move / self.vm_second.max(f64::MIN_POSITIVE);
+        // A VM that was wanted a moment ago is likely to be wanted again.
+        Duration::from_secs_f64((seconds * 0.5).clamp(0.8, 30.0))
+    }
+}
+
+/// What is known at a moment.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// All VMs as listed.
+    pub vms: Vec<Vm>,
+    /// Pools whose owners answered just now, with the VMs that were to become vacant in force.
+    pub pools: BTreeMap<Arc<str>, report::Pool>,
+    /// Pools that serve.
+    pub serving: Vec<Arc<str>>,
+    /// The pool whose VMs are off.
+    pub spare: Option<Arc<str>>,
+    /// Waves and when they were first seen.
+    pub waves: Vec<(Wave, Duration)>,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    /// VMs that are to become vacant, by pool.
+    pub vacate: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// Orders to give.
+    pub orders: Vec<(Arc<str>, Order)>,
+    /// Waves of which no VM is left.
+    pub completed: Vec<u64>,
+}
+
+/// How an order ended.
+pub type Outcome = Result<Verdict, Error>;
+
+/// Plans for the fleet.
+#[derive(Debug)]
+pub struct Planner {
+    pub(crate) settings: Settings,
+    pub(crate) intents: BTreeMap<Arc<str>, Intent>,
+    pub(crate) demands: BTreeMap<Arc<str>, Demand>,
+    pub(crate) idle_since: BTreeMap<Arc<str>, Duration>,
+    /// VMs that have had their upkeep, by wave.
+    pub(crate) maintained: BTreeMap<u64, BTreeSet<Arc<str>>>,
+    pub(crate) not_before: BTreeMap<Arc<str>, Duration>,
+    pub(crate) immovable: BTreeSet<Arc<str>>,
+}
+
+impl Planner {
+    /// A planner that knows which VMs have had their upkeep.
+    #[must_use]
+    pub fn new(settings: Settings, maintained: BTreeMap<u64, BTreeSet<Arc<str>>>) -> Self {
+        Self {
+            settings,
+            intents: BTreeMap::new(),
+            demands: BTreeMap::new(),
+            idle_since: BTreeMap::new(),
+            maintained,
+            not_before: BTreeMap::new(),
+            immovable: BTreeSet::new(),
+        }
+    }
+
+    /// VMs that are to become vacant, by pool; to be in force when the pools report.
+    #[must_use]
+    pub fn vacate(&self, vms: &[Vm]) -> BTreeMap<Arc<str>, BTreeSet<Arc<str>>> {
+        let mut found: BTreeMap<Arc<str>, BTreeSet<Arc<str>>> = BTreeMap::new();
+        for vm in vms.iter().filter(|vm| self.intents.contains_key(&vm.name)) {
+            found.entry(Arc::clone(&vm.pool)).or_default().insert(Arc::clone(&vm.name));
+        }
+        found
+    }
+
+    /// One round.
+    pub fn plan(&mut self, now: Duration, view: &View) -> Plan {
+        self.settle(now, view);
+        self.sample(now, view);
+        self.choose_upkeep(now, view);
+        self.choose_moves(now, view);
+        let orders = self.due_orders(now, view);
+        let completed = self.completed(view);
+        Plan { vacate: self.vacate(&view.vms), orders, completed }
+    }
+
+    /// Takes in how an order ended; whether upkeep of a wave is to be noted as had.
+    pub fn ordered(
+        &mut self,
+        now: Duration,
+        vm: &Arc<str>,
+        order: &Order,
+        outcome: Outcome,
+    ) -> Option<u64> {
+        let Some(intent) = self.intents.get_mut(vm) else { return None };
+        match outcome {
+            Ok(Verdict::Done) => {
+                intent.stage = Stage::Done { at: now };
+                let Order::Maintain { wave } = *order else { return None };
+                self.maintained.entry(wave).or_default().insert(Arc::clone(vm));
+                return Some(wave);
+            }
+            Ok(Verdict::Busy) => {
+                self.intents.remove(vm);
+                self.not_before.insert(Arc::clone(vm), now + REFUSED_PAUSE);
+            }
+            Ok(Verdict::OtherWave) => {
+                self.intents.remove(vm);
+                if let Order::Maintain { wave } = *order {
+                    self.maintained.entry(wave).or_default().insert(Arc::clone(vm));
+                    return Some(wave);
+                }
+            }
+            Ok(Verdict::Impossible) => {
+                self.intents.remove(vm);
+                self.immovable.insert(Arc::clone(vm));
+            }
+            // Given again; until it is answered the VM stays vacant.
+            Err(Error::NoAnswer) | Ok(Verdict::Fenced) => {}
+            Err(Error::Refused) => intent.stage = Stage::Vacating,
+        }
+        None
+    }
+
+    /// Ends plans that are through, and those that take too long.
+    fn settle(&mut self, now: Duration, view: &View) {
+        let listed: BTreeMap<_, _> = view.vms.iter().map(|vm| (&vm.name, vm)).collect();
+        self.intents.retain(|name, intent| {
+            let Some(vm) = listed.get(name) else { return view.vms.is_empty() };
+            match intent.stage {
+                Stage::Vacating => now < intent.since + VACATE_PATIENCE,
+                Stage::Ordered { .. } => true,
+                Stage::Done { at } => {
+                    let there = intent.moves_to().is_none_or(|pool| *pool == vm.pool);
+                    // The list may lag behind the order.
+                    let back = there && vm.state == State::Up && now > at + Duration::from_secs(1);
+                    !back && now < at + BACK_WITHIN
+                }
+            }
+        });
+    }
+
+    fn sample(&mut self, now: Duration, view: &View) {
+        for (name, pool) in &view.pools {
+            self.demands.entry(Arc::clone(name)).or_default().sample(now, pool);
+            for vm in &pool.vms {
+                if vm.tasks == 0 && vm.usable {
+                    self.idle_since.entry(Arc::clone(&vm.name)).or_insert(now);
+                } else {
+                    self.idle_since.remove(&vm.name);
+                }
+            }
+        }
+    }
+
+    /// Orders for VMs that are vacant.
+    fn due_orders(&mut self, now: Duration, view: &View) -> Vec<(Arc<str>, Order)> {
+        let mut orders = Vec::new();
+        let vacant = vacant(view);
+        for (name, intent) in &mut self.intents {
+            let due = match intent.stage {
+                // Chosen in an earlier round, so that the pool's owner knew when it reported.
+                Stage::Vacating => intent.since < now && vacant.contains(name),
+                Stage::Ordered { at } => now >= at + ORDER_AGAIN,
+                Stage::Done { .. } => false,
+            };
+            if due {
+                intent.stage = Stage::Ordered { at: now };
+                orders.push((Arc::clone(name), intent.order.clone()));
+            }
+        }
+        orders
+    }
+
+    /// Whether a VM is free to be planned for.
+    pub(crate) fn is_free(&self, now: Duration, vm: &Vm) -> bool {
+        vm.state == State::Up
+            && !self.intents.contains_key(&vm.name)
+            && self.not_before.get(&vm.name).is_none_or(|until| now >= *until)
+    }
+}
+
+/// VMs on which nothing runs: in the spare pool, or reported so by their pool's owner.
+fn vacant(view: &View) -> BTreeSet<Arc<str>> {
+    let spare = view.vms.iter().filter(|vm| Some(&vm.pool) == view.spare.as_ref());
+    let mut found: BTreeSet<_> = spare.map(|vm| Arc::clone(&vm.name)).collect();
+    for (name, pool) in &view.pools {
+        let empty = pool.vms.iter().filter(|vm| vm.tasks == 0);
+        let there = |vm: &&report::Vm| {
+            view.vms.iter().any(|listed| listed.name == vm.name && listed.pool == *name)
+        };
+        found.extend(empty.filter(there).map(|vm| Arc::clone(&vm.name)));
+    }
+    found
+}
--- /dev/null
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -0,0 +1,95 @@
+//! Which VM has its upkeep next.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::operator::Wave;
+use crosspath_border::vm::{Order, State, Vm};
+use crosspath_schedule::report;
+
+use crate::intent::Intent;
+use crate::planner::{Planner, View};
+
+/// Time of one VM's upkeep with emptying it; a wave that has no more than this for each round of
+/// VMs left does not wait for quiet pools.
+const ROUND: Duration = Duration::from_millis(6_000);
+/// Capacity that a pool keeps for each unit of its forecast while VMs are taken out.
+const KEEP: f64 = 1.1;
+
+impl Planner {
+    /// VMs of a wave that stay and have not had their upkeep.
+    fn left<'a>(&self, wave: &Wave, view: &'a View) -> Vec<&'a Vm> {
+        let had = self.maintained.get(&wave.number);
+        let is_left =
+            |vm: &&Vm| wave.vms.contains(&vm.name) && had.is_none_or(|had| !had.contains(&vm.name));
+        view.vms.iter().filter(is_left).collect()
+    }
+
+    pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View) {
+        for (wave, started) in &view.waves {
+            let left = self.left(wave, view);
+            let under_way = self.intents.values();
+            let under_way =
+                under_way.filter(|intent| intent.upkeep_of() == Some(wave.number)).count();
+            let mut slots = (wave.maximum.max(1) as usize).saturating_sub(under_way);
+            let end = *started + Duration::from_millis(wave.deadline_ms);
+            let rounds = left.len().div_ceil(wave.maximum.max(1) as usize);
+            let urgent = now + ROUND * u32::try_from(rounds).unwrap_or(u32::MAX) > end;
+            let mut candidates: Vec<_> =
+                left.into_iter().filter(|vm| self.is_free(now, vm)).collect();
+            candidates.sort_by_key(|vm| (burden(vm, view), Arc::clone(&vm.name)));
+            for vm in candidates {
+                if slots == 0 {
+                    break;
+                }
+                if urgent || self.can_spare(vm, view) {
+                    log::info!(
+                        "event=upkeep_chosen vm={} wave={} urgent={urgent}",
+                        vm.name,
+                        wave.number
+                    );
+                    let order = Order::Maintain { wave: wave.number };
+                    self.intents.insert(Arc::clone(&vm.name), Intent::new(order, now));
+                    slots -= 1;
+                }
+            }
+        }
+    }
+
+    /// Whether the VM's pool keeps enough without it.
+    pub(crate) fn can_spare(&self, vm: &Vm, view: &View) -> bool {
+        if Some(&vm.pool) == view.spare.as_ref() {
+            return true;
+        }
+        let Some(demand) = self.demands.get(&vm.pool) else { return false };
+        let staying = view.vms.iter().filter(|other| {
+            other.pool == vm.pool
+                && other.name != vm.name
+                && other.state == State::Up
+                && !self.intents.contains_key(&other.name)
+        });
+        let capacity: u64 = staying.map(|other| other.capacity.cpu_millis).sum();
+        capacity as f64 >= demand.forecast() * KEEP
+    }
+
+    pub(crate) fn completed(&self, view: &View) -> Vec<u64> {
+        if view.vms.is_empty() {
+            return Vec::new();
+        }
+        let over = view.waves.iter().filter(|(wave, _)| self.left(wave, view).is_empty());
+        over.map(|(wave, _)| wave.number).collect()
+    }
+}
+
+/// The pool's owner's word on a VM.
+pub(crate) fn reported<'a>(vm: &Vm, view: &'a View) -> Option<&'a report::Vm> {
+    view.pools.get(&vm.pool)?.vms.iter().find(|reported| reported.name == vm.name)
+}
+
+/// Order in which VMs are taken out: idle ones first, those with lasting tasks last.
+fn burden(vm: &Vm, view: &View) -> (u32, u64) {
+    if Some(&vm.pool) == view.spare.as_ref() {
+        return (0, 0);
+    }
+    reported(vm, view).map_or((u32::MAX, 0), |vm| (1 + vm.lasting, vm.used_millis))
+}
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -1,10 +1,225 @@
 //! Owning the fleet: waves, moves, pool sizes.
+//!
+//! The owner claims the fleet's shard as owners of pools claim theirs; the claim's place in the log
+//! is its token towards the platform. Which VMs have had their upkeep is kept in the shard.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
-use crate::node::Node;
+use crosspath_border::operator::{Wave, WaveState};
+use crosspath_border::store::{Guard, Keyed, Topic};
+use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict};
+use crosspath_fleet::{Outcome, Planner, Settings, View};
+use crosspath_schedule::report;
+use futures::future::join_all;
+
+use crate::clock;
+use crate::feed;
+use crate::node::{FLEET_SHARD, Node, only_partition, shard_partition};
+use crate::rpc::{self, Answer, Question};
+use crate::shard::{self, Claimed};
+
+/// Between rounds: short against the seconds in which demand changes.
+const ROUND: Duration = Duration::from_millis(200);
+/// Between readings of the list of VMs without a change under way.
+const LIST_INTERVAL: Duration = Duration::from_millis(400);
+/// Before the first round after a start: pools are claimed by then.
+const SETTLE: Duration = Duration::from_millis(500);
+const UPKEEP_KEY: &str = "upkeep/";
 
 /// Runs while this daemon holds the fleet's shard.
-pub(crate) async fn run(_node: Arc<Node>) {
-    std::future::pending::<()>().await;
+pub(crate) async fn run(node: Arc<Node>) {
+    let Some(fleet) = node.fleet.clone() else {
+        std::future::pending::<()>().await;
+        return;
+    };
+    let claimed = shard::claim(&node, FLEET_SHARD).await;
+    let maintained = maintained(&node).await;
+    // An owner before may have given orders until a moment ago.
+    let wait = if claimed.epoch > 1 { node.settings.vm_order } else { SETTLE };
+    tokio::time::sleep(wait).await;
+    let costs = node.settings.costs;
+    let settings = Settings { vm_second: costs.vm_second, vm_move: costs.vm_move };
+    let mut owner = Owner {
+        authority: Authority { holder: Arc::clone(&node.settings.name), token: claimed.token },
+        planner: Planner::new(settings, maintained),
+        view: View::default(),
+        listed: Duration::ZERO,
+        sequence: 1,
+        told: BTreeMap::new(),
+        claimed,
+        fleet,
+        node,
+    };
+    while owner.round().await {
+        tokio::time::sleep(ROUND).await;
+    }
+}
+
+/// VMs that have had their upkeep, as kept.
+async fn maintained(node: &Node) -> BTreeMap<u64, BTreeSet<Arc<str>>> {
+    let records = loop {
+        match feed::newest(node, shard_partition(FLEET_SHARD)).await {
+            Ok((records, _)) => break records,
+            Err(error) => {
+                log::info!("event=fleet_unread error=\"{error}\"");
+                tokio::time::sleep(ROUND).await;
+            }
+        }
+    };
+    let mut found: BTreeMap<u64, BTreeSet<Arc<str>>> = BTreeMap::new();
+    for record in records {
+        let Some(rest) = record.key.strip_prefix(UPKEEP_KEY) else { continue };
+        let Some((wave, vm)) = rest.split_once('/') else { continue };
+        if let Ok(wave) = wave.parse() {
+            found.entry(wave).or_default().insert(vm.into());
+        }
+    }
+    found
+}
+
+#[derive(Debug)]
+struct Owner {
+    node: Arc<Node>,
+    fleet: Arc<dyn Fleet>,
+    authority: Authority,
+    claimed: Claimed,
+    sequence: u64,
+    planner: Planner,
+    view: View,
+    listed: Duration,
+    /// What was last written of each wave.
+    told: BTreeMap<u64, WaveState>,
+}
+
+impl Owner {
+    /// One round; whether the fleet is still owned.
+    async fn round(&mut self) -> bool {
+        if !self.node.may_act(clock::now()) {
+            return true;
+        }
+        self.look().await;
+        self.ask_pools().await;
+        let now = clock::now();
+        if self.view.vms.is_empty() || !self.node.may_act(now) {
+            return true;
+        }
+        let plan = self.planner.plan(now, &self.view);
+        if !self.give(plan.orders).await {
+            return false;
+        }
+        self.tell_waves(&plan.completed).await;
+        true
+    }
+
+    /// Refreshes what is known of VMs and waves.
+    async fn look(&mut self) {
+        let now = clock::now();
+        if now >= self.listed + LIST_INTERVAL {
+            match self.fleet.list().await {
+                Ok(vms) => {
+                    self.listed = now;
+                    self.view.vms = vms;
+                }
+                Err(error) => log::info!("event=vms_unread error=\"{error}\""),
+            }
+        }
+        self.view.waves = self.open_waves();
+        if let Some(table) = self.node.table() {
+            let pools = &table.config.pools;
+            let serving = pools.iter().filter(|pool| !pool.spare);
+            self.view.serving = serving.map(|pool| Arc::clone(&pool.name)).collect();
+            let spare = pools.iter().find(|pool| pool.spare);
+            self.view.spare = spare.map(|pool| Arc::clone(&pool.name));
+        }
+    }
+
+    fn open_waves(&self) -> Vec<(Wave, Duration)> {
+        let waves = self.node.waves();
+        let open = waves
+            .values()
+            .filter(|(wave, _)| self.told.get(&wave.number) != Some(&WaveState::Completed));
+        open.cloned().collect()
+    }
+
+    /// Has pools empty VMs, and hears how they are.
+    async fn ask_pools(&mut self) {
+        let vacate = self.planner.vacate(&self.view.vms);
+        let asks = self.view.serving.iter().filter_map(|pool| {
+            let shard = self.node.shard_of(pool)?;
+            let vacate = vacate.get(pool).cloned().unwrap_or_default();
+            let node = Arc::clone(&self.node);
+            let pool = Arc::clone(pool);
+            Some(async move {
+                let question = Question::Pool { shard, vacate };
+                let answer = rpc::ask_holder(&node, shard, question).await;
+                (pool, answer)
+            })
+        });
+        let answers = join_all(asks).await;
+        let reports = answers.into_iter().filter_map(|(pool, answer)| match answer {
+            Some(Answer::Pool(report)) => Some((pool, report)),
+            _ => None,
+        });
+        self.view.pools = reports.collect::<BTreeMap<Arc<str>, report::Pool>>();
+    }
+
+    /// Gives orders; whether none told of a later owner.
+    async fn give(&mut self, orders: Vec<(Arc<str>, Order)>) -> bool {
+        let calls = orders.into_iter().map(|(vm, order)| {
+            let (fleet, authority) = (Arc::clone(&self.fleet), self.authority.clone());
+            async move {
+                let outcome = fleet.order(&vm, &order, &authority).await;
+                (vm, order, outcome)
+            }
+        });
+        let mut noted = Vec::new();
+        let mut fenced = false;
+        for (vm, order, outcome) in join_all(calls).await {
+            log::info!("event=vm_order vm={vm} order={order:?} outcome={outcome:?}");
+            fenced |= outcome == Ok(Verdict::Fenced);
+            self.listed = Duration::ZERO;
+            if let Some(wave) = self.take(&vm, &order, outcome) {
+                let key = format!("{UPKEEP_KEY}{wave}/{vm}");
+                noted.push(Keyed { key, value: "{}".into() });
+            }
+        }
+        !fenced && (noted.is_empty() || self.keep(noted).await)
+    }
+
+    fn take(&mut self, vm: &Arc<str>, order: &Order, outcome: Outcome) -> Option<u64> {
+        if outcome == Err(Error::NoAnswer) {
+            log::info!("event=vm_order_unanswered vm={vm}");
+        }
+        self.planner.ordered(clock::now(), vm, order, outcome)
+    }
+
+    /// Keeps records as owner; whether the shard is still owned.
+    async fn keep(&mut self, records: Vec<Keyed>) -> bool {
+        self.sequence += 1;
+        let guard = Guard::Owner { epoch: self.claimed.epoch, sequence: self.sequence };
+        let partition = shard_partition(FLEET_SHARD);
+        shard::append_owned(&self.node, partition, &records, guard).await
+    }
+
+    async fn tell_waves(&mut self, completed: &[u64]) {
+        let waves: Vec<u64> = self.view.waves.iter().map(|(wave, _)| wave.number).collect();
+        for number in waves {
+            let over = completed.contains(&number);
+            let state = if over { WaveState::Completed } else { WaveState::Running };
+            if self.told.get(&number) == Some(&state) {
+                continue;
+            }
+            let record = self.node.store.wave_status(number, state);
+            let partition = only_partition(Topic::WaveStatus);
+            match self.node.store.append(partition, &[record], Guard::Free).await {
+                Ok(_) => {
+                    log::info!("event=wave_told wave={number} state={state:?}");
+                    self.told.insert(number, state);
+                }
+                Err(error) => log::info!("event=wave_untold wave={number} error=\"{error}\""),
+            }
+        }
+    }
 }
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -1,6 +1,6 @@
 //! What the daemon's tasks share.
 //!
-//! Locks are held for moments only and never two at a time, so their order does not matter.
+//! Locks are held for moments only. The one nesting is `owned` before a shard's scheduler.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -139,11 +139,6 @@
         self.changed.notify_waiters();
     }
 
-    pub(crate) fn pool_of(&self, shard: u32) -> Option<Arc<str>> {
-        let map = lock(&self.map);
-        map.iter().find(|(_, number)| **number == shard).map(|(pool, _)| Arc::clone(pool))
-    }
-
     pub(crate) fn set_holders(&self, holders: HashMap<u32, Arc<str>>) {
         *lock(&self.holders) = holders;
         self.changed.notify_waiters();
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crosspath_border::advice::Error as AdviceError;
-use crosspath_border::store::{Error, Guard, Keyed, Stored};
+use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored};
 use crosspath_border::worker::{Error as WorkerError, Start};
 use crosspath_job::progress::State;
 use crosspath_job::record::{Claim, Record};
@@ -94,8 +94,12 @@
     }
 
     pub(crate) fn report(&self, vacate: BTreeSet<Arc<str>>) -> Option<report::Pool> {
-        self.send(Event::Vacate(vacate));
-        scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.report(clock::now()))
+        let mut shared = scheduler(&self.scheduler);
+        let scheduler = shared.as_mut()?;
+        let now = clock::now();
+        // In force before the report, so that a VM reported as vacant stays so.
+        scheduler.handle(now, clock::wall_ms(), Event::Vacate(vacate));
+        Some(scheduler.report(now))
     }
 
     pub(crate) fn is_over(&self) -> bool {
@@ -121,8 +125,6 @@
     pub(crate) epoch: u64,
     /// Fencing token towards workers and the platform: the claim's place in the log.
     pub(crate) token: u64,
-    /// Offset after the claim.
-    pub(crate) end: u64,
 }
 
 /// Claims a shard with an epoch higher than any before.
@@ -137,7 +139,7 @@
             Ok(appended) => {
                 let token = appended.offset + 1;
                 log::info!("event=shard_claimed shard={number} epoch={epoch} token={token}");
-                return Claimed { epoch, token, end: appended.end };
+                return Claimed { epoch, token };
             }
             Err(Error::Fenced { epoch: seen }) => epoch = seen.max(epoch) + 1,
             // The epoch is another owner's, or an own claim's whose answer was lost.
@@ -177,6 +179,8 @@
     sequence: u64,
     terms: Terms,
     watches: HashMap<Arc<str>, Arc<Watch>>,
+    /// The append under way.
+    commit: Option<AbortOnDrop>,
 }
 
 impl Drop for Duties {
@@ -209,7 +213,7 @@
             claimed.epoch,
             self.events.clone(),
         ));
-        let duties = Duties { claimed, sequence: 1, terms, watches: HashMap::new() };
+        let duties = Duties { claimed, sequence: 1, terms, watches: HashMap::new(), commit: None };
         let _follower = AbortOnDrop(follower);
         self.serve(duties, &mut receiver).await;
         *scheduler(&self.shared) = None;
@@ -316,15 +320,15 @@
             Action::Commit { records } => {
                 duties.sequence += 1;
                 let guard = Guard::Owner { epoch: duties.claimed.epoch, sequence: duties.sequence };
-                let keep = keep(Arc::clone(&self.node), self.number, records, guard);
-                let (events, shared) = (self.events.clone(), Arc::clone(&self.shared));
-                drop(tokio::spawn(async move {
-                    if keep.await {
-                        events.send(Event::Committed).ok();
-                    } else {
-                        *scheduler(&shared) = None;
-                    }
-                }));
+                let keyed =
+                    |record: &Record| Keyed { key: record.key(), value: record.value().into() };
+                let records: Vec<_> = records.iter().map(keyed).collect();
+                let (node, events) = (Arc::clone(&self.node), self.events.clone());
+                let partition = shard_partition(self.number);
+                duties.commit = Some(AbortOnDrop(tokio::spawn(async move {
+                    let kept = append_owned(&node, partition, &records, guard).await;
+                    events.send(if kept { Event::Committed } else { Event::Superseded }).ok();
+                })));
             }
             Action::Acknowledge { worker, number } => {
                 if let Some(watch) = duties.watches.get(&worker) {
@@ -421,27 +425,27 @@
 }
 
 /// Appends as owner until the store has answered; whether the shard is still owned.
-async fn keep(node: Arc<Node>, number: u32, records: Vec<Record>, guard: Guard) -> bool {
-    let keyed = |record: &Record| Keyed { key: record.key(), value: record.value().into() };
-    let records: Vec<_> = records.iter().map(keyed).collect();
+pub(crate) async fn append_owned(
+    node: &Node,
+    partition: Partition,
+    records: &[Keyed],
+    guard: Guard,
+) -> bool {
     loop {
-        match node.store.append(shard_partition(number), &records, guard).await {
+        match node.store.append(partition, records, guard).await {
             Ok(_) => {
                 node.set_standing(|standing| standing.store_answered = clock::now());
                 return true;
             }
             Err(error @ (Error::Fenced { .. } | Error::Sequence { .. })) => {
-                log::info!("event=commit_refused shard={number} error=\"{error}\"");
+                log::info!("event=commit_refused partition={partition} error=\"{error}\"");
                 return false;
             }
             Err(error) => {
-                log::info!("event=commit_failed shard={number} error=\"{error}\"");
+                log::info!("event=commit_failed partition={partition} error=\"{error}\"");
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
-        if node.is_stopping() && node.owned().get(&number).is_none() {
-            return false;
-        }
     }
 }
 
