--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -98,6 +98,10 @@
     fn place_one(&mut self, now: Duration, key: Key) -> bool {
         let id = key.task;
         let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else { return true };
+        if task.done || !task.runs.is_empty() {
+            self.waiting.remove(&key);
+            return true;
+        }
         if now < task.not_before {
             self.place_again = true;
             return true;
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -482,7 +482,8 @@
         if extended && error == Error::NoAnswer {
             worker.leased_until(terms.over(sent, terms.hold));
         }
-        if worker.entry.draining && !worker.listed {
+        let left = worker.entry.draining || (worker.synced && worker.runs.is_empty());
+        if left && !worker.listed {
             self.worker_dead(now, id, "left");
         }
     }
--- /dev/null
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -0,0 +1,169 @@
+//! A scheduler with a clock, and short ways to feed it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::worker::{Ended, Entry, Held, How, Running, Started};
+use crosspath_job::record::{Accepted, Policy, Record};
+use crosspath_job::spec::{Room, Spec, Step};
+use crosspath_job::{JobId, TaskId};
+use crosspath_schedule::lease::Terms;
+use crosspath_schedule::{Action, Event, Scheduler, Settings};
+
+pub(crate) const JOB: JobId = JobId(0x0123_4567_89ab_cdef);
+pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn settings() -> Settings {
+    let terms = Terms { hold: ms(5_000), start: ms(2_000), clock_slack: 0.04 };
+    Settings { terms, keep_ended: ms(120_000), membership_ttl: ms(1_200) }
+}
+
+pub(crate) fn step(tasks: u32, cores: u64) -> Step {
+    let room = Room { cpu_millis: cores * 1_000, mem_mb: 100, gpus: 0 };
+    Step { tasks, room, estimate_ms: 800, ..Step::default() }
+}
+
+pub(crate) fn accepted(steps: Vec<Step>) -> Arc<Accepted> {
+    let policy = Policy { priority: 0, max_attempts: 3, stretch: 1.6, target_ms: 600 };
+    let spec = Spec { text: "text".into(), steps, repeat: None };
+    Arc::new(Accepted {
+        queue: "counter".into(),
+        pool: "counter".into(),
+        policy,
+        advice: None,
+        at_ms: WALL_MS,
+        spec,
+    })
+}
+
+pub(crate) fn entry(id: &str) -> Entry {
+    Entry {
+        id: id.into(),
+        pool: "counter".into(),
+        vm: format!("vm-{id}").into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        draining: false,
+        remaining_ms: 0,
+        capacity: Room { cpu_millis: 32_000, mem_mb: 128_000, gpus: 0 },
+        labels: vec!["a".into(), "r1".into()],
+        clock_ms: 1_000,
+    }
+}
+
+pub(crate) fn task(step: u32, index: u32) -> TaskId {
+    TaskId { job: JOB, time: 0, step, index }
+}
+
+pub(crate) fn running(task: TaskId, run: u64) -> Running {
+    Running { task, run, checkpoint: None, percent: 100, gauge: 0 }
+}
+
+pub(crate) fn ended(number: u64, task: TaskId, run: u64, how: How) -> Ended {
+    Ended { number, task, run, how, checkpoint: None }
+}
+
+/// A start that the scheduler ordered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Ordered {
+    pub(crate) worker: Arc<str>,
+    pub(crate) task: TaskId,
+    pub(crate) run: u64,
+}
+
+/// A scheduler and its clock.
+#[derive(Debug)]
+pub(crate) struct Bed {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) now: Duration,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Bed {
+    pub(crate) fn new(epoch: u64) -> Self {
+        let now = ms(10_000);
+        let scheduler = Scheduler::new(settings(), epoch, now);
+        Self { scheduler, now, actions: Vec::new() }
+    }
+
+    /// A first owner with these workers, all of which have answered.
+    pub(crate) fn with_workers(ids: &[&str]) -> Self {
+        let mut bed = Self::new(1);
+        bed.take_over(Vec::new(), ids);
+        for id in ids {
+            bed.held(id, Vec::new(), Vec::new());
+        }
+        bed
+    }
+
+    pub(crate) fn take_over(&mut self, records: Vec<Record>, workers: &[&str]) {
+        let entries = workers.iter().map(|id| entry(id)).collect();
+        self.scheduler.take_over(self.now, WALL_MS, records, Some(entries));
+        self.decide();
+    }
+
+    pub(crate) fn send(&mut self, event: Event) {
+        self.scheduler.handle(self.now, WALL_MS, event);
+        self.decide();
+    }
+
+    pub(crate) fn decide(&mut self) {
+        let actions = self.scheduler.decide(self.now, WALL_MS);
+        self.actions.extend(actions);
+    }
+
+    pub(crate) fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.send(Event::Tick);
+    }
+
+    pub(crate) fn submit(&mut self, steps: Vec<Step>) {
+        self.send(Event::Accepted(JOB, accepted(steps)));
+    }
+
+    pub(crate) fn held(&mut self, worker: &str, running: Vec<Running>, ended: Vec<Ended>) {
+        let sent = self.now;
+        self.now += ms(1);
+        let held = Held { clock_ms: 0, running, ended };
+        self.send(Event::Held { worker: worker.into(), sent, extended: true, held });
+    }
+
+    pub(crate) fn started(&mut self, order: &Ordered) {
+        self.now += ms(1);
+        self.send(Event::StartAnswered {
+            worker: Arc::clone(&order.worker),
+            task: order.task,
+            run: order.run,
+            answer: Ok(Started::Yes),
+        });
+    }
+
+    /// Starts ordered since the last call.
+    pub(crate) fn starts(&mut self) -> Vec<Ordered> {
+        let mut found = Vec::new();
+        self.actions.retain(|action| match action {
+            Action::Start { worker, task, run, .. } => {
+                found.push(Ordered { worker: Arc::clone(&worker.id), task: *task, run: *run });
+                false
+            }
+            _ => true,
+        });
+        found
+    }
+
+    /// Stops ordered since the last call.
+    pub(crate) fn stops(&mut self) -> Vec<Ordered> {
+        let mut found = Vec::new();
+        self.actions.retain(|action| match action {
+            Action::Stop { worker, task, run } => {
+                found.push(Ordered { worker: Arc::clone(&worker.id), task: *task, run: *run });
+                false
+            }
+            _ => true,
+        });
+        found
+    }
+}
--- /dev/null
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the scheduler by its events and actions.
+
+mod common;
+mod takeover;
