--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -14,11 +14,12 @@
 use crosspath_schedule::report;
 use futures::future::join_all;
 
+use crate::claim::{Claim, claim};
 use crate::clock;
 use crate::feed;
 use crate::node::{FLEET_SHARD, Node, only_partition, shard_partition};
 use crate::rpc::{self, Answer, Question};
-use crate::shard::{self, Claimed};
+use crate::shard;
 
 /// Between rounds: short against the seconds in which demand changes.
 const ROUND: Duration = Duration::from_millis(200);
@@ -34,7 +35,7 @@
         std::future::pending::<()>().await;
         return;
     };
-    let claimed = shard::claim(&node, FLEET_SHARD).await;
+    let claimed = claim(&*node.store, shard_partition(FLEET_SHARD), &node.member).await;
     let maintained = maintained(&node).await;
     // An owner before may have given orders until a moment ago.
     let wait = if claimed.epoch > 1 { node.settings.vm_order } else { SETTLE };
@@ -46,7 +47,7 @@
         planner: Planner::new(settings, maintained),
         view: View::default(),
         listed: Duration::ZERO,
-        sequence: 1,
+        sequence: claimed.sequence,
         told: BTreeMap::new(),
         claimed,
         fleet,
@@ -84,7 +85,7 @@
     node: Arc<Node>,
     fleet: Arc<dyn Fleet>,
     authority: Authority,
-    claimed: Claimed,
+    claimed: Claim,
     sequence: u64,
     planner: Planner,
     view: View,
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -8,13 +8,14 @@
 use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored};
 use crosspath_border::worker::{Error as WorkerError, Start};
 use crosspath_job::progress::State;
-use crosspath_job::record::{Claim, Record};
+use crosspath_job::record::Record;
 use crosspath_job::{JobId, TaskId};
 use crosspath_schedule::lease::Terms;
 use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::claim::{Claim, claim};
 use crate::clock;
 use crate::feed::{self, Feed};
 use crate::membership::TTL;
@@ -119,41 +120,6 @@
     }
 }
 
-/// A claim that the store has taken.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Claimed {
-    pub(crate) epoch: u64,
-    /// Fencing token towards workers and the platform: the claim's place in the log.
-    pub(crate) token: u64,
-}
-
-/// Claims a shard with an epoch higher than any before.
-pub(crate) async fn claim(node: &Node, number: u32) -> Claimed {
-    let mut epoch = 1;
-    loop {
-        let claim = Claim { owner: Arc::clone(&node.member), epoch };
-        let record = Record::Claim(claim);
-        let records = [Keyed { key: record.key(), value: record.value().into() }];
-        let guard = Guard::Owner { epoch, sequence: 1 };
-        match node.store.append(shard_partition(number), &records, guard).await {
-            Ok(appended) => {
-                let token = appended.offset + 1;
-                log::info!("event=shard_claimed shard={number} epoch={epoch} token={token}");
-                return Claimed { epoch, token };
-            }
-            Err(Error::Fenced { epoch: seen }) => epoch = seen.max(epoch) + 1,
-            // The epoch is another owner's, or an own claim's whose answer was lost.
-            Err(Error::Sequence { .. }) => epoch += 1,
-            Err(error) => {
-                log::info!("event=claim_failed shard={number} epoch={epoch} error=\"{error}\"");
-                // The claim may be carried out later: a repeated one is not to be taken for it.
-                epoch += 1;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
-}
-
 fn decode(records: &[Stored]) -> Vec<Record> {
     let decoded = records.iter().filter_map(|stored| {
         let record = Record::decode(&stored.key, &stored.value);
@@ -175,7 +141,7 @@
 /// What the owner keeps beside its scheduler.
 #[derive(Debug)]
 struct Duties {
-    claimed: Claimed,
+    claimed: Claim,
     sequence: u64,
     terms: Terms,
     watches: HashMap<Arc<str>, Arc<Watch>>,
@@ -193,7 +159,8 @@
 
 impl Owner {
     async fn run(self, mut receiver: mpsc::UnboundedReceiver<Event>) {
-        let claimed = claim(&self.node, self.number).await;
+        let store = &*self.node.store;
+        let claimed = claim(store, shard_partition(self.number), &self.node.member).await;
         let (records, end) = self.newest().await;
         let terms = Terms {
             hold: HOLD.min(self.node.settings.longest_hold),
@@ -213,7 +180,8 @@
             claimed.epoch,
             self.events.clone(),
         ));
-        let duties = Duties { claimed, sequence: 1, terms, watches: HashMap::new(), commit: None };
+        let sequence = claimed.sequence;
+        let duties = Duties { claimed, sequence, terms, watches: HashMap::new(), commit: None };
         let _follower = AbortOnDrop(follower);
         self.serve(duties, &mut receiver).await;
         *scheduler(&self.shared) = None;
