--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -10,6 +10,7 @@
 
 use crate::demand::Demand;
 use crate::intent::{Intent, Stage};
+use crate::wave::reported;
 
 /// An order without an answer is given again after this; it is the same order.
 const ORDER_AGAIN: Duration = Duration::from_millis(1_200);
@@ -160,7 +161,12 @@
         self.intents.retain(|name, intent| {
             let Some(vm) = listed.get(name) else { return view.vms.is_empty() };
             match intent.stage {
-                Stage::Vacating => now < intent.since + VACATE_PATIENCE,
+                Stage::Vacating => {
+                    // A lasting task came before the pool's owner knew; moving it costs more.
+                    let disturbs = intent.moves_to().is_some()
+                        && reported(vm, view).is_some_and(|reported| reported.lasting > 0);
+                    !disturbs && now < intent.since + VACATE_PATIENCE
+                }
                 Stage::Ordered { .. } => true,
                 Stage::Done { at } => {
                     let there = intent.moves_to().is_none_or(|pool| *pool == vm.pool);
@@ -176,7 +182,7 @@
         for (name, pool) in &view.pools {
             self.demands.entry(Arc::clone(name)).or_default().sample(now, pool);
             for vm in &pool.vms {
-                if vm.tasks == 0 && vm.usable {
+                if vm.is_vacant() && vm.usable {
                     self.idle_since.entry(Arc::clone(&vm.name)).or_insert(now);
                 } else {
                     self.idle_since.remove(&vm.name);
@@ -217,7 +223,7 @@
     let spare = view.vms.iter().filter(|vm| Some(&vm.pool) == view.spare.as_ref());
     let mut found: BTreeSet<_> = spare.map(|vm| Arc::clone(&vm.name)).collect();
     for (name, pool) in &view.pools {
-        let empty = pool.vms.iter().filter(|vm| vm.tasks == 0);
+        let empty = pool.vms.iter().filter(|vm| vm.is_vacant());
         let there = |vm: &&report::Vm| {
             view.vms.iter().any(|listed| listed.name == vm.name && listed.pool == *name)
         };
--- a/crates/crosspath_node/src/watch.rs
+++ b/crates/crosspath_node/src/watch.rs
@@ -83,13 +83,15 @@
     events: mpsc::UnboundedSender<Event>,
 ) {
     let mut failing = false;
+    // The first look tells at once what runs there.
+    let mut first = true;
     let mut unkept = 0;
     while !watch.is_over() {
         let sent = clock::now();
         let acknowledged = watch.acknowledged.load(Ordering::Relaxed);
         // A worker that did not answer may still hear: its leases must be able to run out.
         let extended = !failing && node.may_act(sent);
-        let wait = if failing || unkept > acknowledged { Duration::ZERO } else { WAIT };
+        let wait = if first || failing || unkept > acknowledged { Duration::ZERO } else { WAIT };
         let deadline_ms = extended.then(|| watch.deadline_ms(sent, terms.hold));
         let hold = Hold { token, acknowledged, deadline_ms, wait };
         let answer = node.runner.hold(&watch.target, &hold).await;
@@ -100,6 +102,7 @@
         match answer {
             Ok(held) => {
                 failing = false;
+                first = false;
                 watch.heard(held.clock_ms);
                 unkept = held.ended.iter().map(|ended| ended.number).max().unwrap_or(0);
                 if events.send(Event::Held { worker, sent, extended, held }).is_err() {
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -80,6 +80,7 @@
                 tasks: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
                 lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
                 usable: worker.is_usable(now),
+                known: worker.synced && worker.failures == 0,
             });
         }
         for key in &self.waiting {
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -19,6 +19,8 @@
     pub lasting: u32,
     /// Whether it takes work: listed, answering, not draining.
     pub usable: bool,
+    /// Whether its worker has told this owner what runs there; `tasks` says nothing otherwise.
+    pub known: bool,
 }
 
 /// A pool as its owner sees it.
@@ -35,3 +37,11 @@
     /// Its VMs.
     pub vms: Vec<Vm>,
 }
+
+impl Vm {
+    /// Whether surely nothing runs there.
+    #[must_use]
+    pub fn is_vacant(&self) -> bool {
+        self.known && self.tasks == 0
+    }
+}
