Of two lives of a VM the later is the one whose entry was written later; shards change hands sooner

Cause: taking over read the lives of a VM in order of identifiers and took the newer one for dead (TWICE). Joins every 300 ms left shards without owner for 0.5 s at each change of members. Test: takeover::of_two_lives_of_a_vm_the_one_written_later_is_there, failing first.

--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -178,10 +178,7 @@
             match node.store.worker(record) {
                 Ok(entry) => {
                     let known = directory.entries.insert(Arc::clone(&entry.id), entry.clone());
-                    let same = known.is_some_and(|known| {
-                        crosspath_border::worker::Entry { clock_ms: entry.clock_ms, ..known }
-                            == entry
-                    });
+                    let same = known.is_some_and(|known| known.says_same(&entry));
                     if !same {
                         events.push((Arc::clone(&entry.pool), Event::WorkerSeen(entry)));
                     }
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -13,8 +13,9 @@
 /// Silence after which the group deals this daemon's shards to others. Short, since nothing new
 /// starts in an owner's shards meanwhile; long enough for some joins to be lost.
 pub(crate) const TTL: Duration = Duration::from_millis(1_200);
-/// Between joins: four fit into the silence that is allowed.
-const INTERVAL: Duration = Duration::from_millis(300);
+/// Between joins. Some fit into the silence that is allowed; and since the group deals a shard in
+/// two steps, each seen at a join, this bounds how long a shard has no owner when members change.
+const INTERVAL: Duration = Duration::from_millis(150);
 /// A join without an answer is sent again after this.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// This daemon counts itself out so much earlier than the group does.
@@ -27,7 +28,9 @@
     let ttl = TTL.max(node.settings.membership_least);
     let mut generation = 0;
     let mut refreshed = Duration::ZERO;
+    let mut stopping = node.stopping.subscribe();
     while !node.is_stopping() {
+        let mut pause = INTERVAL;
         let sent = clock::now();
         let join = Join { member: Arc::clone(&node.member), ttl, generation };
         match tokio::time::timeout(TIMEOUT, node.store.join(&join)).await {
@@ -38,7 +41,10 @@
                 });
                 let changed = membership.generation != generation;
                 generation = membership.generation;
-                own(&node, &membership);
+                // The next join tells the group that dealt-away shards are free.
+                if own(&node, &membership) {
+                    pause = Duration::ZERO;
+                }
                 if changed || clock::now() > refreshed + HOLDERS_INTERVAL {
                     refreshed = clock::now();
                     drop(tokio::spawn(refresh_holders(Arc::clone(&node))));
@@ -47,16 +53,21 @@
             Ok(Err(error)) => log::info!("event=join_failed error=\"{error}\""),
             Err(_) => log::info!("event=join_failed error=\"timed out\""),
         }
-        tokio::time::sleep(INTERVAL).await;
+        if !pause.is_zero() {
+            let stop = stopping.wait_for(|stopping| *stopping);
+            // Either way the loop looks at what it is to do next.
+            drop(tokio::time::timeout(pause, stop).await);
+        }
     }
 }
 
 /// Ends ownership of shards that were dealt away, before the next join tells the group so; begins
-/// that of new ones.
-fn own(node: &Arc<Node>, membership: &Membership) {
+/// that of new ones. Whether any was dealt away.
+fn own(node: &Arc<Node>, membership: &Membership) -> bool {
     let dealt: BTreeSet<u32> = membership.shards.iter().copied().collect();
     let pools = shard::pools_by_shard(&node.shard_map());
     let mut owned = node.owned();
+    let before = owned.len();
     owned.retain(|number, handle| {
         let stays = dealt.contains(number) && !handle.is_over();
         if !stays {
@@ -65,6 +76,7 @@
         }
         stays
     });
+    let released = owned.len() < before;
     for number in dealt {
         let pool = pools.get(&number);
         if (number == FLEET_SHARD || pool.is_some()) && !owned.contains_key(&number) {
@@ -72,6 +84,7 @@
             owned.insert(number, Handle::start(node, number, pool.cloned()));
         }
     }
+    released
 }
 
 async fn refresh_holders(node: Arc<Node>) {
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -381,13 +381,13 @@
     // Workers.
 
     fn worker_seen(&mut self, now: Duration, entry: Entry) {
-        let same_vm = |worker: &&Worker| {
-            !entry.vm.is_empty() && worker.entry.vm == entry.vm && worker.entry.id != entry.id
-        };
+        if self.workers.values().any(|worker| worker.entry.replaces(&entry)) {
+            return;
+        }
         let replaced: Vec<_> = self
             .workers
             .values()
-            .filter(same_vm)
+            .filter(|worker| entry.replaces(&worker.entry))
             .map(|worker| Arc::clone(&worker.entry.id))
             .collect();
         for old in replaced {
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -1,10 +1,10 @@
 //! Taking over: what runs is adopted, what may run unseen is waited for.
 
-use crosspath_border::worker::{Error, How};
+use crosspath_border::worker::{Entry, Error, How};
 use crosspath_job::record::Record;
 use crosspath_schedule::Event;
 
-use crate::common::{Bed, JOB, accepted, ended, ms, running, step, task};
+use crate::common::{Bed, JOB, WALL_MS, accepted, ended, entry, ms, running, step, task};
 
 fn inherited(workers: &[&str]) -> Bed {
     let mut bed = Bed::new(2);
@@ -78,3 +78,19 @@
     bed.pass(ms(5_000));
     assert_eq!(bed.starts().len(), 1, "the third attempt is due");
 }
+
+#[test]
+fn of_two_lives_of_a_vm_the_one_written_later_is_there() {
+    let mut bed = Bed::new(2);
+    let record = Record::Accepted(JOB, accepted(vec![step(1, 2)]));
+    // The list still has the life before, and gives it last.
+    let old = Entry { vm: "vm".into(), position: 7, ..entry("z-old") };
+    let new = Entry { vm: "vm".into(), position: 9, ..entry("a-new") };
+    bed.scheduler.take_over(bed.now, WALL_MS, vec![record], Some(vec![new, old]));
+    bed.decide();
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new(), "the later life has not told what runs there");
+    bed.held("a-new", vec![running(task(0, 0), 10_001)], Vec::new());
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new());
+}
