Places are kept before starts, so a takeover waits only for workers that may have the task

Cause: each takeover that met a dark rack held up every inherited task for 7 s, and each change of members moved the pools' shards. Lasting tasks were stopped though no worker could take them (LOST). Change: a run's worker is in the log before the start is sent (10 ms); shards are numbered from the top, where the group's dealing leaves them; emptying a VM asks for a worker that may take the task; pools keep the spread of their steps plus one. Ruled out: shorter leases alone (they would lapse in takeovers).

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
     samples: VecDeque<(Duration, f64)>,
+    /// VMs over which some step must be spread.
+    spread: u32,
 }
 
 impl Demand {
@@ -30,6 +32,7 @@
         let millis = (pool.running_millis + pool.waiting_millis) as f64
             + pool.blocked_millis as f64 * BLOCKED_SHARE;
         self.samples.push_back((now, millis));
+        self.spread = pool.spread;
         while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
             self.samples.pop_front();
         }
@@ -49,6 +52,7 @@
         let wanted = self.forecast() * HEADROOM / vm_millis.max(1) as f64 + RESERVE;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some VMs")]
         let wanted = wanted.ceil() as u32;
-        wanted.max(LEAST)
+        // One more than the spread, so that a VM can be emptied or lost.
+        wanted.max(LEAST).max(self.spread + 1)
     }
 }
--- a/crates/crosspath_job/src/progress.rs
+++ b/crates/crosspath_job/src/progress.rs
@@ -44,6 +44,10 @@
     /// owner, is not counted twice.
     #[serde(rename = "r", skip_serializing_if = "is_zero_u64")]
     pub failed_run: u64,
+    /// Number and worker of each run that is or may be; written before a run is started, so that
+    /// a new owner knows where to look for it.
+    #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
+    pub runs: Vec<(u64, Arc<str>)>,
     /// Newest checkpoint of a run that ended.
     #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Arc<str>>,
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -122,7 +122,7 @@
     let direct = node.store.append(shard_partition(shard), records, Guard::Free).await;
     let mut error = match direct {
         Ok(_) => {
-            node.set_standing(|standing| standing.store_answered = clock::now());
+            node.store_answers(clock::now());
             return Ok(());
         }
         Err(error) => error,
--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -9,7 +9,7 @@
 use crosspath_schedule::Event;
 
 use crate::clock;
-use crate::node::{FLEET_SHARD, Node, only_partition};
+use crate::node::{Node, only_partition};
 use crate::table::Table;
 
 /// For which a read waits at the store. Short enough that a silent cut is noticed soon.
@@ -51,7 +51,7 @@
         };
         match node.store.read(self.partition, next, wait).await {
             Ok(page) => {
-                node.set_standing(|standing| standing.store_answered = clock::now());
+                node.store_answers(clock::now());
                 self.next = Some(next + page.records.len() as u64);
                 Ok(page.records)
             }
@@ -81,7 +81,7 @@
             break;
         }
     }
-    node.set_standing(|standing| standing.store_answered = clock::now());
+    node.store_answers(clock::now());
     Ok((records, end.unwrap_or_default()))
 }
 
@@ -233,7 +233,7 @@
     }
     let map = node.shard_map();
     let absent = missing.iter().filter(|name| !map.contains_key(*name));
-    let free = (FLEET_SHARD + 1..node.settings.shards).filter(|number| !used.contains_key(number));
+    let free = (0..node.fleet_shard()).rev().filter(|number| !used.contains_key(number));
     let records: Vec<Keyed> = absent
         .zip(free)
         .map(|(name, number)| Keyed { key: name.to_string(), value: number.to_string().into() })
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::claim::{Claim, claim};
 use crate::clock;
 use crate::feed;
-use crate::node::{FLEET_SHARD, Node, only_partition, shard_partition};
+use crate::node::{Node, only_partition, shard_partition};
 use crate::rpc::{self, Answer, Question};
 use crate::shard;
 
@@ -35,7 +35,7 @@
         std::future::pending::<()>().await;
         return;
     };
-    let claimed = claim(&*node.store, shard_partition(FLEET_SHARD), &node.member).await;
+    let claimed = claim(&*node.store, shard_partition(node.fleet_shard()), &node.member).await;
     let maintained = maintained(&node).await;
     // An owner before may have given orders until a moment ago.
     let wait = if claimed.epoch > 1 { node.settings.vm_order } else { SETTLE };
@@ -61,7 +61,7 @@
 /// VMs that have had their upkeep, as kept.
 async fn maintained(node: &Node) -> BTreeMap<u64, BTreeSet<Arc<str>>> {
     let records = loop {
-        match feed::newest(node, shard_partition(FLEET_SHARD)).await {
+        match feed::newest(node, shard_partition(node.fleet_shard())).await {
             Ok((records, _)) => break records,
             Err(error) => {
                 log::info!("event=fleet_unread error=\"{error}\"");
@@ -200,7 +200,7 @@
     async fn keep(&mut self, records: Vec<Keyed>) -> bool {
         self.sequence += 1;
         let guard = Guard::Owner { epoch: self.claimed.epoch, sequence: self.sequence };
-        let partition = shard_partition(FLEET_SHARD);
+        let partition = shard_partition(self.node.fleet_shard());
         shard::append_owned(&self.node, partition, &records, guard).await
     }
 
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -7,7 +7,7 @@
 use crosspath_border::store::{Join, Membership};
 
 use crate::clock;
-use crate::node::{FLEET_SHARD, Node};
+use crate::node::Node;
 use crate::shard::{self, Handle};
 
 /// Silence after which the group deals this daemon's shards to others. Short, since nothing new
@@ -35,10 +35,8 @@
         let join = Join { member: Arc::clone(&node.member), ttl, generation };
         match tokio::time::timeout(TIMEOUT, node.store.join(&join)).await {
             Ok(Ok(membership)) => {
-                node.set_standing(|standing| {
-                    standing.until = sent + ttl - MARGIN;
-                    standing.store_answered = clock::now();
-                });
+                node.store_answers(clock::now());
+                node.set_standing(|standing| standing.until = sent + ttl - MARGIN);
                 let changed = membership.generation != generation;
                 generation = membership.generation;
                 // The next join tells the group that dealt-away shards are free.
@@ -79,7 +77,7 @@
     let released = owned.len() < before;
     for number in dealt {
         let pool = pools.get(&number);
-        if (number == FLEET_SHARD || pool.is_some()) && !owned.contains_key(&number) {
+        if (number == node.fleet_shard() || pool.is_some()) && !owned.contains_key(&number) {
             log::info!("event=shard_dealt shard={number}");
             owned.insert(number, Handle::start(node, number, pool.cloned()));
         }
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -22,8 +22,13 @@
 use crate::shard::Handle;
 use crate::table::Table;
 
-/// The shard of the fleet: waves, moves, pool sizes.
-pub(crate) const FLEET_SHARD: u32 = 0;
+/// For which a new owner allows for runs that were started while the store was away: the longest
+/// that such a run's worker may have been out of sight, some seconds, with their leases.
+const AWAY_MEMORY: Duration = Duration::from_secs(12);
+/// Silence of the store that counts as its being away; calls are made several times a second.
+const AWAY_AFTER: Duration = Duration::from_millis(1_000);
+/// Between looks whether the worker list is there.
+const LIST_PAUSE: Duration = Duration::from_millis(20);
 
 /// The worker list as last read.
 #[derive(Debug, Default)]
@@ -40,6 +45,8 @@
     pub(crate) until: Duration,
     /// When the store last answered anything.
     pub(crate) store_answered: Duration,
+    /// When the store last answered after it had been silent for long.
+    pub(crate) store_back: Duration,
 }
 
 /// What the daemon's tasks share.
@@ -84,6 +91,12 @@
 }
 
 impl Node {
+    /// The shard of the fleet: waves, moves, pool sizes. Shards are numbered from the top: a group
+    /// that deals anew takes the lowest numbers from its members first, so the highest stay.
+    pub(crate) fn fleet_shard(&self) -> u32 {
+        self.settings.shards - 1
+    }
+
     pub(crate) fn new(parts: Parts) -> Self {
         let Parts { settings, member, store, runner, fleet, advisor } = parts;
         Self {
@@ -167,6 +180,15 @@
         *lock(&self.standing)
     }
 
+    /// The store has answered.
+    pub(crate) fn store_answers(&self, now: Duration) {
+        let mut standing = lock(&self.standing);
+        if now > standing.store_answered + AWAY_AFTER && !standing.store_answered.is_zero() {
+            standing.store_back = now;
+        }
+        standing.store_answered = now;
+    }
+
     pub(crate) fn set_standing(&self, change: impl FnOnce(&mut Standing)) {
         change(&mut lock(&self.standing));
     }
@@ -176,6 +198,19 @@
         now < self.standing().until && !*self.stopping.borrow()
     }
 
+    /// Whether owners may have acted without the store a moment ago.
+    pub(crate) fn was_store_away(&self, now: Duration) -> bool {
+        let standing = self.standing();
+        now < standing.store_back + AWAY_MEMORY
+    }
+
+    /// Waits until the worker list was read to its end once.
+    pub(crate) async fn list_loaded(&self) {
+        while !self.directory().loaded {
+            tokio::time::sleep(LIST_PAUSE).await;
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -6,7 +6,7 @@
 
 use crosspath_border::advice::Error as AdviceError;
 use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored};
-use crosspath_border::worker::{Error as WorkerError, Start};
+use crosspath_border::worker::{Entry, Error as WorkerError, Start};
 use crosspath_job::progress::State;
 use crosspath_job::record::Record;
 use crosspath_job::{JobId, TaskId};
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::feed::{self, Feed};
 use crate::membership::TTL;
-use crate::node::{FLEET_SHARD, Node, shard_partition};
+use crate::node::{Node, shard_partition};
 use crate::watch::{self, Watch};
 
 /// What a look extends leases to; see [`Terms::hold`].
@@ -61,7 +61,7 @@
     pub(crate) fn start(node: &Arc<Node>, number: u32, pool: Option<Arc<str>>) -> Self {
         let (events, receiver) = mpsc::unbounded_channel();
         let shared = Shared::default();
-        let task = if number == FLEET_SHARD {
+        let task = if number == node.fleet_shard() {
             tokio::spawn(crate::fleet::run(Arc::clone(node)))
         } else {
             let owner = Owner {
@@ -161,6 +161,7 @@
     async fn run(self, mut receiver: mpsc::UnboundedReceiver<Event>) {
         let store = &*self.node.store;
         let claimed = claim(store, shard_partition(self.number), &self.node.member).await;
+        self.node.list_loaded().await;
         let (records, end) = self.newest().await;
         let terms = Terms {
             hold: HOLD.min(self.node.settings.longest_hold),
@@ -171,7 +172,8 @@
             Settings { terms, keep_ended: self.node.settings.keep_ended, membership_ttl: TTL };
         let now = clock::now();
         let mut taken = Scheduler::new(settings, claimed.epoch, now);
-        taken.take_over(now, clock::wall_ms(), decode(&records), self.workers());
+        let unrecorded = self.node.was_store_away(now);
+        taken.take_over(now, clock::wall_ms(), decode(&records), self.workers(), unrecorded);
         *scheduler(&self.shared) = Some(taken);
         let follower = tokio::spawn(follow(
             Arc::clone(&self.node),
@@ -200,11 +202,11 @@
         }
     }
 
-    /// The pool's workers, if the list was read.
-    fn workers(&self) -> Option<Vec<crosspath_border::worker::Entry>> {
+    /// The pool's workers.
+    fn workers(&self) -> Vec<Entry> {
         let directory = self.node.directory();
         let own = directory.entries.values().filter(|entry| entry.pool == self.pool);
-        directory.loaded.then(|| own.cloned().collect())
+        own.cloned().collect()
     }
 
     async fn serve(&self, mut duties: Duties, receiver: &mut mpsc::UnboundedReceiver<Event>) {
@@ -402,7 +404,7 @@
     loop {
         match node.store.append(partition, records, guard).await {
             Ok(_) => {
-                node.set_standing(|standing| standing.store_answered = clock::now());
+                node.store_answers(clock::now());
                 return true;
             }
             Err(error @ (Error::Fenced { .. } | Error::Sequence { .. })) => {
--- a/crates/crosspath_schedule/src/commit.rs
+++ b/crates/crosspath_schedule/src/commit.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_job::record::{Record, keys_of};
+use crosspath_job::{JobId, TaskId};
 
 use crate::action::Action;
 use crate::scheduler::Scheduler;
@@ -25,6 +25,8 @@
 pub(crate) struct Commits {
     dirty: BTreeSet<JobId>,
     since: Duration,
+    /// Runs whose places are to be kept before they are started.
+    planned: Vec<(TaskId, u64)>,
     in_flight: Option<InFlight>,
     forgotten: Vec<JobId>,
 }
@@ -32,6 +34,7 @@
 #[derive(Debug)]
 struct InFlight {
     states: Vec<(JobId, State)>,
+    planned: Vec<(TaskId, u64)>,
     ends: BTreeMap<Arc<str>, u64>,
 }
 
@@ -41,6 +44,12 @@
         self.in_flight.is_none() && !self.dirty.is_empty()
     }
 
+    /// The run's place is to be kept, and the run then started.
+    pub(crate) fn plan(&mut self, now: Duration, task: TaskId, run: u64) {
+        self.touch(now, task.job);
+        self.planned.push((task, run));
+    }
+
     /// The job's progress is to be kept.
     pub(crate) fn touch(&mut self, now: Duration, job: JobId) {
         if self.dirty.is_empty() {
@@ -58,7 +67,8 @@
         if self.commits.dirty.is_empty() && self.commits.forgotten.is_empty() {
             return self.acknowledge_all();
         }
-        if !self.commits.dirty.is_empty() && now < self.commits.since + GATHER {
+        let gathers = !self.commits.dirty.is_empty() && now < self.commits.since + GATHER;
+        if gathers && self.commits.planned.is_empty() {
             return;
         }
         let mut records = Vec::new();
@@ -76,9 +86,14 @@
         for id in std::mem::take(&mut self.commits.forgotten) {
             records.extend(keys_of(id).map(Record::Dropped));
         }
+        let in_batch = |task: &TaskId| !self.commits.dirty.contains(&task.job);
+        let (planned, later) = std::mem::take(&mut self.commits.planned)
+            .into_iter()
+            .partition(|(task, _)| in_batch(task));
+        self.commits.planned = later;
         let ends = if whole { self.ends_seen() } else { BTreeMap::new() };
         self.commits.since = now;
-        self.commits.in_flight = Some(InFlight { states, ends });
+        self.commits.in_flight = Some(InFlight { states, planned, ends });
         self.actions.push(Action::Commit { records });
     }
 
@@ -102,8 +117,17 @@
         self.actions.push(Action::Acknowledge { worker: Arc::clone(id), number });
     }
 
-    pub(crate) fn committed(&mut self) {
-        let Some(InFlight { states, ends }) = self.commits.in_flight.take() else { return };
+    pub(crate) fn committed(&mut self, now: Duration) {
+        let Some(InFlight { states, planned, ends }) = self.commits.in_flight.take() else {
+            return;
+        };
+        for (task, run) in planned {
+            if self.may_act {
+                self.send_start(now, task, run);
+            } else {
+                self.drop_planned(now, task, run);
+            }
+        }
         for (id, state) in states {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.kept = state;
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -11,6 +11,8 @@
 /// How far a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
+    /// It is being written to the log; nothing was sent.
+    Planned,
     /// The start was sent.
     Starting,
     /// The worker runs it.
@@ -73,6 +75,14 @@
     pub freed: Duration,
 }
 
+impl Task {
+    /// Number and worker of each run.
+    fn placements(&self) -> Vec<(u64, Arc<str>)> {
+        let runs = self.runs.iter();
+        runs.map(|run| (run.number, Arc::clone(&run.worker))).collect()
+    }
+}
+
 /// The tasks of a step at one of the job's times.
 #[derive(Debug, Clone)]
 pub struct StepRun {
@@ -151,6 +161,7 @@
         self.ended = now;
         for (key, kept) in &progress.tasks {
             let Some(task) = parse_key(key).and_then(|(time, step, index)| {
+                let (time, step, index) = (time as usize, step as usize, index as usize);
                 let step = self.instances.get_mut(time)?.steps.get_mut(step)?;
                 let task = step.tasks.get_mut(index)?;
                 if kept.done && !task.done {
@@ -164,7 +175,8 @@
             task.done = kept.done;
             task.failures = kept.failures;
             task.failed_run = kept.failed_run;
-            task.last_run = kept.failed_run;
+            let runs = kept.runs.iter().map(|(run, _)| *run);
+            task.last_run = runs.chain([kept.failed_run]).max().unwrap_or_default();
             task.checkpoint.clone_from(&kept.checkpoint);
         }
     }
@@ -181,6 +193,7 @@
                             done: task.done,
                             failures: task.failures,
                             failed_run: task.failed_run,
+                            runs: task.placements(),
                             checkpoint: task.checkpoint.clone().filter(|_| !task.done),
                         };
                         if kept != TaskProgress::default() {
@@ -230,7 +243,8 @@
     }
 }
 
-fn parse_key(key: &str) -> Option<(usize, usize, usize)> {
+/// Time, step and index of a task, from its key in a job's progress.
+pub(crate) fn parse_key(key: &str) -> Option<(u32, u32, u32)> {
     let mut parts = key.split('.').map(str::parse);
     let mut next = || parts.next()?.ok();
     Some((next()?, next()?, next()?))
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -56,11 +56,9 @@
     fn has_room_elsewhere(&self, now: Duration, id: TaskId) -> bool {
         let Some(step) = self.step_of(id) else { return false };
         let room = step.reserved();
-        self.workers.values().any(|worker| {
-            worker.is_usable(now)
-                && !self.vacate.contains(&worker.entry.vm)
-                && room.fits(&worker.free())
-        })
+        self.workers
+            .values()
+            .any(|worker| self.takes(now, worker, id, step) && room.fits(&worker.free()))
     }
 
     /// The pool for the fleet's owner.
@@ -89,9 +87,18 @@
             pool.largest_millis = pool.largest_millis.max(cpu);
         }
         pool.blocked_millis = self.blocked_millis();
+        pool.spread = self.spread();
         pool
     }
 
+    /// Workers over which some step must be spread.
+    fn spread(&self) -> u32 {
+        let running = self.jobs.values().filter(|job| !job.state.is_final());
+        let steps = running.flat_map(|job| &job.accepted.spec.steps);
+        let spread = steps.filter(|step| step.per_worker > 0);
+        spread.map(|step| step.tasks.div_ceil(step.per_worker)).max().unwrap_or(0)
+    }
+
     fn blocked_millis(&self) -> u64 {
         let mut total = 0;
         for job in self.jobs.values().filter(|job| !job.state.is_final()) {
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -121,6 +121,7 @@
         true
     }
 
+    /// Plans a run; it is sent once its place is kept in the log.
     fn start(
         &mut self,
         now: Duration,
@@ -129,31 +130,53 @@
         worker: &Arc<str>,
         checkpoint: Option<Arc<str>>,
     ) {
-        let terms = self.settings.terms;
-        let ticket = self.tickets.ticket(id, worker);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
-        let text = Arc::clone(&job.accepted.spec.text);
         let room = job.accepted.spec.steps[id.step as usize].reserved();
         let Some(task) = job.task_mut(id) else { return };
         task.last_run = run;
         task.runs.push(Run {
             number: run,
             worker: Arc::clone(worker),
-            phase: Phase::Starting,
+            phase: Phase::Planned,
             sent: now,
             answered: now,
             stop_sent: Duration::ZERO,
             percent: 0,
             progressed: now,
-            checkpoint: checkpoint.clone(),
+            checkpoint,
             gauge: 0,
             pace: 100,
         });
         let Some(known) = self.workers.get_mut(worker) else { return };
         known.reserve(id, run, room);
-        known.leased_until(terms.over(now, terms.start));
-        let worker = known.target();
-        self.actions.push(Action::Start { worker, task: id, run, text, checkpoint, ticket });
+        self.commits.plan(now, id, run);
+    }
+
+    /// Sends the start of a planned run, its place being kept.
+    pub(crate) fn send_start(&mut self, now: Duration, id: TaskId, number: u64) {
+        let terms = self.settings.terms;
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let text = Arc::clone(&job.accepted.spec.text);
+        let Some(task) = job.task_mut(id) else { return };
+        let Some(run) = task.runs.iter_mut().find(|run| run.number == number) else { return };
+        if run.phase != Phase::Planned {
+            return;
+        }
+        run.phase = Phase::Starting;
+        run.sent = now;
+        let checkpoint = run.checkpoint.clone();
+        let Some(worker) = self.workers.get_mut(&run.worker) else { return };
+        worker.leased_until(terms.over(now, terms.start));
+        let worker = worker.target();
+        let ticket = self.tickets.ticket(id, &worker.id);
+        self.actions.push(Action::Start {
+            worker,
+            task: id,
+            run: number,
+            text,
+            checkpoint,
+            ticket,
+        });
     }
 
     fn best_worker(&self, now: Duration, id: TaskId) -> Option<Arc<str>> {
@@ -169,7 +192,7 @@
     }
 
     /// Whether a task may go to a worker, room aside.
-    fn takes(&self, now: Duration, worker: &Worker, id: TaskId, step: &Step) -> bool {
+    pub(crate) fn takes(&self, now: Duration, worker: &Worker, id: TaskId, step: &Step) -> bool {
         let label = step.requires.as_ref().is_none_or(|label| worker.has_label(label));
         let spread = step.per_worker == 0 || on_worker(worker, id) < step.per_worker;
         label
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -34,6 +34,8 @@
     pub blocked_millis: u64,
     /// Largest single task that waits.
     pub largest_millis: u64,
+    /// VMs over which some step must be spread.
+    pub spread: u32,
     /// Its VMs.
     pub vms: Vec<Vm>,
 }
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -140,7 +140,7 @@
                 self.tickets.advised(now, step, asked, answer);
                 self.place_again = true;
             }
-            Event::Committed => self.committed(),
+            Event::Committed => self.committed(now),
             Event::Vacate(vms) => {
                 self.place_again |= vms != self.vacate;
                 self.vacate = vms;
@@ -328,6 +328,9 @@
         if matches!(run.phase, Phase::Stopped) {
             return;
         }
+        if run.phase == Phase::Planned {
+            return self.drop_planned(now, id, number);
+        }
         if !matches!(run.phase, Phase::Doubtful) {
             run.phase = Phase::Stopping;
         }
@@ -336,6 +339,15 @@
         self.actions.push(Action::Stop { worker: worker.target(), task: id, run: number });
     }
 
+    /// Gives up a run of which nothing was sent.
+    pub(crate) fn drop_planned(&mut self, now: Duration, id: TaskId, number: u64) {
+        let Some(run) = self.run(id, number) else { return };
+        if run.phase == Phase::Planned {
+            let worker = Arc::clone(&run.worker);
+            self.drop_and_queue(now, &worker, id, number, "not_sent");
+        }
+    }
+
     fn stop_again(&mut self, now: Duration) {
         let mut again = Vec::new();
         for worker in self.workers.values().filter(|worker| worker.failures == 0) {
@@ -382,6 +394,7 @@
 
     fn worker_seen(&mut self, now: Duration, entry: Entry) {
         if self.workers.values().any(|worker| worker.entry.replaces(&entry)) {
+            self.place_again |= self.settlement.accounted(&entry.id);
             return;
         }
         let replaced: Vec<_> = self
@@ -455,9 +468,7 @@
                 self.worker_dead(now, &id, "gone");
             }
         }
-        if self.settlement.ends(now) {
-            self.place_again = true;
-        }
+        self.place_again |= self.settlement.ends(now);
     }
 
     fn hold_failed(
@@ -508,9 +519,7 @@
             self.is_running(now, id, running);
         }
         self.reconcile(now, id, sent, &held.running);
-        if self.settlement.accounted(id) {
-            self.place_again = true;
-        }
+        self.place_again |= self.settlement.accounted(id);
     }
 
     /// A run that the worker lists.
@@ -571,6 +580,7 @@
                 pace: 100,
             });
         }
+        self.commits.touch(now, id.job);
         self.begun(now, id.job);
     }
 
@@ -587,7 +597,7 @@
                 continue;
             };
             let ruled_out = match run.phase {
-                Phase::Starting | Phase::Stopping => false,
+                Phase::Planned | Phase::Starting | Phase::Stopping => false,
                 Phase::Running | Phase::Stopped => run.answered < sent,
                 Phase::Doubtful => self.settings.terms.over(run.sent, start) < sent,
             };
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -1,10 +1,13 @@
 //! Taking a shard over: what the log kept, and what may still run unseen.
 //!
-//! An owner before may have started tasks that are in no record. They are found by looking at all
-//! workers. A task of an inherited job that no worker shows is started only once every worker has
-//! answered under the new token, or whatever an owner before could have started has lapsed.
+//! Where a run is started is written to the log before, so a new owner knows on which workers a
+//! task may run. A task that has no run by the answers of those workers is started at once; one that
+//! may be on a worker that does not answer waits until whatever was ordered there must have lapsed.
+//!
+//! While the store is away, owners start runs that no record tells of. A new owner that cannot rule
+//! that out waits for every worker in the same way.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,58 +17,71 @@
 use crosspath_job::{JobId, TaskId};
 
 use crate::event::Event;
+use crate::job;
 use crate::scheduler::{Scheduler, Settings};
 
 /// For orders of the owner before that were on their way.
 const IN_FLIGHT: Duration = Duration::from_millis(500);
 
-/// Whether all that an owner before started is accounted for.
+/// Which inherited tasks may have runs that this owner has not seen.
 #[derive(Debug)]
 pub(crate) struct Settlement {
-    /// Workers that have not answered yet; none before the worker list was read.
-    pending: Option<BTreeSet<Arc<str>>>,
+    /// Workers that may have runs of the task, as the log tells.
+    expected: BTreeMap<TaskId, Vec<Arc<str>>>,
+    /// Workers that have not answered yet and whose life is not over.
+    unaccounted: BTreeSet<Arc<str>>,
+    /// Whether there may be runs that no record tells of.
+    unrecorded: bool,
     /// When everything unseen has lapsed.
     until: Duration,
-    settled: bool,
+    over: bool,
 }
 
 impl Settlement {
     pub(crate) fn new(settings: &Settings, now: Duration) -> Self {
         let acting = now + settings.membership_ttl + IN_FLIGHT;
         let until = settings.terms.over(acting, settings.terms.hold);
-        Self { pending: None, until, settled: false }
-    }
-
-    pub(crate) fn is_settled(&self) -> bool {
-        self.settled
+        Self {
+            expected: BTreeMap::new(),
+            unaccounted: BTreeSet::new(),
+            unrecorded: false,
+            until,
+            over: false,
+        }
     }
 
-    /// A worker has answered, or its life is over; whether that settles it.
+    /// A worker has answered, or its life is over; whether that may free tasks.
     pub(crate) fn accounted(&mut self, worker: &Arc<str>) -> bool {
-        let Some(pending) = &mut self.pending else { return false };
-        pending.remove(worker);
-        let settles = !self.settled && pending.is_empty();
-        self.settled |= settles;
-        settles
+        self.unaccounted.remove(worker)
     }
 
-    /// Whether time settles it now.
+    /// Whether time settles everything now.
     pub(crate) fn ends(&mut self, now: Duration) -> bool {
-        let settles = !self.settled && now >= self.until;
-        self.settled |= settles;
-        settles
+        let ends = !self.over && now >= self.until;
+        self.over |= ends;
+        ends
+    }
+
+    fn may_be_unseen(&self, task: TaskId) -> bool {
+        if self.over || self.unaccounted.is_empty() {
+            return false;
+        }
+        let expected = self.expected.get(&task);
+        self.unrecorded
+            || expected.is_some_and(|on| on.iter().any(|id| self.unaccounted.contains(id)))
     }
 }
 
 impl Scheduler {
-    /// Takes over what the log kept, newest record of each key; and the workers, if the list is
-    /// known to be whole.
+    /// Takes over what the log kept, newest record of each key, and the workers as listed.
+    /// `unrecorded` tells that runs may have been started without a record.
     pub fn take_over(
         &mut self,
         now: Duration,
         wall_ms: u64,
         records: Vec<Record>,
-        workers: Option<Vec<Entry>>,
+        workers: Vec<Entry>,
+        unrecorded: bool,
     ) {
         let mut progress: Vec<(JobId, Progress)> = Vec::new();
         let mut cancelled = Vec::new();
@@ -80,31 +96,54 @@
         for (id, kept) in progress {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.restore(&kept, now);
+                self.settlement.expected.extend(placements(id, &kept));
             }
         }
         for job in self.jobs.values_mut() {
             job.inherited = true;
         }
+        self.settlement.unrecorded = unrecorded;
+        let expected = self.settlement.expected.values().flatten().cloned();
+        self.settlement.unaccounted = expected.collect();
+        if unrecorded {
+            let listed = workers.iter().map(|entry| Arc::clone(&entry.id));
+            self.settlement.unaccounted.extend(listed);
+        }
+        let (jobs, open) = (self.jobs.len(), self.settlement.unaccounted.len());
+        log::info!(
+            "event=taken_over jobs={jobs} workers={} expected_on={open} unrecorded={unrecorded} epoch={}",
+            workers.len(),
+            self.epoch
+        );
         for id in cancelled {
             self.cancel(now, id);
         }
         let ids: Vec<_> = self.jobs.keys().copied().collect();
-        for id in &ids {
-            self.open_steps(now, wall_ms, *id);
+        for id in ids {
+            self.open_steps(now, wall_ms, id);
         }
-        let listed = workers.is_some();
-        for entry in workers.into_iter().flatten() {
+        for entry in workers {
             self.handle(now, wall_ms, Event::WorkerSeen(entry));
         }
-        let pending: BTreeSet<_> = self.workers.keys().cloned().collect();
-        let nothing = !self.jobs.values().any(|job| !job.state.is_final());
-        self.settlement.settled |= nothing || (listed && pending.is_empty());
-        self.settlement.pending = listed.then_some(pending);
-        log::info!("event=taken_over jobs={} listed={listed} epoch={}", ids.len(), self.epoch);
     }
 
     /// Whether a task may be unseen on some worker.
     pub(crate) fn may_be_unseen(&self, task: TaskId) -> bool {
-        !self.settlement.is_settled() && self.jobs.get(&task.job).is_some_and(|job| job.inherited)
+        let inherited = self.jobs.get(&task.job).is_some_and(|job| job.inherited);
+        inherited && self.settlement.may_be_unseen(task)
+    }
+}
+
+/// Workers that may have runs of a job's tasks.
+fn placements(job: JobId, kept: &Progress) -> Vec<(TaskId, Vec<Arc<str>>)> {
+    let mut found = Vec::new();
+    for (key, task) in &kept.tasks {
+        let Some((time, step, index)) = job::parse_key(key) else { continue };
+        let id = TaskId { job, time, step, index };
+        let workers: Vec<_> = task.runs.iter().map(|(_, worker)| Arc::clone(worker)).collect();
+        if !workers.is_empty() {
+            found.push((id, workers));
+        }
     }
+    found
 }
