VM orders are announced in the log, owners go on together while the store is away, smaller pools at rest

Cause: a new fleet owner waited 3 s for its predecessor's orders on every takeover and restart; owners stood still while the store was away for all; pools at rest kept 4 VMs. Change: the owner keeps when it orders which VM about, and its successor spares just those; a majority that agrees that the store answers nobody goes on; pools keep their spread, one more only while being emptied.

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -10,13 +10,13 @@
 /// How far ahead is forecast: a move takes 1.5 s, hearing of it and of the new worker about 1 s.
 const LEAD: Duration = Duration::from_millis(2_500);
 /// Share of the work of later steps that is wanted already.
-const BLOCKED_SHARE: f64 = 0.5;
+const BLOCKED_SHARE: f64 = 0.2;
 /// Capacity per unit of demand: room for uneven tasks and for what the forecast misses.
 const HEADROOM: f64 = 1.25;
 /// VMs beyond that, for the first jobs of a peak and the loss of a VM.
 const RESERVE: f64 = 1.0;
-/// VMs of a pool at least: lasting tasks are spread over some VMs, and a rack may go.
-const LEAST: u32 = 4;
+/// VMs of a pool at least, so that it goes on when a VM is lost.
+const LEAST: u32 = 2;
 
 /// Demand of a pool over the last moments.
 #[derive(Debug, Default)]
@@ -47,12 +47,12 @@
         last + growth * LEAD.as_secs_f64()
     }
 
-    /// VMs of `vm_millis` each that are wanted.
-    pub(crate) fn vms(&self, vm_millis: u64) -> u32 {
+    /// VMs of `vm_millis` each that are wanted, one more while VMs of the pool are `being_emptied`:
+    /// tasks that must be spread need a place to move to.
+    pub(crate) fn vms(&self, vm_millis: u64, being_emptied: bool) -> u32 {
         let wanted = self.forecast() * HEADROOM / vm_millis.max(1) as f64 + RESERVE;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some VMs")]
         let wanted = wanted.ceil() as u32;
-        // One more than the spread, so that a VM can be emptied or lost.
-        wanted.max(LEAST).max(self.spread + 1)
+        wanted.max(LEAST).max(self.spread + u32::from(being_emptied))
     }
 }
--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -13,6 +13,9 @@
 /// Moves planned in one round at most; the platform takes a bounded number of orders a second.
 const MAX_MOVES: usize = 12;
 
+/// Between two lines on each pool.
+const TELL_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// VMs that a pool has and wants.
 #[derive(Debug, Clone, Copy, Default)]
 struct Balance {
@@ -33,6 +36,7 @@
 impl Planner {
     pub(crate) fn choose_moves(&mut self, now: Duration, view: &View) {
         let mut balances = self.balances(view);
+        self.tell(now, view, &balances);
         for _ in 0..MAX_MOVES {
             let neediest = balances.iter().max_by_key(|(_, balance)| balance.lacks());
             let Some((pool, balance)) = neediest else { return };
@@ -52,6 +56,23 @@
         }
     }
 
+    /// One line a pool, now and then.
+    fn tell(&mut self, now: Duration, view: &View, balances: &BTreeMap<Arc<str>, Balance>) {
+        if now < self.told + TELL_INTERVAL {
+            return;
+        }
+        self.told = now;
+        for (name, pool) in &view.pools {
+            let Balance { has, wants } = balances.get(name).copied().unwrap_or_default();
+            log::info!(
+                "event=pool pool={name} has={has} wants={wants} running_millis={} waiting_millis={} blocked_millis={}",
+                pool.running_millis,
+                pool.waiting_millis,
+                pool.blocked_millis
+            );
+        }
+    }
+
     fn move_vm(
         &mut self,
         now: Duration,
@@ -74,8 +95,9 @@
         let mut balances = BTreeMap::new();
         for pool in view.serving.iter().filter(|pool| view.pools.contains_key(*pool)) {
             let sizes = view.vms.iter().map(|vm| vm.capacity.cpu_millis);
-            let wants =
-                self.demands.get(pool).map_or(0, |demand| demand.vms(sizes.max().unwrap_or(1)));
+            let largest = sizes.max().unwrap_or(1);
+            let emptied = self.is_to_be_emptied(pool, view);
+            let wants = self.demands.get(pool).map_or(0, |demand| demand.vms(largest, emptied));
             balances.insert(Arc::clone(pool), Balance { has: 0, wants });
         }
         for vm in &view.vms {
@@ -93,6 +115,12 @@
         balances
     }
 
+    /// Whether a wave still has VMs of the pool to empty.
+    fn is_to_be_emptied(&self, pool: &Arc<str>, view: &View) -> bool {
+        let left = view.waves.iter().flat_map(|(wave, _)| self.left(wave, view));
+        left.into_iter().any(|vm| vm.pool == *pool)
+    }
+
     /// A VM for a pool that lacks some: off, or idle where more are than wanted, or nearly so.
     fn donor(
         &self,
--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -79,20 +79,28 @@
     pub(crate) maintained: BTreeMap<u64, BTreeSet<Arc<str>>>,
     pub(crate) not_before: BTreeMap<Arc<str>, Duration>,
     pub(crate) immovable: BTreeSet<Arc<str>>,
+    /// When pools were last told of in the log.
+    pub(crate) told: Duration,
 }
 
 impl Planner {
-    /// A planner that knows which VMs have had their upkeep.
+    /// A planner that knows which VMs have had their upkeep, and before when which VM must not be
+    /// ordered about.
     #[must_use]
-    pub fn new(settings: Settings, maintained: BTreeMap<u64, BTreeSet<Arc<str>>>) -> Self {
+    pub fn new(
+        settings: Settings,
+        maintained: BTreeMap<u64, BTreeSet<Arc<str>>>,
+        not_before: BTreeMap<Arc<str>, Duration>,
+    ) -> Self {
         Self {
             settings,
             intents: BTreeMap::new(),
             demands: BTreeMap::new(),
             idle_since: BTreeMap::new(),
             maintained,
-            not_before: BTreeMap::new(),
+            not_before,
             immovable: BTreeSet::new(),
+            told: Duration::ZERO,
         }
     }
 
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -18,7 +18,7 @@
 
 impl Planner {
     /// VMs of a wave that stay and have not had their upkeep.
-    fn left<'a>(&self, wave: &Wave, view: &'a View) -> Vec<&'a Vm> {
+    pub(crate) fn left<'a>(&self, wave: &Wave, view: &'a View) -> Vec<&'a Vm> {
         let had = self.maintained.get(&wave.number);
         let is_left =
             |vm: &&Vm| wave.vms.contains(&vm.name) && had.is_none_or(|had| !had.contains(&vm.name));
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -1,14 +1,15 @@
 //! Owning the fleet: waves, moves, pool sizes.
 //!
 //! The owner claims the fleet's shard as owners of pools claim theirs; the claim's place in the log
-//! is its token towards the platform. Which VMs have had their upkeep is kept in the shard.
+//! is its token towards the platform. Which VMs have had their upkeep is kept in the shard, and when
+//! each VM was last ordered about: the platform wants some seconds between orders of two owners.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_border::operator::{Wave, WaveState};
-use crosspath_border::store::{Guard, Keyed, Topic};
+use crosspath_border::store::{Guard, Keyed, Stored, Topic};
 use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict};
 use crosspath_fleet::{Outcome, Planner, Settings, View};
 use crosspath_schedule::report;
@@ -25,9 +26,10 @@
 const ROUND: Duration = Duration::from_millis(200);
 /// Between readings of the list of VMs without a change under way.
 const LIST_INTERVAL: Duration = Duration::from_millis(400);
-/// Before the first round after a start: pools are claimed by then.
-const SETTLE: Duration = Duration::from_millis(500);
+/// By which the clocks of daemons may differ; they are stepped by 2 s at times.
+const CLOCK_DIFFERENCE: Duration = Duration::from_millis(2_500);
 const UPKEEP_KEY: &str = "upkeep/";
+const ORDER_KEY: &str = "order/";
 
 /// Runs while this daemon holds the fleet's shard.
 pub(crate) async fn run(node: Arc<Node>) {
@@ -36,15 +38,13 @@
         return;
     };
     let claimed = claim(&*node.store, shard_partition(node.fleet_shard()), &node.member).await;
-    let maintained = maintained(&node).await;
-    // An owner before may have given orders until a moment ago.
-    let wait = if claimed.epoch > 1 { node.settings.vm_order } else { SETTLE };
-    tokio::time::sleep(wait).await;
+    let kept = kept(&node).await;
+    let not_before = kept.not_before(clock::now(), clock::wall_ms(), node.settings.vm_order);
     let costs = node.settings.costs;
     let settings = Settings { vm_second: costs.vm_second, vm_move: costs.vm_move };
     let mut owner = Owner {
         authority: Authority { holder: Arc::clone(&node.settings.name), token: claimed.token },
-        planner: Planner::new(settings, maintained),
+        planner: Planner::new(settings, kept.maintained, not_before),
         view: View::default(),
         listed: Duration::ZERO,
         sequence: claimed.sequence,
@@ -58,26 +58,60 @@
     }
 }
 
-/// VMs that have had their upkeep, as kept.
-async fn maintained(node: &Node) -> BTreeMap<u64, BTreeSet<Arc<str>>> {
-    let records = loop {
+/// What owners before have kept.
+#[derive(Debug, Default)]
+struct Kept {
+    /// VMs that have had their upkeep, by wave.
+    maintained: BTreeMap<u64, BTreeSet<Arc<str>>>,
+    /// When each VM was last ordered about, in ms since 1970.
+    ordered: BTreeMap<Arc<str>, u64>,
+}
+
+impl Kept {
+    fn take(&mut self, record: &Stored) {
+        if let Some(vm) = record.key.strip_prefix(ORDER_KEY) {
+            let at = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
+            self.ordered.insert(vm.into(), at.unwrap_or(u64::MAX));
+            return;
+        }
+        let upkeep = record.key.strip_prefix(UPKEEP_KEY).and_then(|rest| rest.split_once('/'));
+        let Some((wave, vm)) = upkeep else { return };
+        if let Ok(wave) = wave.parse() {
+            self.maintained.entry(wave).or_default().insert(vm.into());
+        }
+    }
+
+    /// Before when a VM must be left alone: its last order may be too young for another holder's.
+    fn not_before(
+        &self,
+        now: Duration,
+        wall_ms: u64,
+        rest: Duration,
+    ) -> BTreeMap<Arc<str>, Duration> {
+        let recent = |at: &u64| wall_ms < at.saturating_add(as_ms(rest + CLOCK_DIFFERENCE));
+        let vms = self.ordered.iter().filter(|(_, at)| recent(at));
+        vms.map(|(vm, _)| (Arc::clone(vm), now + rest)).collect()
+    }
+}
+
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn kept(node: &Node) -> Kept {
+    loop {
         match feed::newest(node, shard_partition(node.fleet_shard())).await {
-            Ok((records, _)) => break records,
+            Ok((records, _)) => {
+                let mut kept = Kept::default();
+                records.iter().for_each(|record| kept.take(record));
+                return kept;
+            }
             Err(error) => {
                 log::info!("event=fleet_unread error=\"{error}\"");
                 tokio::time::sleep(ROUND).await;
             }
         }
-    };
-    let mut found: BTreeMap<u64, BTreeSet<Arc<str>>> = BTreeMap::new();
-    for record in records {
-        let Some(rest) = record.key.strip_prefix(UPKEEP_KEY) else { continue };
-        let Some((wave, vm)) = rest.split_once('/') else { continue };
-        if let Ok(wave) = wave.parse() {
-            found.entry(wave).or_default().insert(vm.into());
-        }
     }
-    found
 }
 
 #[derive(Debug)]
@@ -168,6 +202,12 @@
 
     /// Gives orders; whether none told of a later owner.
     async fn give(&mut self, orders: Vec<(Arc<str>, Order)>) -> bool {
+        if orders.is_empty() {
+            return true;
+        }
+        if !self.announce(&orders).await {
+            return false;
+        }
         let calls = orders.into_iter().map(|(vm, order)| {
             let (fleet, authority) = (Arc::clone(&self.fleet), self.authority.clone());
             async move {
@@ -189,6 +229,16 @@
         !fenced && (noted.is_empty() || self.keep(noted).await)
     }
 
+    /// Keeps which VMs are ordered about now, for the next owner.
+    async fn announce(&mut self, orders: &[(Arc<str>, Order)]) -> bool {
+        let now = clock::wall_ms().to_string();
+        let record = |(vm, _): &(Arc<str>, Order)| {
+            let key = format!("{ORDER_KEY}{vm}");
+            Keyed { key, value: now.clone().into() }
+        };
+        self.keep(orders.iter().map(record).collect()).await
+    }
+
     fn take(&mut self, vm: &Arc<str>, order: &Order, outcome: Outcome) -> Option<u64> {
         if outcome == Err(Error::NoAnswer) {
             log::info!("event=vm_order_unanswered vm={vm}");
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use crosspath_border::store::{Join, Membership};
+use futures::future::join_all;
 
 use crate::clock;
 use crate::node::Node;
+use crate::rpc::{Answer, Question};
 use crate::shard::{self, Handle};
 
 /// Silence after which the group deals this daemon's shards to others. Short, since nothing new
@@ -18,8 +20,15 @@
 const INTERVAL: Duration = Duration::from_millis(150);
 /// A join without an answer is sent again after this.
 const TIMEOUT: Duration = Duration::from_millis(500);
+/// The same while the store is away for all: the others must be asked again soon.
+const AWAY_TIMEOUT: Duration = Duration::from_millis(250);
 /// This daemon counts itself out so much earlier than the group does.
 const MARGIN: Duration = Duration::from_millis(50);
+/// So long before it counts itself out, a daemon without answer asks the others.
+const LOOK_AROUND: Duration = Duration::from_millis(400);
+/// For which the others' word holds that the store is away. The store deals no shard sooner after
+/// its return than a member's silence may last.
+const AWAY_LEASE: Duration = Duration::from_millis(900);
 /// Between readings of who holds what, besides those after changes.
 const HOLDERS_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -33,7 +42,8 @@
         let mut pause = INTERVAL;
         let sent = clock::now();
         let join = Join { member: Arc::clone(&node.member), ttl, generation };
-        match tokio::time::timeout(TIMEOUT, node.store.join(&join)).await {
+        let timeout = if node.is_store_away(sent) { AWAY_TIMEOUT } else { TIMEOUT };
+        match tokio::time::timeout(timeout, node.store.join(&join)).await {
             Ok(Ok(membership)) => {
                 node.store_answers(clock::now());
                 node.set_standing(|standing| standing.until = sent + ttl - MARGIN);
@@ -51,6 +61,9 @@
             Ok(Err(error)) => log::info!("event=join_failed error=\"{error}\""),
             Err(_) => log::info!("event=join_failed error=\"timed out\""),
         }
+        if clock::now() + LOOK_AROUND > node.standing().until {
+            look_around(&node).await;
+        }
         if !pause.is_zero() {
             let stop = stopping.wait_for(|stopping| *stopping);
             // Either way the loop looks at what it is to do next.
@@ -85,6 +98,34 @@
     released
 }
 
+/// Asks the other daemons whether the store answers them.
+///
+/// Another daemon can own this one's shards only once the store has counted this one out, and then
+/// answered that other. If the store has answered nobody since the time until which this daemon
+/// counts, nobody else owns them, and this daemon goes on acting. A majority of the members last
+/// known, this one included, must say so, and none the contrary.
+async fn look_around(node: &Arc<Node>) {
+    let others = node.other_daemons();
+    let asked = clock::now();
+    let asks = others.iter().map(|address| node.peers.ask(*address, &Question::Store));
+    let answers = join_all(asks).await;
+    let until = node.standing().until;
+    let mut agree = 1;
+    for answer in answers {
+        let Ok(Answer::Store { answered_ms_ago }) = answer else { continue };
+        let answered = asked.saturating_sub(Duration::from_millis(answered_ms_ago));
+        if answered > until {
+            log::info!("event=store_serves_others");
+            return;
+        }
+        agree += 1;
+    }
+    if agree * 2 > others.len() + 1 {
+        log::debug!("event=store_away agree={agree}");
+        node.set_standing(|standing| standing.away_until = asked + AWAY_LEASE);
+    }
+}
+
 async fn refresh_holders(node: Arc<Node>) {
     match node.store.holders().await {
         Ok(holders) => {
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Standing {
     /// Until when the group surely counts this daemon as a member.
     pub(crate) until: Duration,
+    /// Until when the store is surely away for all, so that nobody else can own.
+    pub(crate) away_until: Duration,
     /// When the store last answered anything.
     pub(crate) store_answered: Duration,
     /// When the store last answered after it had been silent for long.
@@ -195,7 +197,14 @@
 
     /// Whether this daemon may act as owner at `now`.
     pub(crate) fn may_act(&self, now: Duration) -> bool {
-        now < self.standing().until && !*self.stopping.borrow()
+        let standing = self.standing();
+        now < standing.until.max(standing.away_until) && !*self.stopping.borrow()
+    }
+
+    /// Whether this daemon may act only since the store is away for all.
+    pub(crate) fn is_store_away(&self, now: Duration) -> bool {
+        let standing = self.standing();
+        now >= standing.until && now < standing.away_until
     }
 
     /// Whether owners may have acted without the store a moment ago.
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -212,6 +212,7 @@
     async fn serve(&self, mut duties: Duties, receiver: &mut mpsc::UnboundedReceiver<Event>) {
         let mut events = Vec::new();
         let mut may_act = true;
+        let mut away = false;
         let mut gathers = false;
         let mut ticked = Duration::ZERO;
         loop {
@@ -231,6 +232,12 @@
                 log::info!("event=may_act shard={} may_act={acts}", self.number);
                 events.push(Event::MayAct(acts));
             }
+            let is_away = self.node.is_store_away(now);
+            if is_away != away {
+                away = is_away;
+                log::info!("event=store_away shard={} away={away}", self.number);
+                events.push(Event::StoreAway(away));
+            }
             let Some(actions) = self.decide(now, &mut events, &mut gathers) else { return };
             for action in actions {
                 self.carry_out(&mut duties, action);
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -62,6 +62,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) vacate: BTreeSet<Arc<str>>,
     pub(crate) may_act: bool,
+    pub(crate) store_away: bool,
     pub(crate) place_again: bool,
     /// Jobs that were cancelled before their record was read.
     cancelled_early: BTreeSet<JobId>,
@@ -84,6 +85,7 @@
             tickets: Tickets::default(),
             vacate: BTreeSet::new(),
             may_act: true,
+            store_away: false,
             place_again: false,
             cancelled_early: BTreeSet::new(),
             superseded: false,
@@ -149,6 +151,12 @@
                 self.place_again |= may_act;
                 self.may_act = may_act;
             }
+            Event::StoreAway(away) => {
+                self.store_away = away;
+                if away {
+                    self.start_unkept(now);
+                }
+            }
             Event::Superseded => self.superseded = true,
             Event::Tick => {
                 self.open_due(now, wall_ms);
@@ -166,6 +174,9 @@
             self.pace();
             if std::mem::take(&mut self.place_again) {
                 self.place(now);
+                if self.store_away {
+                    self.start_unkept(now);
+                }
             }
         }
         self.commit(now, wall_ms);
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -116,6 +116,19 @@
     assert_eq!(bed.starts().len(), 2);
 }
 
+#[test]
+fn while_the_store_is_away_starts_go_on_without_a_record() {
+    let mut bed = Bed::with_workers(&["a"]);
+    bed.keeps = false;
+    bed.submit(vec![step(2, 2)]);
+    bed.send(Event::StoreAway(true));
+    assert_eq!(bed.starts().len(), 2);
+    // The record that was under way is kept late; nothing is started by it again.
+    bed.send(Event::StoreAway(false));
+    bed.send(Event::Committed);
+    assert_eq!(bed.starts(), Vec::new());
+}
+
 #[test]
 fn an_end_that_the_owner_before_kept_but_did_not_acknowledge_counts_once() {
     let mut first = Bed::with_workers(&["a"]);
