--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -16,6 +16,8 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(1_200);
 /// A VM whose order is done is back in the list within this; a move or upkeep takes about 2 s.
 const BACK_WITHIN: Duration = Duration::from_secs(5);
+/// A list that was asked for so long after an order shows it.
+const LIST_LAG: Duration = Duration::from_millis(800);
 /// Before a VM that was refused is tried again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(1_000);
 /// For which a VM that is to become vacant may take; after it another is chosen.
@@ -44,6 +46,8 @@
 pub struct View {
     /// All VMs as listed.
     pub vms: Vec<Vm>,
+    /// When the list was asked for.
+    pub listed: Duration,
     /// Pools whose owners answered just now, with the VMs that were to become vacant in force.
     pub pools: BTreeMap<Arc<str>, report::Pool>,
     /// Pools that serve.
@@ -179,7 +183,7 @@
                 Stage::Done { at } => {
                     let there = intent.moves_to().is_none_or(|pool| *pool == vm.pool);
                     // The list may lag behind the order.
-                    let back = there && vm.state == State::Up && now > at + Duration::from_secs(1);
+                    let back = there && vm.state == State::Up && view.listed > at + LIST_LAG;
                     !back && now < at + BACK_WITHIN
                 }
             }
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -28,9 +28,7 @@
     pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View) {
         for (wave, started) in &view.waves {
             let left = self.left(wave, view);
-            let under_way = self.intents.values();
-            let under_way =
-                under_way.filter(|intent| intent.upkeep_of() == Some(wave.number)).count();
+            let under_way = self.under_way(now, wave, view);
             let mut slots = (wave.maximum.max(1) as usize).saturating_sub(under_way);
             let end = *started + Duration::from_millis(wave.deadline_ms);
             let rounds = left.len().div_ceil(wave.maximum.max(1) as usize);
@@ -56,6 +54,17 @@
         }
     }
 
+    /// VMs of a wave that are, or may be, in their upkeep, also by orders of an owner before.
+    fn under_way(&self, now: Duration, wave: &Wave, view: &View) -> usize {
+        let of_wave = view.vms.iter().filter(|vm| wave.vms.contains(&vm.name));
+        let busy = of_wave.filter(|vm| {
+            let intent = self.intents.get(&vm.name).and_then(Intent::upkeep_of);
+            let rests = self.not_before.get(&vm.name).is_some_and(|until| now < *until);
+            intent == Some(wave.number) || vm.state == State::Upkeep || rests
+        });
+        busy.count()
+    }
+
     /// Whether the VM's pool keeps enough without it.
     pub(crate) fn can_spare(&self, vm: &Vm, view: &View) -> bool {
         if Some(&vm.pool) == view.spare.as_ref() {
--- /dev/null
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -0,0 +1,141 @@
+//! A fleet that does what it is told, round by round.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::operator::Wave;
+use crosspath_border::vm::{Error, Order, State, Verdict, Vm};
+use crosspath_fleet::{Planner, Settings, View};
+use crosspath_job::spec::Room;
+use crosspath_schedule::report;
+
+pub(crate) const VM_MILLIS: u64 = 32_000;
+/// A VM is down so long for an order.
+pub(crate) const DOWN: Duration = Duration::from_millis(2_000);
+pub(crate) const ROUND: Duration = Duration::from_millis(200);
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn settings() -> Settings {
+    Settings { vm_second: 0.078, vm_move: 0.088 }
+}
+
+pub(crate) fn vm(name: &str, pool: &str) -> Vm {
+    Vm {
+        name: name.into(),
+        pool: pool.into(),
+        state: State::Up,
+        labels: Vec::new(),
+        capacity: Room { cpu_millis: VM_MILLIS, mem_mb: 1, gpus: 0 },
+        worker: None,
+    }
+}
+
+/// A fleet and its planner.
+#[derive(Debug)]
+pub(crate) struct Bed {
+    pub(crate) planner: Planner,
+    pub(crate) view: View,
+    pub(crate) now: Duration,
+    /// Tasks on VMs.
+    pub(crate) tasks: BTreeMap<Arc<str>, u32>,
+    /// Demand of pools beyond what runs, in thousandths of a core.
+    pub(crate) waiting: BTreeMap<Arc<str>, u64>,
+    down_until: BTreeMap<Arc<str>, Duration>,
+    pub(crate) orders: Vec<(Duration, Arc<str>, Order)>,
+    /// Whether orders get no answer.
+    pub(crate) mute: bool,
+}
+
+impl Bed {
+    pub(crate) fn new(vms: Vec<Vm>) -> Self {
+        let serving: BTreeSet<_> =
+            vms.iter().map(|vm| Arc::clone(&vm.pool)).filter(|pool| &**pool != "spare").collect();
+        let view = View {
+            vms,
+            serving: serving.into_iter().collect(),
+            spare: Some("spare".into()),
+            ..View::default()
+        };
+        Self {
+            planner: Planner::new(settings(), BTreeMap::new(), BTreeMap::new()),
+            view,
+            now: ms(1_000),
+            tasks: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            down_until: BTreeMap::new(),
+            orders: Vec::new(),
+            mute: false,
+        }
+    }
+
+    pub(crate) fn wave(&mut self, vms: &[&str], maximum: u32) {
+        let vms = vms.iter().map(|vm| (*vm).into()).collect();
+        let wave = Wave { number: 1, vms, deadline_ms: 27_000, maximum };
+        self.view.waves = vec![(wave, self.now)];
+    }
+
+    fn report(&self, pool: &Arc<str>) -> report::Pool {
+        let own = self.view.vms.iter().filter(|vm| vm.pool == *pool && vm.state == State::Up);
+        let vms = own.map(|vm| {
+            let tasks = self.tasks.get(&vm.name).copied().unwrap_or(0);
+            let used_millis = u64::from(tasks) * 1_000;
+            report::Vm {
+                name: Arc::clone(&vm.name),
+                cpu_millis: VM_MILLIS,
+                used_millis,
+                tasks,
+                lasting: 0,
+                usable: true,
+                known: true,
+            }
+        });
+        let vms: Vec<_> = vms.collect();
+        report::Pool {
+            running_millis: vms.iter().map(|vm| vm.used_millis).sum(),
+            waiting_millis: self.waiting.get(pool).copied().unwrap_or(0),
+            vms,
+            ..report::Pool::default()
+        }
+    }
+
+    /// VMs that are in their upkeep.
+    pub(crate) fn down(&self) -> usize {
+        let lasting = self.orders.iter().filter(|(at, _, order)| {
+            matches!(order, Order::Maintain { .. }) && self.now < *at + DOWN
+        });
+        lasting.count()
+    }
+
+    /// One round; orders are carried out. Gives waves that are completed.
+    pub(crate) fn round(&mut self) -> Vec<u64> {
+        self.now += ROUND;
+        for vm in &mut self.view.vms {
+            let is_down = self.down_until.get(&vm.name).is_some_and(|until| self.now < *until);
+            vm.state = if is_down { State::Upkeep } else { State::Up };
+        }
+        self.view.listed = self.now;
+        let pools: Vec<_> = self.view.serving.clone();
+        self.view.pools = pools.iter().map(|pool| (Arc::clone(pool), self.report(pool))).collect();
+        let plan = self.planner.plan(self.now, &self.view);
+        for (name, order) in plan.orders {
+            assert_eq!(self.tasks.get(&name).copied().unwrap_or(0), 0, "{name} is not vacant");
+            let vm = self.view.vms.iter_mut().find(|vm| vm.name == name).expect("a listed VM");
+            if let Order::Move { pool } = &order {
+                vm.pool = Arc::clone(pool);
+            }
+            self.down_until.insert(Arc::clone(&name), self.now + DOWN);
+            let outcome = if self.mute { Err(Error::NoAnswer) } else { Ok(Verdict::Done) };
+            self.planner.ordered(self.now, &name, &order, outcome);
+            self.orders.push((self.now, name, order));
+        }
+        plan.completed
+    }
+
+    pub(crate) fn pool_size(&self, pool: &str) -> usize {
+        self.view.vms.iter().filter(|vm| &*vm.pool == pool).count()
+    }
+}
--- /dev/null
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the planner by what it sees and orders.
+
+mod common;
+mod moves;
+mod wave;
--- /dev/null
+++ b/crates/crosspath_fleet/tests/fleet/wave.rs
@@ -0,0 +1,80 @@
+//! Waves: everyone in time, never too many at once, also across owners.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crosspath_border::vm::{Order, State};
+use crosspath_fleet::Planner;
+
+use crate::common::{Bed, ms, settings, vm};
+
+const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+fn bed() -> Bed {
+    let mut bed = Bed::new(NAMES.iter().map(|name| vm(name, "counter")).collect());
+    bed.wave(&NAMES, 2);
+    bed
+}
+
+fn upkeeps(bed: &Bed) -> usize {
+    bed.orders.iter().filter(|(_, _, order)| matches!(order, Order::Maintain { .. })).count()
+}
+
+#[test]
+fn every_vm_has_its_upkeep_and_never_more_than_the_maximum_at_once() {
+    let mut bed = bed();
+    let mut completed = false;
+    for _ in 0..100 {
+        completed |= !bed.round().is_empty();
+        assert!(bed.down() <= 2, "{} down", bed.down());
+    }
+    assert_eq!(upkeeps(&bed), NAMES.len());
+    assert!(completed);
+}
+
+#[test]
+fn a_vm_with_tasks_is_not_ordered_about() {
+    let mut bed = bed();
+    bed.tasks.insert("a".into(), 1);
+    for _ in 0..50 {
+        assert!(bed.round().is_empty(), "a has not had its upkeep");
+    }
+    assert!(bed.orders.iter().all(|(_, name, _)| &**name != "a"));
+}
+
+#[test]
+fn a_new_owner_counts_upkeep_that_the_owner_before_ordered() {
+    let mut bed = bed();
+    // Ordered a moment ago; the list does not show it yet.
+    let rest: BTreeMap<Arc<str>, _> =
+        [("a".into(), bed.now + ms(3_000)), ("b".into(), bed.now + ms(3_000))].into();
+    bed.planner = Planner::new(settings(), BTreeMap::new(), rest);
+    bed.round();
+    bed.round();
+    assert_eq!(upkeeps(&bed), 0);
+}
+
+#[test]
+fn a_new_owner_counts_upkeep_that_the_list_shows() {
+    let mut bed = bed();
+    bed.view.vms[0].state = State::Upkeep;
+    bed.view.vms[1].state = State::Upkeep;
+    let pools = bed.view.serving.clone();
+    bed.view.pools = pools.into_iter().map(|pool| (pool, Default::default())).collect();
+    let plan = bed.planner.plan(bed.now, &bed.view);
+    assert!(plan.vacate.is_empty(), "{plan:?}");
+}
+
+#[test]
+fn an_order_without_an_answer_is_given_again_and_counts_until_it_has_one() {
+    let mut bed = bed();
+    bed.wave(&NAMES, 1);
+    bed.mute = true;
+    for _ in 0..30 {
+        bed.round();
+    }
+    assert!(upkeeps(&bed) > 1, "given again");
+    let upkeep = bed.orders.iter().filter(|(_, _, order)| matches!(order, Order::Maintain { .. }));
+    let vms: BTreeSet<_> = upkeep.map(|(_, vm, _)| vm).collect();
+    assert_eq!(vms.len(), 1, "{vms:?}");
+}
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -155,6 +155,7 @@
             match self.fleet.list().await {
                 Ok(vms) => {
                     self.listed = now;
+                    self.view.listed = now;
                     self.view.vms = vms;
                 }
                 Err(error) => log::info!("event=vms_unread error=\"{error}\""),
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -6,6 +6,7 @@
 //! `crosspath_plan`; the platform's protocols are behind the traits of `crosspath_border`.
 
 mod appender;
+pub mod away;
 pub mod claim;
 mod clock;
 mod daemon;
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -7,6 +7,7 @@
 use crosspath_border::store::{Join, Membership};
 use futures::future::join_all;
 
+use crate::away::Survey;
 use crate::clock;
 use crate::node::Node;
 use crate::rpc::{Answer, Question};
@@ -24,8 +25,6 @@
 const AWAY_TIMEOUT: Duration = Duration::from_millis(250);
 /// This daemon counts itself out so much earlier than the group does.
 const MARGIN: Duration = Duration::from_millis(50);
-/// So long before it counts itself out, a daemon without answer asks the others.
-const LOOK_AROUND: Duration = Duration::from_millis(400);
 /// For which the others' word holds that the store is away. The store deals no shard sooner after
 /// its return than a member's silence may last.
 const AWAY_LEASE: Duration = Duration::from_millis(900);
@@ -61,7 +60,7 @@
             Ok(Err(error)) => log::info!("event=join_failed error=\"{error}\""),
             Err(_) => log::info!("event=join_failed error=\"timed out\""),
         }
-        if clock::now() + LOOK_AROUND > node.standing().until {
+        if clock::now() >= node.standing().until {
             look_around(&node).await;
         }
         if !pause.is_zero() {
@@ -99,30 +98,28 @@
 }
 
 /// Asks the other daemons whether the store answers them.
-///
-/// Another daemon can own this one's shards only once the store has counted this one out, and then
-/// answered that other. If the store has answered nobody since the time until which this daemon
-/// counts, nobody else owns them, and this daemon goes on acting. A majority of the members last
-/// known, this one included, must say so, and none the contrary.
 async fn look_around(node: &Arc<Node>) {
     let others = node.other_daemons();
     let asked = clock::now();
     let asks = others.iter().map(|address| node.peers.ask(*address, &Question::Store));
-    let answers = join_all(asks).await;
-    let until = node.standing().until;
-    let mut agree = 1;
-    for answer in answers {
-        let Ok(Answer::Store { answered_ms_ago }) = answer else { continue };
-        let answered = asked.saturating_sub(Duration::from_millis(answered_ms_ago));
-        if answered > until {
-            log::info!("event=store_serves_others");
-            return;
-        }
-        agree += 1;
-    }
-    if agree * 2 > others.len() + 1 {
-        log::debug!("event=store_away agree={agree}");
+    let answered_ago = join_all(asks).await.into_iter().filter_map(|answer| match answer {
+        Ok(Answer::Store { answered_ms_ago }) => Some(Duration::from_millis(answered_ms_ago)),
+        _ => None,
+    });
+    let survey = Survey {
+        asked,
+        counted_until: node.standing().until,
+        others: others.len(),
+        answered_ago: answered_ago.collect(),
+    };
+    if survey.is_away_for_all() {
         node.set_standing(|standing| standing.away_until = asked + AWAY_LEASE);
+    } else {
+        log::info!(
+            "event=store_away_not_for_all others={} replies={}",
+            others.len(),
+            survey.answered_ago.len()
+        );
     }
 }
 
--- /dev/null
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the daemon's parts.
+
+mod away;
