--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -7,7 +7,7 @@
 
 use crosspath_job::TaskId;
 
-use crate::job::{Job, Phase};
+use crate::job::{Job, Phase, Run};
 use crate::report;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
@@ -48,11 +48,24 @@
         }
         if step.lasting {
             let limit = step.may_miss.unwrap_or(1);
-            return others_away(job, id) < limit;
+            return self.others_away(job, id) < limit;
         }
         draining && step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some()
     }
 
+    /// Other tasks of the step that are not at work, as far as is known.
+    fn others_away(&self, job: &Job, id: TaskId) -> u32 {
+        let step = &job.instances[id.time as usize].steps[id.step as usize];
+        let at_work = |run: &Run| {
+            let worker = self.workers.get(&run.worker);
+            let sound = worker.is_some_and(|worker| worker.synced && worker.failures == 0);
+            sound && run.phase == Phase::Running && run.percent >= AT_WORK
+        };
+        let others = (0..).zip(&step.tasks).filter(|(index, _)| *index != id.index);
+        let away = others.filter(|(_, task)| !task.runs.iter().any(at_work));
+        u32::try_from(away.count()).unwrap_or(u32::MAX)
+    }
+
     fn has_room_elsewhere(&self, now: Duration, id: TaskId) -> bool {
         let Some(step) = self.step_of(id) else { return false };
         let room = step.reserved();
@@ -114,14 +127,3 @@
         total
     }
 }
-
-/// Other tasks of the step that are not at work.
-fn others_away(job: &Job, id: TaskId) -> u32 {
-    let step = &job.instances[id.time as usize].steps[id.step as usize];
-    let away = (0..).zip(&step.tasks).filter(|(index, task)| {
-        let at_work =
-            task.runs.iter().any(|run| run.phase == Phase::Running && run.percent >= AT_WORK);
-        *index != id.index && !at_work
-    });
-    u32::try_from(away.count()).unwrap_or(u32::MAX)
-}
--- /dev/null
+++ b/crates/crosspath_schedule/tests/schedule/lasting.rs
@@ -0,0 +1,89 @@
+//! Lasting tasks: moved one by one, and only while the others are at work.
+
+use std::collections::BTreeSet;
+
+use crosspath_border::worker::{Error, How};
+use crosspath_job::spec::Step;
+use crosspath_schedule::Event;
+
+use crate::common::{Bed, Ordered, ended, ms, running, step};
+
+const WORKERS: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Three tasks of which one may be away, each on a worker of its own, at work.
+fn bed() -> (Bed, Vec<Ordered>) {
+    let mut bed = Bed::with_workers(&WORKERS);
+    let lasting = Step { lasting: true, may_miss: Some(1), per_worker: 1, ..step(3, 2) };
+    bed.submit(vec![lasting]);
+    let starts = bed.starts();
+    assert_eq!(starts.len(), 3);
+    for order in &starts {
+        bed.started(order);
+    }
+    show(&mut bed, &starts);
+    (bed, starts)
+}
+
+/// Each worker shows what runs there.
+fn show(bed: &mut Bed, runs: &[Ordered]) {
+    for worker in WORKERS {
+        let there = runs.iter().filter(|order| *order.worker == *worker);
+        let rows = there.map(|order| running(order.task, order.run)).collect();
+        bed.held(worker, rows, Vec::new());
+    }
+}
+
+fn vacate(bed: &mut Bed, workers: &[&Ordered]) {
+    let vms: BTreeSet<_> =
+        workers.iter().map(|order| format!("vm-{}", order.worker).as_str().into()).collect();
+    bed.send(Event::Vacate(vms));
+}
+
+#[test]
+fn one_is_moved_at_a_time() {
+    let (mut bed, starts) = bed();
+    vacate(&mut bed, &[&starts[0], &starts[1]]);
+    assert_eq!(bed.stops().len(), 1);
+    bed.pass(ms(100));
+    assert_eq!(bed.stops(), Vec::new(), "one is away already");
+}
+
+#[test]
+fn none_is_moved_while_another_is_on_a_silent_worker() {
+    let (mut bed, starts) = bed();
+    let (worker, sent) = (starts[1].worker.clone(), bed.now);
+    bed.send(Event::HoldFailed { worker, sent, extended: true, error: Error::NoAnswer });
+    vacate(&mut bed, &[&starts[0]]);
+    bed.pass(ms(100));
+    assert_eq!(bed.stops(), Vec::new());
+}
+
+#[test]
+fn none_is_moved_without_a_place_to_go() {
+    let (mut bed, starts) = bed();
+    let taken: BTreeSet<_> = starts.iter().map(|order| order.worker.to_string()).collect();
+    let free = WORKERS.into_iter().find(|worker| !taken.contains(*worker)).expect("a free worker");
+    let sent = bed.now;
+    bed.send(Event::HoldFailed {
+        worker: free.into(),
+        sent,
+        extended: true,
+        error: Error::NoAnswer,
+    });
+    vacate(&mut bed, &[&starts[0]]);
+    bed.pass(ms(100));
+    assert_eq!(bed.stops(), Vec::new());
+}
+
+#[test]
+fn one_that_ended_in_any_way_is_started_again() {
+    for how in [How::Done, How::Failed, How::Stopped, How::Lapsed] {
+        let (mut bed, starts) = bed();
+        let order = &starts[0];
+        bed.held(&order.worker, Vec::new(), vec![ended(1, order.task, order.run, how)]);
+        bed.pass(ms(100));
+        let again = bed.starts();
+        assert_eq!(again.len(), 1, "{how:?}");
+        assert_eq!(again[0].task, order.task);
+    }
+}
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the scheduler by its events and actions.
 
 mod common;
+mod lasting;
 mod takeover;
