Scarce VMs are divided by what pools lack, urgent work counting double

Change: VMs are divided by unmet share, priority 0 weighing 2; checkpointed tasks leave a VM at once.

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -24,6 +24,8 @@
     samples: VecDeque<(Duration, f64)>,
     /// VMs over which some step must be spread.
     spread: u32,
+    /// Priority of its most urgent work; 0 goes first.
+    pub(crate) priority: u32,
 }
 
 impl Demand {
@@ -33,6 +35,7 @@
             + pool.blocked_millis as f64 * BLOCKED_SHARE;
         self.samples.push_back((now, millis));
         self.spread = pool.spread;
+        self.priority = pool.priority;
         while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
             self.samples.pop_front();
         }
@@ -47,6 +50,11 @@
         last + growth * LEAD.as_secs_f64()
     }
 
+    /// VMs that the pool keeps whatever others want.
+    pub(crate) fn base(&self) -> u32 {
+        self.spread.max(LEAST)
+    }
+
     /// VMs of `vm_millis` each that are wanted, one more while VMs of the pool are `being_emptied`:
     /// tasks that must be spread need a place to move to.
     pub(crate) fn vms(&self, vm_millis: u64, being_emptied: bool) -> u32 {
--- a/crates/crosspath_fleet/src/lib.rs
+++ b/crates/crosspath_fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod intent;
 mod moves;
 mod planner;
+mod share;
 mod wave;
 
 pub use planner::{Outcome, Plan, Planner, Settings, View};
--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -8,11 +8,15 @@
 
 use crate::intent::Intent;
 use crate::planner::{Planner, View};
+use crate::share::{Wish, divide};
 use crate::wave::reported;
 
 /// Moves planned in one round at most; the platform takes a bounded number of orders a second.
 const MAX_MOVES: usize = 12;
 
+/// A pool that lacks less than this share of what it wants gets no VM that another pool uses: what
+/// is wanted changes all the time, and a move costs some seconds of a VM.
+const TOLERANCE: f64 = 0.1;
 /// Between two lines on each pool.
 const TELL_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -43,8 +47,9 @@
             if balance.lacks() == 0 {
                 break;
             }
+            let lacks_much = f64::from(balance.lacks()) >= f64::from(balance.wants) * TOLERANCE;
             let pool = Arc::clone(pool);
-            let Some(vm) = self.donor(now, view, &balances, &pool) else { break };
+            let Some(vm) = self.donor(now, view, &balances, &pool, lacks_much) else { break };
             self.move_vm(now, &vm, &pool, &mut balances);
         }
         let Some(spare) = &view.spare else { return };
@@ -92,14 +97,7 @@
     }
 
     fn balances(&self, view: &View) -> BTreeMap<Arc<str>, Balance> {
-        let mut balances = BTreeMap::new();
-        for pool in view.serving.iter().filter(|pool| view.pools.contains_key(*pool)) {
-            let sizes = view.vms.iter().map(|vm| vm.capacity.cpu_millis);
-            let largest = sizes.max().unwrap_or(1);
-            let emptied = self.is_to_be_emptied(pool, view);
-            let wants = self.demands.get(pool).map_or(0, |demand| demand.vms(largest, emptied));
-            balances.insert(Arc::clone(pool), Balance { has: 0, wants });
-        }
+        let mut balances = self.wanted(view);
         for vm in &view.vms {
             let bound = self.intents.get(&vm.name);
             let pool = bound.and_then(Intent::moves_to).unwrap_or(&vm.pool);
@@ -115,6 +113,32 @@
         balances
     }
 
+    /// What each pool whose owner answers is to have.
+    fn wanted(&self, view: &View) -> BTreeMap<Arc<str>, Balance> {
+        let largest = view.vms.iter().map(|vm| vm.capacity.cpu_millis).max().unwrap_or(1);
+        let wish = |pool: &Arc<str>| {
+            let demand = self.demands.get(pool)?;
+            let emptied = self.is_to_be_emptied(pool, view);
+            let wants = demand.vms(largest, emptied);
+            Some(Wish { base: demand.base(), wants, priority: demand.priority })
+        };
+        let answering = view.serving.iter().filter(|pool| view.pools.contains_key(*pool));
+        let wishes: BTreeMap<_, _> =
+            answering.filter_map(|pool| Some((Arc::clone(pool), wish(pool)?))).collect();
+        let there = view.vms.iter().filter(|vm| self.may_serve(vm, &wishes, view));
+        let total = u32::try_from(there.count()).unwrap_or(u32::MAX);
+        let given = divide(&wishes, total).into_iter();
+        given.map(|(pool, wants)| (pool, Balance { has: 0, wants })).collect()
+    }
+
+    /// Whether a VM can be given to one of the pools now.
+    fn may_serve(&self, vm: &Vm, wishes: &BTreeMap<Arc<str>, Wish>, view: &View) -> bool {
+        let known = wishes.contains_key(&vm.pool) || Some(&vm.pool) == view.spare.as_ref();
+        let intent = self.intents.get(&vm.name);
+        let out = intent.is_some_and(|intent| intent.upkeep_of().is_some());
+        known && vm.state != State::Down && !out
+    }
+
     /// Whether a wave still has VMs of the pool to empty.
     fn is_to_be_emptied(&self, pool: &Arc<str>, view: &View) -> bool {
         let left = view.waves.iter().flat_map(|(wave, _)| self.left(wave, view));
@@ -128,6 +152,7 @@
         view: &View,
         balances: &BTreeMap<Arc<str>, Balance>,
         needy: &Arc<str>,
+        lacks_much: bool,
     ) -> Option<Vm> {
         let fits = |vm: &&Vm| {
             vm.pool != *needy && self.is_free(now, vm) && !self.immovable.contains(&vm.name)
@@ -136,7 +161,7 @@
             if Some(&vm.pool) == view.spare.as_ref() {
                 return Some((0, 0));
             }
-            if balances.get(&vm.pool)?.has_over() == 0 {
+            if !lacks_much || balances.get(&vm.pool)?.has_over() == 0 {
                 return None;
             }
             let reported = reported(vm, view)?;
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -1,6 +1,6 @@
 //! Emptying workers that drain or whose VM is wanted elsewhere.
 //!
-//! Brief tasks end by themselves. Lasting ones are stopped one by one, each only while the others
+//! Brief tasks end by themselves, or go on elsewhere from their checkpoint. Lasting ones are stopped one by one, each only while the others
 //! of its step are at work, and start again elsewhere.
 
 use std::time::Duration;
@@ -14,7 +14,7 @@
 
 /// Percent at which a lasting task is at work.
 const AT_WORK: u32 = 100;
-/// Batch tasks on a draining worker are moved by checkpoint below this percent of their work.
+/// Tasks with a checkpoint go on elsewhere below this percent of their work; above, they end soon.
 const MOVE_BELOW: u32 = 70;
 
 impl Scheduler {
@@ -23,34 +23,28 @@
             worker.failures == 0
                 && (worker.entry.draining || self.vacate.contains(&worker.entry.vm))
         };
-        let mut runs: Vec<(TaskId, u64, bool)> = Vec::new();
-        for worker in self.workers.values().filter(leaving) {
-            let draining = worker.entry.draining;
-            runs.extend(worker.runs.keys().map(|(task, run)| (*task, *run, draining)));
-        }
-        for (task, run, draining) in runs {
-            if self.should_stop(now, task, run, draining) {
+        let leaving = self.workers.values().filter(leaving);
+        let runs: Vec<_> = leaving.flat_map(|worker| worker.runs.keys().copied()).collect();
+        for (task, run) in runs {
+            if self.should_stop(now, task, run) {
                 log::info!("event=run_moved task={task} run={run}");
                 self.stop_run(now, task, run);
             }
         }
     }
 
-    fn should_stop(&self, now: Duration, id: TaskId, number: u64, draining: bool) -> bool {
+    fn should_stop(&self, now: Duration, id: TaskId, number: u64) -> bool {
         let Some(step) = self.step_of(id) else { return false };
         let Some(run) = self.run(id, number) else { return false };
         let Some(job) = self.jobs.get(&id.job) else { return false };
         if run.phase != Phase::Running || job.state.is_final() {
             return false;
         }
-        if !self.has_room_elsewhere(now, id) {
-            return false;
-        }
         if step.lasting {
             let limit = step.may_miss.unwrap_or(1);
-            return self.others_away(job, id) < limit;
+            return self.others_away(job, id) < limit && self.has_room_elsewhere(now, id);
         }
-        draining && step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some()
+        step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some()
     }
 
     /// Other tasks of the step that are not at work, as far as is known.
@@ -101,9 +95,17 @@
         }
         pool.blocked_millis = self.blocked_millis();
         pool.spread = self.spread();
+        pool.priority = self.priority();
         pool
     }
 
+    /// Priority of the most urgent brief work.
+    fn priority(&self) -> u32 {
+        let running = self.jobs.values().filter(|job| !job.state.is_final());
+        let brief = running.filter(|job| !job.accepted.spec.steps.iter().any(|step| step.lasting));
+        brief.map(|job| job.accepted.policy.priority).min().unwrap_or(u32::MAX)
+    }
+
     /// Workers over which some step must be spread.
     fn spread(&self) -> u32 {
         let running = self.jobs.values().filter(|job| !job.state.is_final());
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -34,6 +34,8 @@
     pub blocked_millis: u64,
     /// Largest single task that waits.
     pub largest_millis: u64,
+    /// Priority of the most urgent brief work there is; 0 goes first.
+    pub priority: u32,
     /// VMs over which some step must be spread.
     pub spread: u32,
     /// Its VMs.
