--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -56,6 +56,10 @@
     pub spare: Option<Arc<str>>,
     /// Waves and when they were first seen.
     pub waves: Vec<(Wave, Duration)>,
+    /// Slices of the fleet that have a planner each; 0 counts as 1.
+    pub slices: u32,
+    /// VMs of each wave in other slices that are, or may be, in their upkeep.
+    pub elsewhere: BTreeMap<u64, usize>,
 }
 
 /// What is to be done.
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -28,10 +28,12 @@
     pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View) {
         for (wave, started) in &view.waves {
             let left = self.left(wave, view);
-            let under_way = self.under_way(now, wave, view);
+            let elsewhere = view.elsewhere.get(&wave.number).copied().unwrap_or(0);
+            let under_way = self.under_way(now, wave, view) + elsewhere;
             let mut slots = (wave.maximum.max(1) as usize).saturating_sub(under_way);
             let end = *started + Duration::from_millis(wave.deadline_ms);
-            let rounds = left.len().div_ceil(wave.maximum.max(1) as usize);
+            let share = (wave.maximum / view.slices.max(1)).max(1);
+            let rounds = left.len().div_ceil(share as usize);
             let urgent = now + ROUND * u32::try_from(rounds).unwrap_or(u32::MAX) > end;
             let mut candidates: Vec<_> =
                 left.into_iter().filter(|vm| self.is_free(now, vm)).collect();
@@ -55,7 +57,8 @@
     }
 
     /// VMs of a wave that are, or may be, in their upkeep, also by orders of an owner before.
-    fn under_way(&self, now: Duration, wave: &Wave, view: &View) -> usize {
+    #[must_use]
+    pub fn under_way(&self, now: Duration, wave: &Wave, view: &View) -> usize {
         let of_wave = view.vms.iter().filter(|vm| wave.vms.contains(&vm.name));
         let busy = of_wave.filter(|vm| {
             let intent = self.intents.get(&vm.name).and_then(Intent::upkeep_of);
--- a/crates/crosspath_node/src/daemon.rs
+++ b/crates/crosspath_node/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::gateway::Gateway;
 use crate::node::{Node, Parts};
 use crate::settings::Settings;
-use crate::{clock, feed, membership, rpc};
+use crate::{clock, feed, map, membership, rpc};
 
 /// From unready to the end of taking connections: the balancer asks each second and stops after two
 /// misses.
@@ -103,7 +103,7 @@
     let callers = serve(&node, listeners, serve_callers, serve_readiness);
     drop(tokio::spawn(feed::follow_operators(Arc::clone(&node))));
     drop(tokio::spawn(feed::follow_workers(Arc::clone(&node))));
-    drop(tokio::spawn(feed::follow_map(Arc::clone(&node))));
+    drop(tokio::spawn(map::follow(Arc::clone(&node))));
     let member = tokio::spawn(membership::run(Arc::clone(&node)));
     loop {
         tokio::select! {
--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -1,14 +1,14 @@
-//! Following partitions of others: the configuration, waves, the worker list, the map of shards.
+//! Following partitions of others: the configuration, waves, the worker list.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_border::operator::Change;
-use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored, Topic};
+use crosspath_border::store::{Error, Partition, Stored, Topic};
 use crosspath_schedule::Event;
 
 use crate::clock;
+use crate::map::Unit;
 use crate::node::{Node, only_partition};
 use crate::table::Table;
 
@@ -164,7 +164,7 @@
                 directory.entries.keys().filter(|id| !there.contains(&***id)).cloned().collect();
             for id in gone {
                 let entry = directory.entries.remove(&id);
-                events.extend(entry.map(|entry| (entry.pool, Event::WorkerGone(id))));
+                events.extend(entry.map(|entry| (entry.pool, entry.vm, Event::WorkerGone(id))));
             }
             directory.loaded = true;
         }
@@ -172,7 +172,7 @@
             if record.value.is_empty() {
                 let entry = directory.entries.remove(record.key.as_str());
                 let gone = Event::WorkerGone(record.key.as_str().into());
-                events.extend(entry.map(|entry| (entry.pool, gone)));
+                events.extend(entry.map(|entry| (entry.pool, entry.vm, gone)));
                 continue;
             }
             match node.store.worker(record) {
@@ -180,7 +180,8 @@
                     let known = directory.entries.insert(Arc::clone(&entry.id), entry.clone());
                     let same = known.is_some_and(|known| known.says_same(&entry));
                     if !same {
-                        events.push((Arc::clone(&entry.pool), Event::WorkerSeen(entry)));
+                        let (pool, vm) = (Arc::clone(&entry.pool), Arc::clone(&entry.vm));
+                        events.push((pool, vm, Event::WorkerSeen(entry)));
                     }
                 }
                 Err(error) => log::warn!("event=worker_entry_unreadable error=\"{error}\""),
@@ -188,66 +189,11 @@
         }
     }
     let owned = node.owned();
-    for (pool, event) in events {
-        for handle in owned.values().filter(|handle| handle.pool() == Some(&pool)) {
+    let map = node.map();
+    for (pool, vm, event) in events {
+        let unit = Unit { pool, slice: map.slice_of_vm(&vm) };
+        for handle in owned.values().filter(|handle| handle.unit() == Some(&unit)) {
             handle.send(event.clone());
         }
     }
 }
-
-/// Keeps the map from pools to shards, and adds pools that it lacks.
-pub(crate) async fn follow_map(node: Arc<Node>) {
-    let partition = only_partition(Topic::ShardMap);
-    loop {
-        let missing = missing_pools(&node);
-        if missing.is_empty() {
-            node.changed.notified().await;
-            continue;
-        }
-        if let Err(error) = extend_map(&node, partition, &missing).await {
-            log::info!("event=map_not_extended error=\"{error}\"");
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-    }
-}
-
-fn missing_pools(node: &Node) -> Vec<Arc<str>> {
-    let Some(table) = node.table() else { return Vec::new() };
-    let wanted = table.config.pools.iter().filter(|pool| !pool.spare).map(|pool| &pool.name);
-    let map = node.shard_map();
-    wanted.filter(|name| !map.contains_key(*name)).cloned().collect()
-}
-
-/// Reads the map, and appends what is missing if nobody else has in between.
-async fn extend_map(node: &Node, partition: Partition, missing: &[Arc<str>]) -> Result<(), Error> {
-    let (records, end) = newest(node, partition).await?;
-    let mut used: BTreeMap<u32, String> = BTreeMap::new();
-    for record in records {
-        let number = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
-        let Some(number) = number else {
-            log::warn!("event=map_record_unreadable key={}", record.key);
-            continue;
-        };
-        node.add_to_map(&record.key, number);
-        used.insert(number, record.key);
-    }
-    let map = node.shard_map();
-    let absent = missing.iter().filter(|name| !map.contains_key(*name));
-    let free = (0..node.fleet_shard()).rev().filter(|number| !used.contains_key(number));
-    let records: Vec<Keyed> = absent
-        .zip(free)
-        .map(|(name, number)| Keyed { key: name.to_string(), value: number.to_string().into() })
-        .collect();
-    if records.is_empty() {
-        return Ok(());
-    }
-    node.store.append(partition, &records, Guard::At(end)).await?;
-    log::info!("event=map_extended pools={}", records.len());
-    for record in records {
-        let number = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
-        if let Some(number) = number {
-            node.add_to_map(&record.key, number);
-        }
-    }
-    Ok(())
-}
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -10,14 +10,14 @@
 
 use crosspath_border::operator::{Wave, WaveState};
 use crosspath_border::store::{Guard, Keyed, Stored, Topic};
-use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict};
+use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict, Vm};
 use crosspath_fleet::{Outcome, Planner, Settings, View};
-use crosspath_schedule::report;
 use futures::future::join_all;
 
 use crate::claim::{Claim, claim};
 use crate::clock;
 use crate::feed;
+use crate::map::Unit;
 use crate::node::{Node, only_partition, shard_partition};
 use crate::rpc::{self, Answer, Question};
 use crate::shard;
@@ -44,8 +44,12 @@
     let settings = Settings { vm_second: costs.vm_second, vm_move: costs.vm_move };
     let mut owner = Owner {
         authority: Authority { holder: Arc::clone(&node.settings.name), token: claimed.token },
-        planner: Planner::new(settings, kept.maintained, not_before),
-        view: View::default(),
+        slices: Vec::new(),
+        settings,
+        kept,
+        not_before,
+        vms: Vec::new(),
+        waves: Vec::new(),
         listed: Duration::ZERO,
         sequence: claimed.sequence,
         told: BTreeMap::new(),
@@ -114,6 +118,13 @@
     }
 }
 
+/// A slice of the fleet, with a planner of its own.
+#[derive(Debug)]
+struct Slice {
+    planner: Planner,
+    view: View,
+}
+
 #[derive(Debug)]
 struct Owner {
     node: Arc<Node>,
@@ -121,8 +132,15 @@
     authority: Authority,
     claimed: Claim,
     sequence: u64,
-    planner: Planner,
-    view: View,
+    settings: Settings,
+    kept: Kept,
+    /// Before when a VM must be left alone.
+    not_before: BTreeMap<Arc<str>, Duration>,
+    slices: Vec<Slice>,
+    /// All VMs as listed.
+    vms: Vec<Vm>,
+    /// Waves that are not completed, and when they were first seen.
+    waves: Vec<(Wave, Duration)>,
     listed: Duration,
     /// What was last written of each wave.
     told: BTreeMap<u64, WaveState>,
@@ -137,37 +155,49 @@
         self.look().await;
         self.ask_pools().await;
         let now = clock::now();
-        if self.view.vms.is_empty() || !self.node.may_act(now) {
+        if self.vms.is_empty() || !self.node.may_act(now) {
             return true;
         }
-        let plan = self.planner.plan(now, &self.view);
-        if !self.give(plan.orders).await {
+        let (orders, completed) = self.plan(now);
+        if !self.give(orders).await {
             return false;
         }
-        self.tell_waves(&plan.completed).await;
+        self.tell_waves(&completed).await;
         true
     }
 
-    /// Refreshes what is known of VMs and waves.
+    /// Refreshes what is known of VMs and waves, and what of it each slice sees.
     async fn look(&mut self) {
         let now = clock::now();
         if now >= self.listed + LIST_INTERVAL {
             match self.fleet.list().await {
                 Ok(vms) => {
                     self.listed = now;
-                    self.view.listed = now;
-                    self.view.vms = vms;
+                    self.vms = vms;
                 }
                 Err(error) => log::info!("event=vms_unread error=\"{error}\""),
             }
         }
-        self.view.waves = self.open_waves();
-        if let Some(table) = self.node.table() {
-            let pools = &table.config.pools;
-            let serving = pools.iter().filter(|pool| !pool.spare);
-            self.view.serving = serving.map(|pool| Arc::clone(&pool.name)).collect();
-            let spare = pools.iter().find(|pool| pool.spare);
-            self.view.spare = spare.map(|pool| Arc::clone(&pool.name));
+        self.waves = self.open_waves();
+        let (Some(table), map) = (self.node.table(), self.node.map()) else { return };
+        let Some(count) = map.slices() else { return };
+        while self.slices.len() < count as usize {
+            let (maintained, rest) = (self.kept.maintained.clone(), self.not_before.clone());
+            let planner = Planner::new(self.settings, maintained, rest);
+            self.slices.push(Slice { planner, view: View::default() });
+        }
+        let pools = &table.config.pools;
+        let serving = pools.iter().filter(|pool| !pool.spare);
+        let serving: Vec<_> = serving.map(|pool| Arc::clone(&pool.name)).collect();
+        let spare = pools.iter().find(|pool| pool.spare).map(|pool| Arc::clone(&pool.name));
+        for (number, slice) in (0..).zip(&mut self.slices) {
+            let own = self.vms.iter().filter(|vm| map.slice_of_vm(&vm.name) == number);
+            slice.view.vms = own.cloned().collect();
+            slice.view.listed = self.listed;
+            slice.view.waves.clone_from(&self.waves);
+            slice.view.serving.clone_from(&serving);
+            slice.view.spare.clone_from(&spare);
+            slice.view.slices = count;
         }
     }
 
@@ -181,24 +211,59 @@
 
     /// Has pools empty VMs, and hears how they are.
     async fn ask_pools(&mut self) {
-        let vacate = self.planner.vacate(&self.view.vms);
-        let asks = self.view.serving.iter().filter_map(|pool| {
-            let shard = self.node.shard_of(pool)?;
-            let vacate = vacate.get(pool).cloned().unwrap_or_default();
-            let node = Arc::clone(&self.node);
-            let pool = Arc::clone(pool);
-            Some(async move {
-                let question = Question::Pool { shard, vacate };
-                let answer = rpc::ask_holder(&node, shard, question).await;
-                (pool, answer)
-            })
-        });
-        let answers = join_all(asks).await;
-        let reports = answers.into_iter().filter_map(|(pool, answer)| match answer {
-            Some(Answer::Pool(report)) => Some((pool, report)),
-            _ => None,
-        });
-        self.view.pools = reports.collect::<BTreeMap<Arc<str>, report::Pool>>();
+        let map = self.node.map();
+        let mut asks = Vec::new();
+        for (number, slice) in (0..).zip(&self.slices) {
+            let vacate = slice.planner.vacate(&slice.view.vms);
+            for pool in &slice.view.serving {
+                let unit = Unit { pool: Arc::clone(pool), slice: number };
+                let Some(shard) = map.shard(&unit) else { continue };
+                let vacate = vacate.get(pool).cloned().unwrap_or_default();
+                let node = Arc::clone(&self.node);
+                asks.push(async move {
+                    let question = Question::Pool { shard, vacate };
+                    let answer = rpc::ask_holder(&node, shard, question).await;
+                    (unit, answer)
+                });
+            }
+        }
+        for slice in &mut self.slices {
+            slice.view.pools.clear();
+        }
+        for (unit, answer) in join_all(asks).await {
+            if let Some(Answer::Pool(report)) = answer {
+                let slice = &mut self.slices[unit.slice as usize];
+                slice.view.pools.insert(unit.pool, report);
+            }
+        }
+    }
+
+    /// Plans each slice, the budget of waves being common to all.
+    fn plan(&mut self, now: Duration) -> (Vec<(Arc<str>, Order)>, Vec<u64>) {
+        let mut orders = Vec::new();
+        let mut completed: Vec<u64> = self.waves.iter().map(|(wave, _)| wave.number).collect();
+        for at in 0..self.slices.len() {
+            let elsewhere = self.under_way_besides(now, at);
+            let slice = &mut self.slices[at];
+            slice.view.elsewhere = elsewhere;
+            let plan = slice.planner.plan(now, &slice.view);
+            orders.extend(plan.orders);
+            completed.retain(|wave| plan.completed.contains(wave));
+        }
+        // Without a planner for every VM nothing is known to be completed.
+        if self.slices.is_empty() {
+            completed.clear();
+        }
+        (orders, completed)
+    }
+
+    /// VMs of each wave that are, or may be, in their upkeep in other slices.
+    fn under_way_besides(&self, now: Duration, own: usize) -> BTreeMap<u64, usize> {
+        let count = |wave: &Wave| {
+            let others = self.slices.iter().enumerate().filter(|(at, _)| *at != own);
+            others.map(|(_, slice)| slice.planner.under_way(now, wave, &slice.view)).sum()
+        };
+        self.waves.iter().map(|(wave, _)| (wave.number, count(wave))).collect()
     }
 
     /// Gives orders; whether none told of a later owner.
@@ -244,7 +309,9 @@
         if outcome == Err(Error::NoAnswer) {
             log::info!("event=vm_order_unanswered vm={vm}");
         }
-        self.planner.ordered(clock::now(), vm, order, outcome)
+        let slice = self.node.map().slice_of_vm(vm) as usize;
+        let planner = &mut self.slices.get_mut(slice)?.planner;
+        planner.ordered(clock::now(), vm, order, outcome)
     }
 
     /// Keeps records as owner; whether the shard is still owned.
@@ -256,7 +323,7 @@
     }
 
     async fn tell_waves(&mut self, completed: &[u64]) {
-        let waves: Vec<u64> = self.view.waves.iter().map(|(wave, _)| wave.number).collect();
+        let waves: Vec<u64> = self.waves.iter().map(|(wave, _)| wave.number).collect();
         for number in waves {
             let over = completed.contains(&number);
             let state = if over { WaveState::Completed } else { WaveState::Running };
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -8,6 +8,7 @@
 use crosspath_border::operator::Queue;
 use crosspath_job::record::{Accepted, Record};
 use crosspath_job::{JobId, Spec};
+use futures::future::join_all;
 
 use crate::appender::{self, Outcome};
 use crate::clock;
@@ -47,7 +48,7 @@
         };
         let mut unsure = false;
         for pool in pools {
-            let Some(shard) = self.node.shard_of(&pool) else {
+            let Some(shard) = self.node.map().shard_of_job(&pool, job) else {
                 unsure = true;
                 continue;
             };
@@ -96,14 +97,15 @@
     fn is_ready(&self) -> bool {
         let pools_known = self.node.table().is_some_and(|table| {
             let serving = table.config.pools.iter().filter(|pool| !pool.spare);
-            serving.into_iter().all(|pool| self.node.shard_of(&pool.name).is_some())
+            let map = self.node.map();
+            serving.into_iter().all(|pool| map.has(&pool.name))
         });
         pools_known && !self.node.is_stopping()
     }
 
     async fn submit(&self, queue: &Queue, job: JobId, spec: Spec, within: Duration) -> Submitted {
         let began = clock::now();
-        let Some(shard) = self.node.shard_of(&queue.pool) else {
+        let Some(shard) = self.node.map().shard_of_job(&queue.pool, job) else {
             log::info!("event=submit job={job} queue={} outcome=no_shard", queue.name);
             return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S };
         };
@@ -143,7 +145,7 @@
     async fn cancel(&self, queue: &Queue, job: JobId, within: Duration) -> Cancelled {
         let began = clock::now();
         let until = self.until(within);
-        let Some(shard) = self.node.shard_of(&queue.pool) else {
+        let Some(shard) = self.node.map().shard_of_job(&queue.pool, job) else {
             return Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S };
         };
         let outcome = appender::append(&self.node, shard, &Record::Cancelled(job), until).await;
@@ -159,14 +161,17 @@
 
     async fn waiting(&self, queue: &Queue) -> Option<u64> {
         let table = self.node.table()?;
-        let mut total = 0;
-        for pool in table.pools_of(queue) {
-            let shard = self.node.shard_of(&pool)?;
+        let map = self.node.map();
+        let pools = table.pools_of(queue);
+        let units = pools.iter().flat_map(|pool| map.units(pool));
+        let shards = units.map(|unit| map.shard(&unit)).collect::<Option<Vec<_>>>()?;
+        let asks = shards.into_iter().map(|shard| {
             let question = Question::Waiting { shard, queue: Arc::clone(&queue.name) };
-            let Some(Answer::Waiting(waiting)) = rpc::ask_holder(&self.node, shard, question).await
-            else {
-                return None;
-            };
+            rpc::ask_holder(&self.node, shard, question)
+        });
+        let mut total = 0;
+        for answer in join_all(asks).await {
+            let Some(Answer::Waiting(waiting)) = answer else { return None };
             total += waiting;
         }
         Some(total)
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod fleet;
 mod gateway;
+pub mod map;
 mod membership;
 mod metrics;
 mod node;
--- /dev/null
+++ b/crates/crosspath_node/src/map.rs
@@ -0,0 +1,211 @@
+//! Which pool has which shards.
+//!
+//! A pool too large for one small entry VM is cut into slices. Every pool of a deployment has the
+//! same number of slices, so that a VM, whose slice goes by its name, keeps its slice when it moves
+//! from one pool to another. A job's slice goes by its identifier. The number of slices and the
+//! shard of each slice are records, written once by whichever daemon comes first; they are never
+//! derived from a list that may differ between two daemons.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::hash::Hasher as _;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::store::{Error, Guard, Keyed, Stored, Topic};
+use crosspath_job::JobId;
+use siphasher::sip::SipHasher13;
+
+use crate::feed;
+use crate::node::{Node, only_partition};
+
+/// VMs for each slice of the fleet. One entry VM of 0.12 core carries the pools' peaks of as many:
+/// measured on the deployments of 48 and 349 VMs, see docs/CAPACITY.md.
+const VMS_PER_SLICE: usize = 64;
+/// After a call of the store that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const SLICES_KEY: &str = "slices";
+const SHARD_KEY: &str = "shard/";
+
+/// A slice of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Unit {
+    /// The pool.
+    pub pool: Arc<str>,
+    /// Which slice, from 0.
+    pub slice: u32,
+}
+
+impl fmt::Display for Unit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.pool, self.slice)
+    }
+}
+
+impl FromStr for Unit {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let (pool, slice) = text.rsplit_once('/').ok_or(())?;
+        Ok(Self { pool: pool.into(), slice: slice.parse().map_err(drop)? })
+    }
+}
+
+/// The map as far as it was read.
+#[derive(Debug, Clone, Default)]
+pub struct Map {
+    /// Slices of each pool; 0 before that is known.
+    slices: u32,
+    shards: BTreeMap<Unit, u32>,
+}
+
+impl Map {
+    /// Slices of each pool; none before that is known.
+    #[must_use]
+    pub fn slices(&self) -> Option<u32> {
+        (self.slices > 0).then_some(self.slices)
+    }
+
+    /// Slice of a job.
+    #[must_use]
+    pub fn slice_of_job(&self, job: JobId) -> u32 {
+        u32::try_from(job.0 % u64::from(self.slices.max(1))).unwrap_or_default()
+    }
+
+    /// Slice of a VM.
+    #[must_use]
+    pub fn slice_of_vm(&self, vm: &str) -> u32 {
+        let mut hasher = SipHasher13::new();
+        hasher.write(vm.as_bytes());
+        u32::try_from(hasher.finish() % u64::from(self.slices.max(1))).unwrap_or_default()
+    }
+
+    /// Shard of a slice of a pool.
+    #[must_use]
+    pub fn shard(&self, unit: &Unit) -> Option<u32> {
+        self.shards.get(unit).copied()
+    }
+
+    /// Shard of a pool's job.
+    #[must_use]
+    pub fn shard_of_job(&self, pool: &Arc<str>, job: JobId) -> Option<u32> {
+        self.shard(&Unit { pool: Arc::clone(pool), slice: self.slice_of_job(job) })
+    }
+
+    /// Slices of a pool; none before the number is known.
+    #[must_use]
+    pub fn units(&self, pool: &Arc<str>) -> Vec<Unit> {
+        (0..self.slices).map(|slice| Unit { pool: Arc::clone(pool), slice }).collect()
+    }
+
+    /// Whether all slices of a pool have a shard.
+    #[must_use]
+    pub fn has(&self, pool: &Arc<str>) -> bool {
+        self.slices > 0 && self.units(pool).iter().all(|unit| self.shards.contains_key(unit))
+    }
+
+    /// Units by shard.
+    #[must_use]
+    pub fn by_shard(&self) -> BTreeMap<u32, Unit> {
+        self.shards.iter().map(|(unit, shard)| (*shard, unit.clone())).collect()
+    }
+
+    /// Takes in a record.
+    pub fn take(&mut self, record: &Stored) {
+        let number = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
+        let Some(number) = number else {
+            log::warn!("event=map_record_unreadable key={}", record.key);
+            return;
+        };
+        if record.key == SLICES_KEY {
+            self.slices = number;
+            return;
+        }
+        match record.key.strip_prefix(SHARD_KEY).map(str::parse) {
+            Some(Ok(unit)) => drop(self.shards.insert(unit, number)),
+            _ => log::warn!("event=map_record_unreadable key={}", record.key),
+        }
+    }
+
+    /// Records that the map lacks for `pools`, with shards below `end`; with the number of slices
+    /// for `vms` VMs if that is not known.
+    #[must_use]
+    pub fn missing(&self, pools: &BTreeSet<Arc<str>>, vms: usize, end: u32) -> Vec<Keyed> {
+        let keyed = |key: String, number: u32| Keyed { key, value: number.to_string().into() };
+        let mut whole = self.clone();
+        let mut records = Vec::new();
+        if whole.slices == 0 {
+            let most = end / u32::try_from(pools.len().max(1)).unwrap_or(u32::MAX);
+            let wanted = u32::try_from(vms.div_ceil(VMS_PER_SLICE)).unwrap_or(u32::MAX);
+            whole.slices = wanted.clamp(1, most.max(1));
+            records.push(keyed(SLICES_KEY.to_owned(), whole.slices));
+        }
+        let used: BTreeSet<u32> = self.shards.values().copied().collect();
+        let free = (0..end).rev().filter(|number| !used.contains(number));
+        let units = pools.iter().flat_map(|pool| whole.units(pool));
+        let absent = units.filter(|unit| !self.shards.contains_key(unit));
+        records.extend(
+            absent.zip(free).map(|(unit, shard)| keyed(format!("{SHARD_KEY}{unit}"), shard)),
+        );
+        records
+    }
+}
+
+/// Keeps the map, and adds pools that it lacks.
+pub(crate) async fn follow(node: Arc<Node>) {
+    loop {
+        let missing = missing_pools(&node);
+        if missing.is_empty() {
+            node.changed.notified().await;
+            continue;
+        }
+        if let Err(error) = extend(&node, &missing).await {
+            log::info!("event=map_not_extended error=\"{error}\"");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn missing_pools(node: &Node) -> BTreeSet<Arc<str>> {
+    let Some(table) = node.table() else { return BTreeSet::new() };
+    let serving = table.config.pools.iter().filter(|pool| !pool.spare);
+    let map = node.map();
+    serving.map(|pool| Arc::clone(&pool.name)).filter(|name| !map.has(name)).collect()
+}
+
+/// Reads the map, and appends what is missing if nobody else has in between.
+async fn extend(node: &Node, pools: &BTreeSet<Arc<str>>) -> Result<(), Error> {
+    let partition = only_partition(Topic::ShardMap);
+    let (records, end) = feed::newest(node, partition).await?;
+    let mut map = Map::default();
+    records.iter().for_each(|record| map.take(record));
+    node.set_map(map.clone());
+    let vms = if map.slices().is_none() { count_vms(node).await } else { 0 };
+    let records = map.missing(pools, vms, node.fleet_shard());
+    if records.is_empty() {
+        if pools.iter().any(|pool| !map.has(pool)) {
+            log::error!("event=no_shard_left pools={}", pools.len());
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        return Ok(());
+    }
+    node.store.append(partition, &records, Guard::At(end)).await?;
+    log::info!("event=map_extended records={} vms={vms}", records.len());
+    for (record, offset) in records.into_iter().zip(end..) {
+        map.take(&Stored { offset, key: record.key, value: record.value });
+    }
+    node.set_map(map);
+    Ok(())
+}
+
+/// VMs of the deployment, by the platform's list or else by the workers that tell of themselves.
+async fn count_vms(node: &Node) -> usize {
+    if let Some(fleet) = &node.fleet {
+        match fleet.list().await {
+            Ok(vms) => return vms.len(),
+            Err(error) => log::info!("event=vms_unread error=\"{error}\""),
+        }
+    }
+    node.directory().entries.len()
+}
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::rpc::{Answer, Question};
-use crate::shard::{self, Handle};
+use crate::shard::Handle;
 
 /// Silence after which the group deals this daemon's shards to others. Short, since nothing new
 /// starts in an owner's shards meanwhile; long enough for some joins to be lost.
@@ -75,7 +75,7 @@
 /// that of new ones. Whether any was dealt away.
 fn own(node: &Arc<Node>, membership: &Membership) -> bool {
     let dealt: BTreeSet<u32> = membership.shards.iter().copied().collect();
-    let pools = shard::pools_by_shard(&node.shard_map());
+    let units = node.map().by_shard();
     let mut owned = node.owned();
     let before = owned.len();
     owned.retain(|number, handle| {
@@ -88,10 +88,10 @@
     });
     let released = owned.len() < before;
     for number in dealt {
-        let pool = pools.get(&number);
-        if (number == node.fleet_shard() || pool.is_some()) && !owned.contains_key(&number) {
+        let unit = units.get(&number);
+        if (number == node.fleet_shard() || unit.is_some()) && !owned.contains_key(&number) {
             log::info!("event=shard_dealt shard={number}");
-            owned.insert(number, Handle::start(node, number, pool.cloned()));
+            owned.insert(number, Handle::start(node, number, unit.cloned()));
         }
     }
     released
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::appender::Appenders;
+use crate::map::Map;
 use crate::metrics::Metrics;
 use crate::rpc::Peers;
 use crate::settings::Settings;
@@ -71,7 +72,7 @@
     table: Mutex<Option<Arc<Table>>>,
     directory: Mutex<Directory>,
     waves: Mutex<BTreeMap<u64, (Wave, Duration)>>,
-    map: Mutex<BTreeMap<Arc<str>, u32>>,
+    map: Mutex<Arc<Map>>,
     holders: Mutex<HashMap<u32, Arc<str>>>,
     owned: Mutex<BTreeMap<u32, Handle>>,
     standing: Mutex<Standing>,
@@ -141,16 +142,12 @@
         lock(&self.waves)
     }
 
-    pub(crate) fn shard_of(&self, pool: &str) -> Option<u32> {
-        lock(&self.map).get(pool).copied()
+    pub(crate) fn map(&self) -> Arc<Map> {
+        Arc::clone(&lock(&self.map))
     }
 
-    pub(crate) fn shard_map(&self) -> BTreeMap<Arc<str>, u32> {
-        lock(&self.map).clone()
-    }
-
-    pub(crate) fn add_to_map(&self, pool: &str, shard: u32) {
-        lock(&self.map).insert(pool.into(), shard);
+    pub(crate) fn set_map(&self, map: Map) {
+        *lock(&self.map) = Arc::new(map);
         self.changed.notify_waiters();
     }
 
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -1,6 +1,6 @@
 //! Owning a shard: claiming it, following its records, carrying out what its scheduler decides.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use crate::claim::{Claim, claim};
 use crate::clock;
 use crate::feed::{self, Feed};
+use crate::map::Unit;
 use crate::membership::TTL;
 use crate::node::{Node, shard_partition};
 use crate::watch::{self, Watch};
@@ -46,7 +47,7 @@
 /// A shard that this daemon holds.
 #[derive(Debug)]
 pub(crate) struct Handle {
-    pool: Option<Arc<str>>,
+    unit: Option<Unit>,
     events: mpsc::UnboundedSender<Event>,
     scheduler: Shared,
     task: JoinHandle<()>,
@@ -57,27 +58,28 @@
 }
 
 impl Handle {
-    /// Begins to own a shard.
-    pub(crate) fn start(node: &Arc<Node>, number: u32, pool: Option<Arc<str>>) -> Self {
+    /// Begins to own a shard: that of a slice of a pool, or the fleet's.
+    pub(crate) fn start(node: &Arc<Node>, number: u32, unit: Option<Unit>) -> Self {
         let (events, receiver) = mpsc::unbounded_channel();
         let shared = Shared::default();
-        let task = if number == node.fleet_shard() {
-            tokio::spawn(crate::fleet::run(Arc::clone(node)))
-        } else {
+        let task = if let Some(unit) = unit.clone() {
             let owner = Owner {
                 node: Arc::clone(node),
                 number,
-                pool: pool.clone().unwrap_or_default(),
+                unit,
                 shared: Arc::clone(&shared),
                 events: events.clone(),
             };
             tokio::spawn(owner.run(receiver))
+        } else {
+            tokio::spawn(crate::fleet::run(Arc::clone(node)))
         };
-        Self { pool, events, scheduler: shared, task }
+        Self { unit, events, scheduler: shared, task }
     }
 
-    pub(crate) fn pool(&self) -> Option<&Arc<str>> {
-        self.pool.as_ref()
+    /// The slice of a pool; none for the fleet.
+    pub(crate) fn unit(&self) -> Option<&Unit> {
+        self.unit.as_ref()
     }
 
     pub(crate) fn send(&self, event: Event) {
@@ -133,7 +135,7 @@
 struct Owner {
     node: Arc<Node>,
     number: u32,
-    pool: Arc<str>,
+    unit: Unit,
     shared: Shared,
     events: mpsc::UnboundedSender<Event>,
 }
@@ -202,10 +204,13 @@
         }
     }
 
-    /// The pool's workers.
+    /// The slice's workers.
     fn workers(&self) -> Vec<Entry> {
+        let map = self.node.map();
         let directory = self.node.directory();
-        let own = directory.entries.values().filter(|entry| entry.pool == self.pool);
+        let own = directory.entries.values().filter(|entry| {
+            entry.pool == self.unit.pool && map.slice_of_vm(&entry.vm) == self.unit.slice
+        });
         own.cloned().collect()
     }
 
@@ -470,8 +475,3 @@
         self.0.abort();
     }
 }
-
-/// Shards with a pool, by number.
-pub(crate) fn pools_by_shard(map: &BTreeMap<Arc<str>, u32>) -> BTreeMap<u32, Arc<str>> {
-    map.iter().map(|(pool, number)| (*number, Arc::clone(pool))).collect()
-}
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the daemon's parts.
 
 mod away;
+mod map;
--- /dev/null
+++ b/crates/crosspath_node/tests/node/map.rs
@@ -0,0 +1,66 @@
+//! The map from slices of pools to shards.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crosspath_border::store::{Keyed, Stored};
+use crosspath_job::JobId;
+use crosspath_node::map::Map;
+
+fn pools(names: &[&str]) -> BTreeSet<Arc<str>> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+/// Adds what the map lacks for `pools` on `vms` VMs, with 23 shards to give.
+fn extend(map: &mut Map, pools: &BTreeSet<Arc<str>>, vms: usize) {
+    for Keyed { key, value } in map.missing(pools, vms, 23) {
+        map.take(&Stored { offset: 0, key, value });
+    }
+}
+
+#[test]
+fn a_small_fleet_has_a_shard_for_each_pool() {
+    let mut map = Map::default();
+    let four = pools(&["a", "b", "c", "d"]);
+    extend(&mut map, &four, 48);
+    assert_eq!(map.slices(), Some(1));
+    assert_eq!(map.by_shard().into_keys().collect::<Vec<_>>(), [19, 20, 21, 22]);
+    assert!(four.iter().all(|pool| map.has(pool)));
+}
+
+#[test]
+fn a_large_fleet_is_cut_as_far_as_there_are_shards() {
+    let mut map = Map::default();
+    let four = pools(&["a", "b", "c", "d"]);
+    extend(&mut map, &four, 780);
+    assert_eq!(map.slices(), Some(5));
+    assert_eq!(map.by_shard().len(), 20);
+}
+
+#[test]
+fn a_pool_that_comes_later_gets_shards_that_are_free() {
+    let mut map = Map::default();
+    extend(&mut map, &pools(&["a", "b"]), 100);
+    let before = map.by_shard();
+    extend(&mut map, &pools(&["a", "b", "c"]), 500);
+    assert_eq!(map.slices(), Some(2), "the number of slices never changes");
+    assert!(map.has(&"c".into()));
+    assert_eq!(map.by_shard().len(), before.len() + 2);
+    assert!(before.iter().all(|(shard, unit)| map.by_shard().get(shard) == Some(unit)));
+}
+
+#[test]
+fn jobs_and_vms_are_spread_over_slices() {
+    let mut map = Map::default();
+    extend(&mut map, &pools(&["a"]), 300);
+    let slices = map.slices().expect("a number of slices");
+    let mut vms = vec![0; slices as usize];
+    let mut jobs = vms.clone();
+    for n in 0..1_000_u64 {
+        vms[map.slice_of_vm(&format!("m-{n:05x}")) as usize] += 1;
+        jobs[map.slice_of_job(JobId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15))) as usize] += 1;
+    }
+    for count in vms.into_iter().chain(jobs) {
+        assert!(count > 1_000 / i32::try_from(slices).expect("small") * 3 / 4, "{count}");
+    }
+}
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -89,7 +89,7 @@
             });
         }
         for key in &self.waiting {
-            let cpu = self.step_of(key.task).map_or(0, |step| step.reserved().cpu_millis);
+            let cpu = key.room.cpu_millis;
             pool.waiting_millis += cpu;
             pool.largest_millis = pool.largest_millis.max(cpu);
         }
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -1,5 +1,6 @@
 //! Which waiting task goes where.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,11 +22,13 @@
 const ADVICE_AGAIN: Duration = Duration::from_millis(500);
 /// A ticket is not used in its last moments: the start must arrive in time.
 const TICKET_MARGIN: Duration = Duration::from_millis(300);
+/// Tasks in a row that fit nowhere after which a round of placing ends.
+const MAX_REFUSED: usize = 96;
 /// A task that could still end in time goes before any that cannot.
 const LATE_GRACE: Duration = Duration::from_millis(0);
 
 /// Order of a waiting task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Key {
     priority: u32,
     /// Lasting tasks first: each moment away costs.
@@ -33,6 +36,24 @@
     /// Latest start with which the job can end in time, in ms since the process started.
     latest_ms: u64,
     pub(crate) task: TaskId,
+    /// What it reserves.
+    pub(crate) room: Room,
+    /// Whether any worker with room will do.
+    anywhere: bool,
+    gang: bool,
+}
+
+impl Ord for Key {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let rank = |key: &Self| (key.priority, key.brief, key.latest_ms, key.task);
+        rank(self).cmp(&rank(other))
+    }
+}
+
+impl PartialOrd for Key {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
 }
 
 impl Key {
@@ -49,6 +70,9 @@
             brief: !step.lasting,
             latest_ms: (since + allowed).saturating_sub(rest),
             task,
+            room: step.reserved(),
+            anywhere: step.requires.is_none() && step.per_worker == 0,
+            gang: step.gang,
         }
     }
 
@@ -65,6 +89,13 @@
     fn cover(&self, room: &Room) -> bool {
         self.0.iter().any(|misfit| misfit.fits(room))
     }
+
+    fn add(&mut self, room: Room) {
+        if !self.cover(&room) {
+            self.0.retain(|misfit| !room.fits(misfit));
+            self.0.push(room);
+        }
+    }
 }
 
 impl Scheduler {
@@ -73,23 +104,27 @@
             self.waiting.iter().copied().partition(|key| key.is_late(now));
         let mut misfits = Misfits::default();
         let mut gang_tried = None;
+        let mut refused = 0;
         for key in timely.into_iter().chain(late) {
-            let Some(step) = self.step_of(key.task) else {
-                self.waiting.remove(&key);
-                continue;
-            };
-            if step.gang {
+            if key.gang {
                 let gang = (key.task.job, key.task.time, key.task.step);
                 if gang_tried != Some(gang) {
                     gang_tried = Some(gang);
                     self.place_gang(now, key.task);
                 }
-            } else if !misfits.cover(&step.reserved()) {
-                let anywhere = step.requires.is_none() && step.per_worker == 0;
-                let room = step.reserved();
-                if !self.place_one(now, key) && anywhere {
-                    misfits.0.push(room);
-                }
+                continue;
+            }
+            let fits = !misfits.cover(&key.room) && self.place_one(now, key);
+            if fits {
+                refused = 0;
+                continue;
+            }
+            if key.anywhere {
+                misfits.add(key.room);
+            }
+            refused += 1;
+            if refused >= MAX_REFUSED {
+                return;
             }
         }
     }
@@ -181,10 +216,16 @@
 
     fn best_worker(&self, now: Duration, id: TaskId) -> Option<Arc<str>> {
         let step = self.step_of(id)?;
-        let candidates = self.workers.values().filter(|worker| {
-            self.takes(now, worker, id, step) && step.reserved().fits(&worker.free())
+        let room = step.reserved();
+        let failed_on = &self.jobs.get(&id.job)?.task(id)?.failed_on;
+        let candidates = self
+            .workers
+            .values()
+            .filter(|worker| room.fits(&worker.free()) && self.takes(now, worker, id, step));
+        let scored = candidates.map(|worker| {
+            let failed = failed_on.contains(&worker.entry.id);
+            (self.cost(now, worker, failed, step), worker)
         });
-        let scored = candidates.map(|worker| (self.cost(now, worker, id, step), worker));
         let best = scored.min_by(|(a, one), (b, other)| {
             a.total_cmp(b).then_with(|| one.entry.id.cmp(&other.entry.id))
         });
@@ -213,10 +254,8 @@
     }
 
     /// Lower is better. Fuller workers first, so that others stay empty and can leave the pool.
-    fn cost(&self, now: Duration, worker: &Worker, id: TaskId, step: &Step) -> f64 {
+    fn cost(&self, now: Duration, worker: &Worker, failed: bool, step: &Step) -> f64 {
         let far = step.near.as_ref().is_some_and(|rack| !worker.has_label(rack));
-        let failed = self.jobs.get(&id.job).and_then(|job| job.task(id));
-        let failed = failed.is_some_and(|task| task.failed_on.contains(&worker.entry.id));
         let crowd = self.crowd(worker, step);
         let total = worker.entry.capacity.cpu_millis.max(1) as f64;
         let free = worker.free().cpu_millis as f64 / total;
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -22,6 +22,10 @@
 /// Runs of one task in one epoch at most; run numbers rise with the epoch by this much, so that they
 /// rise above those of owners before, whatever those have started unseen.
 const RUNS_PER_EPOCH: u64 = 10_000;
+/// Waiting tasks that make a backlog.
+const BACKLOG: usize = 64;
+/// Between two rounds of placing with a backlog, where each end that is heard would set one off.
+const PLACE_INTERVAL: Duration = Duration::from_millis(4);
 /// Between two stops for a run whose stop got no answer.
 const STOP_AGAIN: Duration = Duration::from_millis(400);
 /// No new work after an order without an answer, or a refusal; the next look tells more.
@@ -64,6 +68,10 @@
     pub(crate) may_act: bool,
     pub(crate) store_away: bool,
     pub(crate) place_again: bool,
+    /// When tasks were last placed.
+    placed: Duration,
+    /// Whether all workers are to be looked over.
+    look_over: bool,
     /// Jobs that were cancelled before their record was read.
     cancelled_early: BTreeSet<JobId>,
     superseded: bool,
@@ -87,6 +95,8 @@
             may_act: true,
             store_away: false,
             place_again: false,
+            placed: Duration::ZERO,
+            look_over: false,
             cancelled_early: BTreeSet::new(),
             superseded: false,
         }
@@ -98,10 +108,10 @@
         self.superseded
     }
 
-    /// Whether changes wait for a commit that is not under way yet.
+    /// Whether it is to decide again soon, without an event.
     #[must_use]
     pub fn gathers(&self) -> bool {
-        self.commits.gathers()
+        self.commits.gathers() || (self.place_again && !self.waiting.is_empty())
     }
 
     /// State of a job as it is kept; none when it is not known.
@@ -145,6 +155,7 @@
             Event::Committed => self.committed(now),
             Event::Vacate(vms) => {
                 self.place_again |= vms != self.vacate;
+                self.look_over |= vms != self.vacate;
                 self.vacate = vms;
             }
             Event::MayAct(may_act) => {
@@ -159,6 +170,7 @@
             }
             Event::Superseded => self.superseded = true,
             Event::Tick => {
+                self.look_over = true;
                 self.open_due(now, wall_ms);
                 self.release_lapsed(now);
                 self.forget_ended(now);
@@ -169,10 +181,15 @@
     /// Decides what to do now. Called after some events, and now and then without any.
     pub fn decide(&mut self, now: Duration, wall_ms: u64) -> Vec<Action> {
         if self.may_act {
-            self.stop_again(now);
-            self.vacate_tasks(now);
-            self.pace();
-            if std::mem::take(&mut self.place_again) {
+            if std::mem::take(&mut self.look_over) {
+                self.stop_again(now);
+                self.vacate_tasks(now);
+                self.pace();
+            }
+            let pause = if self.waiting.len() > BACKLOG { PLACE_INTERVAL } else { Duration::ZERO };
+            if self.place_again && now >= self.placed + pause {
+                self.place_again = false;
+                self.placed = now;
                 self.place(now);
                 if self.store_away {
                     self.start_unkept(now);
