Lasting jobs of a pool share a slice; fewer calls of the store; room in pieces wants a VM

Cause: each lasting job of 24 tasks spread over 24 VMs of its own slice (158 VMs at rest); followers read every own commit by itself; a task of 20 cores found no VM though most room was free (LOST).

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -24,6 +24,9 @@
     samples: VecDeque<(Duration, f64)>,
     /// VMs over which some step must be spread.
     spread: u32,
+    /// VMs that it uses, and thousandths of a core that no worker was found for.
+    usable: u32,
+    unplaced: u64,
     /// Priority of its most urgent work; 0 goes first.
     pub(crate) priority: u32,
 }
@@ -35,6 +38,9 @@
             + pool.blocked_millis as f64 * BLOCKED_SHARE;
         self.samples.push_back((now, millis));
         self.spread = pool.spread;
+        let usable = pool.vms.iter().filter(|vm| vm.usable).count();
+        self.usable = u32::try_from(usable).unwrap_or(u32::MAX);
+        self.unplaced = pool.unplaced_millis;
         self.priority = pool.priority;
         while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
             self.samples.pop_front();
@@ -55,12 +61,19 @@
         self.spread.max(LEAST)
     }
 
+    /// Tasks may find no worker though there is room enough in all: it is in pieces too small.
+    fn vms_for_unplaced(&self, vm_millis: u64) -> u32 {
+        let more = self.unplaced.div_ceil(vm_millis.max(1));
+        if more == 0 { 0 } else { self.usable + u32::try_from(more).unwrap_or(u32::MAX) }
+    }
+
     /// VMs of `vm_millis` each that are wanted, one more while VMs of the pool are `being_emptied`:
     /// tasks that must be spread need a place to move to.
     pub(crate) fn vms(&self, vm_millis: u64, being_emptied: bool) -> u32 {
         let wanted = self.forecast() * HEADROOM / vm_millis.max(1) as f64 + RESERVE;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some VMs")]
         let wanted = wanted.ceil() as u32;
-        wanted.max(LEAST).max(self.spread + u32::from(being_emptied))
+        let spread = self.spread + u32::from(being_emptied);
+        wanted.max(LEAST).max(spread).max(self.vms_for_unplaced(vm_millis))
     }
 }
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -1,11 +1,13 @@
 //! What callers are answered.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use crosspath_border::entry::{Cancelled, Handler, Resolved, Shown, Submitted};
 use crosspath_border::operator::Queue;
+use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record};
 use crosspath_job::{JobId, Spec};
 use futures::future::join_all;
@@ -25,6 +27,20 @@
 /// Bytes of a body before there is a configuration.
 const DEFAULT_BODY: u64 = 262_144;
 
+/// For which a cancel looks for its job's shard before it goes to all where the job may be.
+const FIND_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Where a job is.
+#[derive(Debug, Clone, Copy)]
+enum Found {
+    /// In a shard.
+    At(u32, State),
+    /// No owner knows it.
+    Nowhere,
+    /// Some owner does not answer.
+    Unsure,
+}
+
 /// The callers' side of the daemon.
 #[derive(Debug)]
 pub struct Gateway {
@@ -40,33 +56,54 @@
         clock::now() + within.mul_f64(PATIENCE)
     }
 
-    /// Asks the holders of all shards where the queue's jobs may be; none when one does not answer.
-    async fn find(&self, queue: &Queue, job: JobId, until: Duration) -> Option<Shown> {
+    /// Asks the owners of all shards where the queue's job may be.
+    async fn find(&self, queue: &Queue, job: JobId, until: Duration) -> Found {
         let pools = match self.node.table() {
             Some(table) => table.pools_of(queue),
             None => [Arc::clone(&queue.pool)].into(),
         };
         let mut unsure = false;
         for pool in pools {
-            let Some(shard) = self.node.map().shard_of_job(&pool, job) else {
+            let Some(shards) = self.node.map().shards_of_job(&pool, job) else {
                 unsure = true;
                 continue;
             };
-            match self.ask_state(shard, job, until).await {
-                Some(Some(state)) => return Some(Shown::State(state)),
-                Some(None) => {}
-                None => unsure = true,
+            for shard in shards {
+                match self.ask_state(shard, job, until).await {
+                    Some(Some(state)) => return Found::At(shard, state),
+                    Some(None) => {}
+                    None => unsure = true,
+                }
             }
         }
-        (!unsure).then_some(Shown::None)
+        if unsure { Found::Unsure } else { Found::Nowhere }
     }
 
-    async fn ask_state(
+    /// Shards whose owner is to hear that the job is cancelled: the job's, or all where it may be
+    /// while no owner knows it.
+    async fn shards_to_cancel(
         &self,
-        shard: u32,
+        queue: &Queue,
         job: JobId,
         until: Duration,
-    ) -> Option<Option<crosspath_job::progress::State>> {
+    ) -> Option<BTreeSet<u32>> {
+        let shards = self.node.map().shards_of_job(&queue.pool, job)?;
+        if shards.len() == 1 && !self.has_moved(queue) {
+            return Some(shards);
+        }
+        let soon = until.min(clock::now() + FIND_PATIENCE);
+        match self.find(queue, job, soon).await {
+            Found::At(shard, _) => Some([shard].into()),
+            Found::Nowhere | Found::Unsure => Some(shards),
+        }
+    }
+
+    /// Whether the queue had another pool before.
+    fn has_moved(&self, queue: &Queue) -> bool {
+        self.node.table().is_some_and(|table| table.pools_of(queue).len() > 1)
+    }
+
+    async fn ask_state(&self, shard: u32, job: JobId, until: Duration) -> Option<Option<State>> {
         loop {
             let question = Question::State { shard, job };
             if let Some(Answer::State(state)) = rpc::ask_holder(&self.node, shard, question).await {
@@ -105,7 +142,16 @@
 
     async fn submit(&self, queue: &Queue, job: JobId, spec: Spec, within: Duration) -> Submitted {
         let began = clock::now();
-        let Some(shard) = self.node.map().shard_of_job(&queue.pool, job) else {
+        // A job that arrives again after its queue has moved is still the job of its first pool.
+        if self.has_moved(queue) {
+            match self.find(queue, job, self.until(within)).await {
+                Found::At(..) => return Submitted::Accepted,
+                Found::Nowhere => {}
+                Found::Unsure => return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S },
+            }
+        }
+        let lasts = spec.steps.iter().any(|step| step.lasting);
+        let Some(shard) = self.node.map().shard_of_job(&queue.pool, job, lasts) else {
             log::info!("event=submit job={job} queue={} outcome=no_shard", queue.name);
             return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S };
         };
@@ -135,20 +181,29 @@
 
     async fn state(&self, queue: &Queue, job: JobId, within: Duration) -> Shown {
         let began = clock::now();
-        let shown = self.find(queue, job, self.until(within)).await;
+        let shown = match self.find(queue, job, self.until(within)).await {
+            Found::At(_, state) => Shown::State(state),
+            Found::Nowhere => Shown::None,
+            Found::Unsure => Shown::Unavailable { retry_after_s: RETRY_AFTER_S },
+        };
         let took = clock::now().saturating_sub(began);
         log::info!("event=state job={job} shown={shown:?} took_ms={}", took.as_millis());
         self.node.metrics.called(Call::State, &queue.name, took);
-        shown.unwrap_or(Shown::Unavailable { retry_after_s: RETRY_AFTER_S })
+        shown
     }
 
     async fn cancel(&self, queue: &Queue, job: JobId, within: Duration) -> Cancelled {
         let began = clock::now();
         let until = self.until(within);
-        let Some(shard) = self.node.map().shard_of_job(&queue.pool, job) else {
+        let Some(shards) = self.shards_to_cancel(queue, job, until).await else {
             return Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S };
         };
-        let outcome = appender::append(&self.node, shard, &Record::Cancelled(job), until).await;
+        let record = Record::Cancelled(job);
+        let appends =
+            shards.into_iter().map(|shard| appender::append(&self.node, shard, &record, until));
+        let outcomes = join_all(appends).await;
+        let outcome = outcomes.into_iter().find(|outcome| *outcome != Outcome::Kept);
+        let outcome = outcome.unwrap_or(Outcome::Kept);
         let took = clock::now().saturating_sub(began);
         log::info!("event=cancel job={job} outcome={outcome:?} took_ms={}", took.as_millis());
         self.node.metrics.called(Call::Cancel, &queue.name, took);
--- a/crates/crosspath_node/src/map.rs
+++ b/crates/crosspath_node/src/map.rs
@@ -87,10 +87,27 @@
         self.shards.get(unit).copied()
     }
 
-    /// Shard of a pool's job.
+    /// Slice of a pool's lasting jobs. Their tasks are spread over many VMs, which jobs of one slice
+    /// can share; another slice for each pool keeps the slices alike.
+    fn home_slice(&self, pool: &Arc<str>) -> u32 {
+        let first = self.shard(&Unit { pool: Arc::clone(pool), slice: 0 }).unwrap_or_default();
+        let higher = self.shards.values().filter(|shard| **shard > first).count();
+        let slices = self.slices.max(1);
+        u32::try_from(higher).unwrap_or_default() / slices % slices
+    }
+
+    /// Shard of a pool's new job.
+    #[must_use]
+    pub fn shard_of_job(&self, pool: &Arc<str>, job: JobId, lasts: bool) -> Option<u32> {
+        let slice = if lasts { self.home_slice(pool) } else { self.slice_of_job(job) };
+        self.shard(&Unit { pool: Arc::clone(pool), slice })
+    }
+
+    /// Shards where a pool's job may be; none when one is not known.
     #[must_use]
-    pub fn shard_of_job(&self, pool: &Arc<str>, job: JobId) -> Option<u32> {
-        self.shard(&Unit { pool: Arc::clone(pool), slice: self.slice_of_job(job) })
+    pub fn shards_of_job(&self, pool: &Arc<str>, job: JobId) -> Option<BTreeSet<u32>> {
+        let either = [false, true];
+        either.into_iter().map(|lasts| self.shard_of_job(pool, job, lasts)).collect()
     }
 
     /// Slices of a pool; none before the number is known.
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -35,6 +35,8 @@
 const GATHER_TICK: Duration = Duration::from_millis(12);
 /// For which a read of the shard waits for a record.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// After records were read: what comes meanwhile, the own commits too, is read by one call.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(20);
 /// After a call of the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// A start that could not be sent within this since it was decided is given up.
@@ -449,6 +451,7 @@
                 continue;
             }
         };
+        let heard = !records.is_empty();
         for record in decode(&records) {
             let event = match record {
                 Record::Accepted(job, accepted) => Event::Accepted(job, accepted),
@@ -464,6 +467,9 @@
                 return;
             }
         }
+        if heard {
+            tokio::time::sleep(FOLLOW_PAUSE).await;
+        }
     }
 }
 
--- a/crates/crosspath_schedule/src/commit.rs
+++ b/crates/crosspath_schedule/src/commit.rs
@@ -16,7 +16,10 @@
 
 /// Changes wait this long for others, to save calls of the store. An end that awaits its
 /// acknowledgement holds up the next look at its worker, so this is short.
-const GATHER: Duration = Duration::from_millis(12);
+const GATHER: Duration = Duration::from_millis(20);
+/// Starts wait for the record of their place, so a change with one does not wait for others, unless
+/// the last commit is as young as this.
+const INTERVAL: Duration = Duration::from_millis(20);
 /// Records in one commit at most, to stay far below the store's bound on a call.
 const MAX_RECORDS: usize = 400;
 
@@ -25,6 +28,8 @@
 pub(crate) struct Commits {
     dirty: BTreeSet<JobId>,
     since: Duration,
+    /// When the last commit was sent.
+    sent: Duration,
     /// Runs whose places are to be kept before they are started.
     planned: Vec<(TaskId, u64)>,
     in_flight: Option<InFlight>,
@@ -68,7 +73,8 @@
             return self.acknowledge_all();
         }
         let gathers = !self.commits.dirty.is_empty() && now < self.commits.since + GATHER;
-        if gathers && self.commits.planned.is_empty() {
+        let hurries = !self.commits.planned.is_empty() && now >= self.commits.sent + INTERVAL;
+        if gathers && !hurries {
             return;
         }
         let mut records = Vec::new();
@@ -93,6 +99,7 @@
         self.commits.planned = later;
         let ends = if whole { self.ends_seen() } else { BTreeMap::new() };
         self.commits.since = now;
+        self.commits.sent = now;
         self.commits.in_flight = Some(InFlight { states, planned, ends });
         self.actions.push(Action::Commit { records });
     }
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -94,6 +94,7 @@
             pool.largest_millis = pool.largest_millis.max(cpu);
         }
         pool.blocked_millis = self.blocked_millis();
+        pool.unplaced_millis = if self.waiting.is_empty() { 0 } else { self.unplaced_millis };
         pool.spread = self.spread();
         pool.priority = self.priority();
         pool
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -105,6 +105,7 @@
         let mut misfits = Misfits::default();
         let mut gang_tried = None;
         let mut refused = 0;
+        self.unplaced_millis = 0;
         for key in timely.into_iter().chain(late) {
             if key.gang {
                 let gang = (key.task.job, key.task.time, key.task.step);
@@ -122,6 +123,7 @@
             if key.anywhere {
                 misfits.add(key.room);
             }
+            self.unplaced_millis += key.room.cpu_millis;
             refused += 1;
             if refused >= MAX_REFUSED {
                 return;
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -30,6 +30,8 @@
     pub running_millis: u64,
     /// Wanted by tasks whose turn has come and that have no place.
     pub waiting_millis: u64,
+    /// Wanted by tasks for which no worker was found, in thousandths of a core.
+    pub unplaced_millis: u64,
     /// Wanted by tasks that wait for others of their job.
     pub blocked_millis: u64,
     /// Largest single task that waits.
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -68,6 +68,8 @@
     pub(crate) may_act: bool,
     pub(crate) store_away: bool,
     pub(crate) place_again: bool,
+    /// What tasks want that the last round of placing found no worker for, in thousandths of a core.
+    pub(crate) unplaced_millis: u64,
     /// When tasks were last placed.
     placed: Duration,
     /// Whether all workers are to be looked over.
@@ -95,6 +97,7 @@
             may_act: true,
             store_away: false,
             place_again: false,
+            unplaced_millis: 0,
             placed: Duration::ZERO,
             look_over: false,
             cancelled_early: BTreeSet::new(),
