--- a/crates/crosspath_job/src/progress.rs
+++ b/crates/crosspath_job/src/progress.rs
@@ -37,13 +37,10 @@
     /// It ended successfully.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
-    /// Runs that failed.
-    #[serde(rename = "f", skip_serializing_if = "is_zero")]
-    pub failures: u32,
-    /// Number of the last run that was counted as failed, so that its end, listed again to a new
-    /// owner, is not counted twice.
-    #[serde(rename = "r", skip_serializing_if = "is_zero_u64")]
-    pub failed_run: u64,
+    /// Numbers of the runs that failed. An end may be listed again to a new owner, and late: each
+    /// number counts once.
+    #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<u64>,
     /// Number and worker of each run that is or may be; written before a run is started, so that
     /// a new owner knows where to look for it.
     #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
@@ -53,11 +50,6 @@
     pub checkpoint: Option<Arc<str>>,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
 /// How far a job is.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -57,10 +57,8 @@
 pub struct Task {
     /// It ended successfully.
     pub done: bool,
-    /// Runs that failed.
-    pub failures: u32,
-    /// Number of the last run that was counted as failed.
-    pub failed_run: u64,
+    /// Numbers of the runs that failed.
+    pub failed_runs: Vec<u64>,
     /// Highest number of a run that was ever seen.
     pub last_run: u64,
     /// Newest checkpoint.
@@ -177,10 +175,9 @@
                 continue;
             };
             task.done = kept.done;
-            task.failures = kept.failures;
-            task.failed_run = kept.failed_run;
+            task.failed_runs.clone_from(&kept.failed_runs);
             let runs = kept.runs.iter().map(|(run, _)| *run);
-            task.last_run = runs.chain([kept.failed_run]).max().unwrap_or_default();
+            task.last_run = runs.chain(kept.failed_runs.iter().copied()).max().unwrap_or_default();
             task.checkpoint.clone_from(&kept.checkpoint);
             task.unseen.clone_from(&kept.runs);
         }
@@ -204,8 +201,7 @@
                     for (index, task) in step.tasks.iter().enumerate() {
                         let kept = TaskProgress {
                             done: task.done,
-                            failures: task.failures,
-                            failed_run: task.failed_run,
+                            failed_runs: task.failed_runs.clone(),
                             runs: task.placements(),
                             checkpoint: task.checkpoint.clone().filter(|_| !task.done),
                         };
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -750,14 +750,13 @@
             return;
         }
         let Some(task) = job.task_mut(id) else { return };
-        if task.done || number <= task.failed_run {
+        if task.done || task.failed_runs.contains(&number) {
             return self.queue_task(now, id);
         }
-        task.failed_run = number;
+        task.failed_runs.push(number);
         task.last_run = task.last_run.max(number);
-        task.failures += 1;
         task.failed_on.push(Arc::clone(worker));
-        let failures = task.failures;
+        let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
         let others: Vec<_> = task.runs.iter().map(|run| run.number).collect();
         self.blame(now, worker, BLAME_FAILED);
         self.commits.touch(now, id.job);
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler by its events and actions.
 
 mod common;
+mod failing;
 mod lasting;
 mod model;
 mod takeover;
