--- a/crates/crosspath_fakes/src/lib.rs
+++ b/crates/crosspath_fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod ledger;
 mod log_store;
+pub mod memory_store;
 mod platform;
 pub mod site;
 mod upstream;
--- /dev/null
+++ b/crates/crosspath_fakes/src/memory_store.rs
@@ -0,0 +1,202 @@
+//! The platform's log in memory: keyed partitions, fenced appends, a group that deals shards.
+//!
+//! Answers can be lost on order. It deals shards evenly by member, takes no notice of silence, and
+//! moves a shard at once; what the daemon does in between is tested elsewhere.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use crosspath_border::operator::{Change, WaveState};
+use crosspath_border::store::{
+    Appended, DecodeError, Error, Guard, Holder, Join, Keyed, Membership, NewestPage, Page,
+    Partition, Store, Stored,
+};
+use crosspath_border::worker;
+
+/// Appends of an owner whose answers can be asked for again.
+const REMEMBERED: usize = 5;
+
+#[derive(Debug, Default)]
+struct Log {
+    records: Vec<Stored>,
+    epoch: u64,
+    /// The last appends of the epoch and their answers.
+    answers: VecDeque<(u64, Appended)>,
+}
+
+impl Log {
+    fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    fn check(&self, guard: Guard) -> Result<Option<Appended>, Error> {
+        match guard {
+            Guard::Free => Ok(None),
+            Guard::At(at) if at == self.end() => Ok(None),
+            Guard::At(_) => Err(Error::Moved { end: self.end() }),
+            Guard::Owner { epoch, .. } if epoch < self.epoch => {
+                Err(Error::Fenced { epoch: self.epoch })
+            }
+            Guard::Owner { epoch, .. } if epoch > self.epoch => Ok(None),
+            Guard::Owner { sequence, .. } => {
+                let repeated = self.answers.iter().find(|(number, _)| *number == sequence);
+                let last = self.answers.back().map_or(0, |(number, _)| *number);
+                match repeated {
+                    Some((_, answer)) => Ok(Some(*answer)),
+                    None if sequence == last + 1 => Ok(None),
+                    None => Err(Error::Sequence { wanted: last + 1 }),
+                }
+            }
+        }
+    }
+
+    fn append(&mut self, records: &[Keyed], guard: Guard) -> Result<Appended, Error> {
+        if let Some(answer) = self.check(guard)? {
+            return Ok(answer);
+        }
+        let offset = self.end();
+        for (record, offset) in records.iter().zip(offset..) {
+            let Keyed { key, value } = record.clone();
+            self.records.push(Stored { offset, key, value });
+        }
+        let appended = Appended { offset, end: self.end() };
+        if let Guard::Owner { epoch, sequence } = guard {
+            if epoch > self.epoch {
+                self.epoch = epoch;
+                self.answers.clear();
+            }
+            self.answers.push_back((sequence, appended));
+            if self.answers.len() > REMEMBERED {
+                self.answers.pop_front();
+            }
+        }
+        Ok(appended)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    logs: HashMap<Partition, Log>,
+    members: Vec<Arc<str>>,
+    generation: u64,
+    lose_answers: u32,
+}
+
+/// The log in memory.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    shards: u32,
+    state: Mutex<State>,
+}
+
+impl MemoryStore {
+    /// A store whose group deals so many shards.
+    #[must_use]
+    pub fn new(shards: u32) -> Self {
+        Self { shards, state: Mutex::default() }
+    }
+
+    /// The next so many appends are done and not answered.
+    pub fn lose_answers(&self, count: u32) {
+        self.state().lose_answers = count;
+    }
+
+    /// All records of a partition.
+    #[must_use]
+    pub fn records(&self, partition: Partition) -> Vec<Stored> {
+        self.state().logs.get(&partition).map(|log| log.records.clone()).unwrap_or_default()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn foreign(record: &Stored) -> DecodeError {
+    let detail = "this stand-in has no records of others".to_owned();
+    DecodeError { key: record.key.clone(), offset: record.offset, detail }
+}
+
+#[async_trait]
+impl Store for MemoryStore {
+    async fn append(
+        &self,
+        partition: Partition,
+        records: &[Keyed],
+        guard: Guard,
+    ) -> Result<Appended, Error> {
+        let mut state = self.state();
+        let appended = state.logs.entry(partition).or_default().append(records, guard)?;
+        if state.lose_answers > 0 {
+            state.lose_answers -= 1;
+            return Err(Error::NoAnswer);
+        }
+        Ok(appended)
+    }
+
+    async fn read(&self, partition: Partition, from: u64, _: Duration) -> Result<Page, Error> {
+        let mut state = self.state();
+        let log = state.logs.entry(partition).or_default();
+        let skipped = usize::try_from(from).unwrap_or(usize::MAX);
+        Ok(Page { records: log.records.iter().skip(skipped).cloned().collect(), end: log.end() })
+    }
+
+    async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<NewestPage, Error> {
+        let mut state = self.state();
+        let log = state.logs.entry(partition).or_default();
+        let mut newest = BTreeMap::new();
+        for record in &log.records {
+            newest.insert(record.key.clone(), record.clone());
+        }
+        let records = newest.into_values();
+        let records = records.filter(|record| {
+            !record.value.is_empty() && after.is_none_or(|after| record.key.as_str() > after)
+        });
+        Ok(NewestPage { records: records.collect(), more: false, end: log.end() })
+    }
+
+    async fn join(&self, join: &Join) -> Result<Membership, Error> {
+        let mut state = self.state();
+        if !state.members.contains(&join.member) {
+            state.members.push(Arc::clone(&join.member));
+            state.generation += 1;
+        }
+        let at = state.members.iter().position(|member| *member == join.member).unwrap_or_default();
+        let shards = (0..self.shards).filter(|number| *number as usize % state.members.len() == at);
+        Ok(Membership { generation: state.generation, shards: shards.collect() })
+    }
+
+    async fn leave(&self, member: &str) -> Result<(), Error> {
+        let mut state = self.state();
+        state.members.retain(|other| **other != *member);
+        state.generation += 1;
+        Ok(())
+    }
+
+    async fn holders(&self) -> Result<Vec<Holder>, Error> {
+        let state = self.state();
+        let holder = |shard: u32| {
+            let member = state.members.get(shard as usize % state.members.len().max(1))?;
+            Some(Holder { shard, member: Arc::clone(member) })
+        };
+        Ok((0..self.shards).filter_map(holder).collect())
+    }
+
+    fn change(&self, record: &Stored) -> Result<Change, DecodeError> {
+        Err(foreign(record))
+    }
+
+    fn worker(&self, record: &Stored) -> Result<worker::Entry, DecodeError> {
+        Err(foreign(record))
+    }
+
+    fn wave_status(&self, wave: u64, state: WaveState) -> Keyed {
+        Keyed { key: wave.to_string(), value: format!("{state:?}").into() }
+    }
+
+    fn wave_state(&self, record: &Stored) -> Result<(u64, WaveState), DecodeError> {
+        Err(foreign(record))
+    }
+}
--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -141,7 +141,7 @@
         order: &Order,
         outcome: Outcome,
     ) -> Option<u64> {
-        let Some(intent) = self.intents.get_mut(vm) else { return None };
+        let intent = self.intents.get_mut(vm)?;
         match outcome {
             Ok(Verdict::Done) => {
                 intent.stage = Stage::Done { at: now };
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon's parts.
 
 mod away;
+mod claim;
 mod map;
