--- a/crates/crosspath_node/src/daemon.rs
+++ b/crates/crosspath_node/src/daemon.rs
@@ -125,16 +125,13 @@
 ) -> tokio::task::JoinHandle<()> {
     let [callers, readiness, peers, metrics] = listeners;
     let handler: Arc<dyn Handler> = Arc::new(Gateway::new(Arc::clone(node)));
-    let stop = || node.stage.subscribe();
-    // Peers and the balancer are answered to the very end.
-    let (_sender, never) = watch::channel(Stage::Serving);
+    let never = node.answering.subscribe();
     let readiness =
         serve_readiness(readiness, Limits::default(), never.clone(), Arc::clone(&handler));
     drop(tokio::spawn(readiness));
     drop(tokio::spawn(rpc::serve(peers, never.clone(), Arc::clone(node))));
     drop(tokio::spawn(serve_metrics(metrics, never, Arc::clone(node))));
-    std::mem::forget(_sender);
-    tokio::spawn(serve_callers(callers, Limits::default(), stop(), handler))
+    tokio::spawn(serve_callers(callers, Limits::default(), node.stage.subscribe(), handler))
 }
 
 async fn serve_metrics(listener: TcpListener, stop: watch::Receiver<Stage>, node: Arc<Node>) {
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -67,6 +67,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) stopping: watch::Sender<bool>,
+    /// Peers, the balancer and readers of metrics are answered to the very end, so it never says so.
+    pub(crate) answering: watch::Sender<Stage>,
     /// Rung when the configuration, the map, or the holders change.
     pub(crate) changed: Notify,
     table: Mutex<Option<Arc<Table>>>,
@@ -114,6 +116,7 @@
             metrics: Metrics::default(),
             stage: watch::Sender::new(Stage::Serving),
             stopping: watch::Sender::new(false),
+            answering: watch::Sender::new(Stage::Serving),
             changed: Notify::new(),
             table: Mutex::default(),
             directory: Mutex::default(),
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -172,6 +172,7 @@
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let room = job.accepted.spec.steps[id.step as usize].reserved();
         let Some(task) = job.task_mut(id) else { return };
+        let freed = task.freed;
         task.last_run = run;
         task.runs.push(Run {
             number: run,
@@ -187,6 +188,11 @@
             pace: 100,
         });
         let Some(known) = self.workers.get_mut(worker) else { return };
+        log::info!(
+            "event=run_placed task={id} run={run} worker={worker} waited_ms={} free_millis={}",
+            now.saturating_sub(freed).as_millis(),
+            known.free().cpu_millis
+        );
         known.reserve(id, run, room);
         self.commits.plan(now, id, run);
     }
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -287,8 +287,8 @@
                 if !ready || step.left == 0 {
                     continue;
                 }
-                for task in step.tasks.iter_mut().filter(|task| task.runs.is_empty()) {
-                    task.freed = task.freed.max(Duration::from_millis(1));
+                for task in step.tasks.iter_mut().filter(|task| task.freed.is_zero()) {
+                    task.freed = now;
                 }
             }
         }
--- a/crates/crosspathd/src/main.rs
+++ b/crates/crosspathd/src/main.rs
@@ -1,6 +1,7 @@
 //! `crosspathd`: the daemon of an entry VM.
 
 mod commands;
+mod logging;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -36,7 +37,7 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    logging::start();
     let status = match parser().run() {
         Command::Run { settings } => commands::run::run(&settings),
         Command::Platform { platform } => commands::platform::run(&platform),
