--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod failing;
+mod form;
 mod lasting;
 mod model;
 mod takeover;
