Runs that stand still are stopped and go on elsewhere

Cause: a task on a worker that answers all looks and does nothing would never end while the worker lives.

--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -42,6 +42,8 @@
     pub stop_sent: Duration,
     /// Percent as last heard.
     pub percent: u32,
+    /// When a look that was answered last showed it.
+    pub looked: Duration,
     /// When the percent last changed.
     pub progressed: Duration,
     /// Newest checkpoint.
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -18,6 +18,7 @@
 mod place;
 pub mod report;
 mod scheduler;
+mod stall;
 mod takeover;
 mod worker;
 
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -182,6 +182,7 @@
             answered: now,
             stop_sent: Duration::ZERO,
             percent: 0,
+            looked: now,
             progressed: now,
             checkpoint,
             gauge: 0,
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -196,6 +196,7 @@
             if std::mem::take(&mut self.look_over) {
                 self.stop_again(now);
                 self.vacate_tasks(now);
+                self.stop_stalled(now);
                 self.pace();
             }
             let pause = if self.waiting.len() > BACKLOG { PLACE_INTERVAL } else { Duration::ZERO };
@@ -570,6 +571,7 @@
                 run.percent = row.percent;
                 run.progressed = now;
             }
+            run.looked = now;
             run.gauge = row.gauge;
             if row.checkpoint.is_some() {
                 run.checkpoint.clone_from(&row.checkpoint);
@@ -614,6 +616,7 @@
                 answered: now,
                 stop_sent: Duration::ZERO,
                 percent: row.percent,
+                looked: now,
                 progressed: now,
                 checkpoint: row.checkpoint.clone(),
                 gauge: row.gauge,
--- /dev/null
+++ b/crates/crosspath_schedule/src/stall.rs
@@ -0,0 +1,45 @@
+//! Runs that stand still on a worker that answers.
+//!
+//! A worker may answer all looks and do nothing. A brief run whose percent has not changed between
+//! looks for some time is stopped, goes on elsewhere, and is held against the worker.
+
+use std::time::Duration;
+
+use crosspath_job::TaskId;
+
+use crate::job::{Phase, Run};
+use crate::scheduler::Scheduler;
+
+/// Between two looks that show no progress. The longest tasks seen take some 35 s on the slowest
+/// workers and so gain some percent in it; going on from a checkpoint takes up to 0.6 s before.
+const STANDSTILL: Duration = Duration::from_millis(1_200);
+/// Blame for a run that stands still: two keep a worker from new work.
+const BLAME_STALLED: f64 = 1.5;
+
+impl Scheduler {
+    pub(crate) fn stop_stalled(&mut self, now: Duration) {
+        let mut stalled: Vec<(TaskId, u64)> = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.failures == 0) {
+            let runs = worker.runs.keys().filter(|(task, run)| self.is_stalled(*task, *run));
+            stalled.extend(runs.copied());
+        }
+        for (task, run) in stalled {
+            let Some(worker) = self.run(task, run).map(|run| run.worker.clone()) else { continue };
+            log::info!("event=run_stalled task={task} run={run} worker={worker}");
+            if let Some(worker) = self.workers.get_mut(&worker) {
+                worker.add_blame(now, BLAME_STALLED);
+            }
+            self.stop_run(now, task, run);
+        }
+    }
+
+    fn is_stalled(&self, id: TaskId, number: u64) -> bool {
+        let brief =
+            self.step_of(id).is_some_and(|step| !step.lasting && !step.gang && !step.filler);
+        brief && self.run(id, number).is_some_and(stands_still)
+    }
+}
+
+fn stands_still(run: &Run) -> bool {
+    run.phase == Phase::Running && run.looked >= run.progressed + STANDSTILL
+}
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -5,5 +5,6 @@
 mod form;
 mod lasting;
 mod model;
+mod stall;
 mod takeover;
 mod world;
