A silent worker's leases of the owner before are waited for also when it leaves the list

Cause: read in review: a worker not looked at yet had no end of lease, so an empty entry in the list freed its tasks at once while it might live, cut off. A new owner now counts leases there up to its settlement, unless the log had no unfinished job. Test: takeover::a_silent_worker_that_leaves_the_list_is_waited_for_all_the_same, failing before.

--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -42,7 +42,9 @@
         }
         log::info!("event=worker_known worker={} vm={}", entry.id, entry.vm);
         let (id, clock_ms) = (Arc::clone(&entry.id), entry.clock_ms);
-        let worker = Worker::new(entry);
+        let mut worker = Worker::new(entry);
+        // An owner before may have given leases there.
+        worker.leased_until(self.settlement.open_until());
         self.actions.push(Action::Watch { worker: worker.target(), clock_ms });
         self.workers.insert(id, worker);
     }
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -41,6 +41,11 @@
         Self { unaccounted: BTreeSet::new(), unrecorded: false, until, over: false }
     }
 
+    /// When everything that an owner before ordered has surely lapsed; 0 once that is so.
+    pub(crate) fn open_until(&self) -> Duration {
+        if self.over { Duration::ZERO } else { self.until }
+    }
+
     /// Whether time settles everything now.
     fn ends(&mut self, now: Duration) -> bool {
         let ends = !self.over && now >= self.until;
@@ -87,6 +92,8 @@
             let listed = workers.iter().map(|entry| Arc::clone(&entry.id));
             self.settlement.unaccounted.extend(listed);
         }
+        // An owner before could only start what is in the log.
+        self.settlement.over = self.jobs.values().all(|job| job.state.is_final());
         let (jobs, open) = (self.jobs.len(), self.settlement.unaccounted.len());
         log::info!(
             "event=taken_over jobs={jobs} workers={} expected_on={open} unrecorded={unrecorded} epoch={}",
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -109,6 +109,24 @@
     assert_eq!(third.starts(), Vec::new(), "the first owner's run may be on {}", order.worker);
 }
 
+#[test]
+fn a_silent_worker_that_leaves_the_list_is_waited_for_all_the_same() {
+    let (order, records) = owner_before(&["a", "b"]);
+    let other = if *order.worker == *"a" { "b" } else { "a" };
+    let mut bed = Bed::new(2);
+    bed.take_over(records, &["a", "b"]);
+    let began = bed.now;
+    silent(&mut bed, &order.worker);
+    bed.send(Event::WorkerGone(order.worker.clone()));
+    while bed.now < began + ms(6_000) {
+        bed.pass(ms(100));
+        bed.held(other, Vec::new(), Vec::new());
+        assert_eq!(bed.starts(), Vec::new(), "after {:?}", bed.now - began);
+    }
+    bed.pass(ms(2_000));
+    assert_eq!(bed.starts().len(), 1);
+}
+
 #[test]
 fn after_an_outage_of_the_store_every_silent_worker_holds_tasks_up() {
     let mut bed = Bed::new(2);
