A VM is not vacant before the ends of its worker are kept

In review: a run that ended left its VM vacant at once, and the VM could be ordered away before the end was in the log; a new owner then knew neither. Test: lasting::a_vm_is_not_vacant_before_the_ends_that_its_worker_lists_are_kept, failing before.

--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -85,7 +85,10 @@
                 tasks: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
                 lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
                 usable: worker.is_usable(now),
-                known: worker.synced && worker.failures == 0,
+                // An end that is not kept yet would be lost with the worker.
+                known: worker.synced
+                    && worker.failures == 0
+                    && worker.ends_seen == worker.ends_acknowledged,
             });
         }
         for key in &self.waiting {
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -19,7 +19,8 @@
     pub lasting: u32,
     /// Whether it takes work: listed, answering, not draining.
     pub usable: bool,
-    /// Whether its worker has told this owner what runs there; `tasks` says nothing otherwise.
+    /// Whether its worker has told this owner what runs there, and all ends that it told of are
+    /// kept; `tasks` says nothing otherwise.
     pub known: bool,
 }
 
--- a/crates/crosspath_schedule/tests/schedule/lasting.rs
+++ b/crates/crosspath_schedule/tests/schedule/lasting.rs
@@ -75,6 +75,20 @@
     assert_eq!(bed.stops(), Vec::new());
 }
 
+#[test]
+fn a_vm_is_not_vacant_before_the_ends_that_its_worker_lists_are_kept() {
+    let mut bed = Bed::with_workers(&["a"]);
+    bed.submit(vec![step(1, 2)]);
+    let order = bed.starts().remove(0);
+    bed.started(&order);
+    bed.keeps = false;
+    bed.held("a", Vec::new(), vec![ended(1, order.task, order.run, How::Done)]);
+    bed.pass(ms(100));
+    assert!(!bed.scheduler.report(bed.now).vms[0].is_vacant());
+    bed.send(Event::Committed);
+    assert!(bed.scheduler.report(bed.now).vms[0].is_vacant());
+}
+
 #[test]
 fn one_that_ended_in_any_way_is_started_again() {
     for how in [How::Done, How::Failed, How::Stopped, How::Lapsed] {
