--- a/crates/crosspath_border/src/operator.rs
+++ b/crates/crosspath_border/src/operator.rs
@@ -5,6 +5,10 @@
 use crosspath_job::record::{Advice, Policy};
 use serde::{Deserialize, Serialize};
 
+/// Bytes of a request body that are taken where no configuration says otherwise; as deployments
+/// have it.
+pub const DEFAULT_BODY_BYTES: u64 = 262_144;
+
 /// A queue of jobs, found by host and path.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Queue {
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use crosspath_border::entry::{Cancelled, Handler, Resolved, Shown, Submitted};
-use crosspath_border::operator::Queue;
+use crosspath_border::operator::{DEFAULT_BODY_BYTES, Queue};
 use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record};
 use crosspath_job::{JobId, Spec};
@@ -23,8 +23,6 @@
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
 const RETRY_AFTER_S: u32 = 1;
-/// Bytes of a body before there is a configuration.
-const DEFAULT_BODY: u64 = 262_144;
 
 /// For which a cancel looks for its job's shard before it goes to all where the job may be.
 const FIND_PATIENCE: Duration = Duration::from_millis(400);
@@ -127,7 +125,7 @@
     }
 
     fn body_limit(&self) -> u64 {
-        self.node.table().map_or(DEFAULT_BODY, |table| table.config.body_bytes)
+        self.node.table().map_or(DEFAULT_BODY_BYTES, |table| table.config.body_bytes)
     }
 
     fn is_ready(&self) -> bool {
