Nothing starts without its record, also while the store is away

Ruled out: want of VMs (222 of 349 in the pool), the round of placing (tasks were held back, not refused).

--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -23,11 +23,6 @@
 use crate::shard::Handle;
 use crate::table::Table;
 
-/// For which a new owner allows for runs that were started while the store was away: the longest
-/// that such a run's worker may have been out of sight, some seconds, with their leases.
-const AWAY_MEMORY: Duration = Duration::from_secs(12);
-/// Silence of the store that counts as its being away; calls are made several times a second.
-const AWAY_AFTER: Duration = Duration::from_millis(1_000);
 /// Between looks whether the worker list is there.
 const LIST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,8 +43,6 @@
     pub(crate) away_until: Duration,
     /// When the store last answered anything.
     pub(crate) store_answered: Duration,
-    /// When the store last answered after it had been silent for long.
-    pub(crate) store_back: Duration,
 }
 
 /// What the daemon's tasks share.
@@ -184,11 +177,7 @@
 
     /// The store has answered.
     pub(crate) fn store_answers(&self, now: Duration) {
-        let mut standing = lock(&self.standing);
-        if now > standing.store_answered + AWAY_AFTER && !standing.store_answered.is_zero() {
-            standing.store_back = now;
-        }
-        standing.store_answered = now;
+        lock(&self.standing).store_answered = now;
     }
 
     pub(crate) fn set_standing(&self, change: impl FnOnce(&mut Standing)) {
@@ -207,12 +196,6 @@
         now >= standing.until && now < standing.away_until
     }
 
-    /// Whether owners may have acted without the store a moment ago.
-    pub(crate) fn was_store_away(&self, now: Duration) -> bool {
-        let standing = self.standing();
-        now < standing.store_back + AWAY_MEMORY
-    }
-
     /// Waits until the worker list was read to its end once.
     pub(crate) async fn list_loaded(&self) {
         while !self.directory().loaded {
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -176,8 +176,7 @@
             Settings { terms, keep_ended: self.node.settings.keep_ended, membership_ttl: TTL };
         let now = clock::now();
         let mut taken = Scheduler::new(settings, claimed.epoch, now);
-        let unrecorded = self.node.was_store_away(now);
-        taken.take_over(now, clock::wall_ms(), decode(&records), self.workers(), unrecorded);
+        taken.take_over(now, clock::wall_ms(), decode(&records), self.workers());
         *scheduler(&self.shared) = Some(taken);
         let follower = tokio::spawn(follow(
             Arc::clone(&self.node),
@@ -243,7 +242,6 @@
             if is_away != away {
                 away = is_away;
                 log::info!("event=store_away shard={} away={away}", self.number);
-                events.push(Event::StoreAway(away));
             }
             let Some(actions) = self.decide(now, &mut events, &mut gathers) else { return };
             for action in actions {
--- a/crates/crosspath_schedule/src/commit.rs
+++ b/crates/crosspath_schedule/src/commit.rs
@@ -124,17 +124,6 @@
         self.actions.push(Action::Acknowledge { worker: Arc::clone(id), number });
     }
 
-    /// Starts planned runs whose places cannot be kept now.
-    pub(crate) fn start_unkept(&mut self, now: Duration) {
-        let mut planned = self.commits.planned.clone();
-        if let Some(in_flight) = &self.commits.in_flight {
-            planned.extend(&in_flight.planned);
-        }
-        for (task, run) in planned {
-            self.send_start(now, task, run);
-        }
-    }
-
     pub(crate) fn committed(&mut self, now: Duration) {
         let Some(InFlight { states, planned, ends }) = self.commits.in_flight.take() else {
             return;
--- a/crates/crosspath_schedule/src/event.rs
+++ b/crates/crosspath_schedule/src/event.rs
@@ -77,8 +77,6 @@
     Vacate(BTreeSet<Arc<str>>),
     /// Whether orders may be given now.
     MayAct(bool),
-    /// Whether the store is away for all daemons: nothing can be kept, and nobody else can own.
-    StoreAway(bool),
     /// A later owner has claimed the shard.
     Superseded,
     /// Time has passed.
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -47,7 +47,6 @@
     pub(crate) tickets: Tickets,
     pub(crate) vacate: BTreeSet<Arc<str>>,
     pub(crate) may_act: bool,
-    pub(crate) store_away: bool,
     pub(crate) place_again: bool,
     /// What tasks want that the last round of placing found no worker for, in thousandths of a core.
     pub(crate) unplaced_millis: u64,
@@ -78,7 +77,6 @@
             tickets: Tickets::default(),
             vacate: BTreeSet::new(),
             may_act: true,
-            store_away: false,
             place_again: false,
             unplaced_millis: 0,
             unplaced_lasting: 0,
@@ -155,12 +153,6 @@
                 self.place_again |= may_act;
                 self.may_act = may_act;
             }
-            Event::StoreAway(away) => {
-                self.store_away = away;
-                if away {
-                    self.start_unkept(now);
-                }
-            }
             Event::Superseded => self.superseded = true,
             Event::Tick => {
                 self.look_over = true;
@@ -185,9 +177,6 @@
                 self.place_again = false;
                 self.placed = now;
                 self.place(now);
-                if self.store_away {
-                    self.start_unkept(now);
-                }
             }
         }
         self.commit(now, wall_ms);
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -3,9 +3,7 @@
 //! Where a run is started is written to the log before, so a new owner knows on which workers a
 //! task may run. A task that has no run by the answers of those workers is started at once; one that
 //! may be on a worker that does not answer waits until whatever was ordered there must have lapsed.
-//!
-//! While the store is away, owners start runs that no record tells of. A new owner that cannot rule
-//! that out waits for every worker in the same way.
+//! No owner starts anything without that record, also while the store is away.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -27,8 +25,6 @@
 pub(crate) struct Settlement {
     /// Workers that have not answered yet and whose life is not over.
     unaccounted: BTreeSet<Arc<str>>,
-    /// Whether there may be runs that no record tells of.
-    unrecorded: bool,
     /// When everything unseen has lapsed.
     until: Duration,
     over: bool,
@@ -38,7 +34,7 @@
     pub(crate) fn new(settings: &Settings, now: Duration) -> Self {
         let acting = now + settings.membership_ttl + IN_FLIGHT;
         let until = settings.terms.over(acting, settings.terms.hold);
-        Self { unaccounted: BTreeSet::new(), unrecorded: false, until, over: false }
+        Self { unaccounted: BTreeSet::new(), until, over: false }
     }
 
     /// When everything that an owner before ordered has surely lapsed; 0 once that is so.
@@ -56,14 +52,12 @@
 
 impl Scheduler {
     /// Takes over what the log kept, newest record of each key, and the workers as listed.
-    /// `unrecorded` tells that runs may have been started without a record.
     pub fn take_over(
         &mut self,
         now: Duration,
         wall_ms: u64,
         records: Vec<Record>,
         workers: Vec<Entry>,
-        unrecorded: bool,
     ) {
         let mut progress: Vec<(JobId, Progress)> = Vec::new();
         let mut cancelled = Vec::new();
@@ -86,17 +80,12 @@
         for job in self.jobs.values_mut() {
             job.inherited = true;
         }
-        self.settlement.unrecorded = unrecorded;
         self.settlement.unaccounted = progress_workers;
-        if unrecorded {
-            let listed = workers.iter().map(|entry| Arc::clone(&entry.id));
-            self.settlement.unaccounted.extend(listed);
-        }
         // An owner before could only start what is in the log.
         self.settlement.over = self.jobs.values().all(|job| job.state.is_final());
         let (jobs, open) = (self.jobs.len(), self.settlement.unaccounted.len());
         log::info!(
-            "event=taken_over jobs={jobs} workers={} expected_on={open} unrecorded={unrecorded} epoch={}",
+            "event=taken_over jobs={jobs} workers={} expected_on={open} epoch={}",
             workers.len(),
             self.epoch
         );
@@ -137,11 +126,8 @@
     /// Whether a task may be unseen on some worker.
     pub(crate) fn may_be_unseen(&self, id: TaskId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else { return false };
-        let settlement = &self.settlement;
-        if !job.inherited || settlement.over {
-            return false;
-        }
-        let unrecorded = settlement.unrecorded && !settlement.unaccounted.is_empty();
-        unrecorded || job.task(id).is_some_and(|task| !task.unseen.is_empty())
+        job.inherited
+            && !self.settlement.over
+            && job.task(id).is_some_and(|task| !task.unseen.is_empty())
     }
 }
