Large entry VMs own shards, small ones only serve callers; two slices instead of five

Cause: on the grown deployments each pool was cut into five slices so that a 0.12-core VM could own one. Change: a daemon tells its cores in the group's member text; those below 0.2 core stay out of the group while at least two large owners are seen, and step in otherwise. Slices go by the cores of the VM that writes the map.

--- a/crates/crosspath_node/src/daemon.rs
+++ b/crates/crosspath_node/src/daemon.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
+use crate::member::Member;
 use crate::node::{Node, Parts};
 use crate::settings::Settings;
 use crate::{clock, feed, map, membership, rpc};
@@ -89,7 +90,13 @@
         bind(settings.peers).await?,
         bind(settings.metrics).await?,
     ];
-    let member = format!("{}/{}/{:x}", settings.peers, settings.name, clock::wall_ms());
+    let member = Member {
+        address: settings.peers,
+        name: Arc::clone(&settings.name),
+        life: format!("{:x}", clock::wall_ms()).into(),
+        millicores: settings.millicores,
+    }
+    .to_string();
     log::info!("event=started daemon={} member={member}", settings.name);
     let Ports { store, runner, fleet, advisor, serve_callers, serve_readiness } = ports;
     let node = Arc::new(Node::new(Parts {
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod appender;
 pub mod away;
+pub mod candidacy;
 pub mod claim;
 mod clock;
 mod daemon;
@@ -14,6 +15,7 @@
 mod fleet;
 mod gateway;
 pub mod map;
+pub mod member;
 mod membership;
 mod metrics;
 mod node;
--- a/crates/crosspath_node/src/map.rs
+++ b/crates/crosspath_node/src/map.rs
@@ -21,9 +21,12 @@
 use crate::feed;
 use crate::node::{Node, only_partition};
 
-/// VMs for each slice of the fleet. One entry VM of 0.12 core carries the pools' peaks of as many:
-/// measured on the deployments of 48 and 349 VMs, see docs/CAPACITY.md.
-const VMS_PER_SLICE: usize = 64;
+/// VMs of a slice for each core of the entry VM that owns its shards. One of 0.12 core carries the
+/// pools' peaks of 64, one of 0.5 core of 266; measured on the deployments of 48 and 349 VMs, see
+/// docs/CAPACITY.md.
+const VMS_PER_CORE: usize = 533;
+/// VMs of a slice at least.
+const LEAST_VMS: usize = 32;
 /// After a call of the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Share of brief jobs that a slice gets, against [`LENT_WEIGHT`].
@@ -181,15 +184,22 @@
     }
 
     /// Records that the map lacks for `pools`, with shards below `end`; with the number of slices
-    /// for `vms` VMs if that is not known.
+    /// for `vms` VMs, owned by entry VMs of `millicores`, if that is not known.
     #[must_use]
-    pub fn missing(&self, pools: &BTreeSet<Arc<str>>, vms: usize, end: u32) -> Vec<Keyed> {
+    pub fn missing(
+        &self,
+        pools: &BTreeSet<Arc<str>>,
+        vms: usize,
+        millicores: u32,
+        end: u32,
+    ) -> Vec<Keyed> {
         let keyed = |key: String, number: u32| Keyed { key, value: number.to_string().into() };
         let mut whole = self.clone();
         let mut records = Vec::new();
         if whole.slices == 0 {
             let most = end / u32::try_from(pools.len().max(1)).unwrap_or(u32::MAX);
-            let wanted = u32::try_from(vms.div_ceil(VMS_PER_SLICE)).unwrap_or(u32::MAX);
+            let carried = (VMS_PER_CORE * millicores as usize / 1_000).max(LEAST_VMS);
+            let wanted = u32::try_from(vms.div_ceil(carried)).unwrap_or(u32::MAX);
             whole.slices = wanted.clamp(1, most.max(1));
             records.push(keyed(SLICES_KEY.to_owned(), whole.slices));
             let homes = u32::try_from(pools.len()).unwrap_or(u32::MAX);
@@ -236,7 +246,7 @@
     records.iter().for_each(|record| map.take(record));
     node.set_map(map.clone());
     let vms = if map.slices().is_none() { count_vms(node).await } else { 0 };
-    let records = map.missing(pools, vms, node.fleet_shard());
+    let records = map.missing(pools, vms, node.settings.millicores, node.fleet_shard());
     if records.is_empty() {
         if pools.iter().any(|pool| !map.has(pool)) {
             log::error!("event=no_shard_left pools={}", pools.len());
@@ -244,6 +254,11 @@
         }
         return Ok(());
     }
+    // The size of slices goes by the VMs that will own them.
+    if !node.standing().candidate {
+        tokio::time::sleep(RETRY_PAUSE).await;
+        return Ok(());
+    }
     node.store.append(partition, &records, Guard::At(end)).await?;
     log::info!("event=map_extended records={} vms={vms}", records.len());
     for (record, offset) in records.into_iter().zip(end..) {
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -1,4 +1,6 @@
 //! Staying a member of the group of owners, and owning the shards that it deals.
+//!
+//! A daemon that does not stand for ownership only follows who owns what.
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -8,7 +10,9 @@
 use futures::future::join_all;
 
 use crate::away::Survey;
+use crate::candidacy::Candidacy;
 use crate::clock;
+use crate::member::Member;
 use crate::node::Node;
 use crate::rpc::{Answer, Question};
 use crate::shard::Handle;
@@ -31,15 +35,54 @@
 /// Between readings of who holds what, besides those after changes.
 const HOLDERS_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Joins again and again, and starts and ends ownership as the group deals.
+/// Between readings of who holds what while this daemon does not stand for ownership.
+const STANDBY_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same after a holder did not answer as one, which tells of a takeover.
+const STANDBY_AGAIN: Duration = Duration::from_millis(150);
+
+/// Stays in the group while this daemon stands for ownership; follows who owns what in any case.
 pub(crate) async fn run(node: Arc<Node>) {
-    let ttl = TTL.max(node.settings.membership_least);
-    let mut generation = 0;
-    let mut refreshed = Duration::ZERO;
-    let mut stopping = node.stopping.subscribe();
+    let mut candidacy = Candidacy::new(node.settings.millicores);
+    node.set_standing(|standing| standing.candidate = candidacy.stands());
+    let mut rounds = Rounds {
+        ttl: TTL.max(node.settings.membership_least),
+        generation: 0,
+        refreshed: Duration::ZERO,
+        node: Arc::clone(&node),
+    };
     while !node.is_stopping() {
+        if candidacy.stands() {
+            rounds.member().await;
+        } else {
+            rounds.standby().await;
+        }
+        let Some(owners) = node.owners() else { continue };
+        let stood = candidacy.stands();
+        candidacy.observe(clock::now(), &owners);
+        node.set_standing(|standing| standing.candidate = candidacy.stands());
+        if stood && !candidacy.stands() {
+            rounds.step_back().await;
+        }
+    }
+}
+
+/// What is kept from one round to the next.
+#[derive(Debug)]
+struct Rounds {
+    node: Arc<Node>,
+    ttl: Duration,
+    generation: u64,
+    /// When who holds what was last read.
+    refreshed: Duration,
+}
+
+impl Rounds {
+    /// Joins, and starts and ends ownership as the group deals.
+    async fn member(&mut self) {
+        let node = Arc::clone(&self.node);
         let mut pause = INTERVAL;
         let sent = clock::now();
+        let (ttl, generation) = (self.ttl, self.generation);
         let join = Join { member: Arc::clone(&node.member), ttl, generation };
         let timeout = if node.is_store_away(sent) { AWAY_TIMEOUT } else { TIMEOUT };
         match tokio::time::timeout(timeout, node.store.join(&join)).await {
@@ -47,13 +90,13 @@
                 node.store_answers(clock::now());
                 node.set_standing(|standing| standing.until = sent + ttl - MARGIN);
                 let changed = membership.generation != generation;
-                generation = membership.generation;
+                self.generation = membership.generation;
                 // The next join tells the group that dealt-away shards are free.
                 if own(&node, &membership) {
                     pause = Duration::ZERO;
                 }
-                if changed || clock::now() > refreshed + HOLDERS_INTERVAL {
-                    refreshed = clock::now();
+                if changed || clock::now() > self.refreshed + HOLDERS_INTERVAL {
+                    self.refreshed = clock::now();
                     drop(tokio::spawn(refresh_holders(Arc::clone(&node))));
                 }
             }
@@ -64,11 +107,28 @@
             look_around(&node).await;
         }
         if !pause.is_zero() {
+            let mut stopping = node.stopping.subscribe();
             let stop = stopping.wait_for(|stopping| *stopping);
             // Either way the loop looks at what it is to do next.
             drop(tokio::time::timeout(pause, stop).await);
         }
     }
+
+    /// Reads who owns what, and waits a while.
+    async fn standby(&mut self) {
+        refresh_holders(Arc::clone(&self.node)).await;
+        let doubted = self.node.holders_doubted.notified();
+        if tokio::time::timeout(STANDBY_INTERVAL, doubted).await.is_ok() {
+            tokio::time::sleep(STANDBY_AGAIN).await;
+        }
+    }
+
+    /// Leaves what this daemon owned to the others.
+    async fn step_back(&mut self) {
+        self.node.set_standing(|standing| standing.until = Duration::ZERO);
+        self.generation = 0;
+        leave(&self.node).await;
+    }
 }
 
 /// Ends ownership of shards that were dealt away, before the next join tells the group so; begins
@@ -126,8 +186,14 @@
 async fn refresh_holders(node: Arc<Node>) {
     match node.store.holders().await {
         Ok(holders) => {
-            let holders: HashMap<_, _> =
-                holders.into_iter().map(|holder| (holder.shard, holder.member)).collect();
+            let known = holders.into_iter().filter_map(|holder| {
+                let member: Result<Member, _> = holder.member.parse();
+                let member = member.inspect_err(|error| {
+                    log::warn!("event=member_unreadable shard={} error=\"{error}\"", holder.shard);
+                });
+                Some((holder.shard, member.ok()?))
+            });
+            let holders: HashMap<_, _> = known.collect();
             node.set_holders(holders);
         }
         Err(error) => log::info!("event=holders_unread error=\"{error}\""),
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::appender::Appenders;
 use crate::map::Map;
+use crate::member::Member;
 use crate::metrics::Metrics;
 use crate::rpc::Peers;
 use crate::settings::Settings;
@@ -41,6 +42,8 @@
     pub(crate) until: Duration,
     /// Until when the store is surely away for all, so that nobody else can own.
     pub(crate) away_until: Duration,
+    /// Whether this daemon stands for ownership.
+    pub(crate) candidate: bool,
     /// When the store last answered anything.
     pub(crate) store_answered: Duration,
 }
@@ -68,7 +71,10 @@
     directory: Mutex<Directory>,
     waves: Mutex<BTreeMap<u64, (Wave, Duration)>>,
     map: Mutex<Arc<Map>>,
-    holders: Mutex<HashMap<u32, Arc<str>>>,
+    /// Who holds which shard; none before that was read.
+    holders: Mutex<Option<HashMap<u32, Member>>>,
+    /// Rung when a holder did not answer as one.
+    pub(crate) holders_doubted: Notify,
     owned: Mutex<BTreeMap<u32, Handle>>,
     standing: Mutex<Standing>,
 }
@@ -111,6 +117,7 @@
             stopping: watch::Sender::new(false),
             answering: watch::Sender::new(Stage::Serving),
             changed: Notify::new(),
+            holders_doubted: Notify::new(),
             table: Mutex::default(),
             directory: Mutex::default(),
             waves: Mutex::default(),
@@ -147,21 +154,28 @@
         self.changed.notify_waiters();
     }
 
-    pub(crate) fn set_holders(&self, holders: HashMap<u32, Arc<str>>) {
-        *lock(&self.holders) = holders;
+    pub(crate) fn set_holders(&self, holders: HashMap<u32, Member>) {
+        *lock(&self.holders) = Some(holders);
         self.changed.notify_waiters();
     }
 
     /// Address of the daemon that holds a shard.
     pub(crate) fn holder(&self, shard: u32) -> Option<SocketAddr> {
-        address_of(lock(&self.holders).get(&shard)?)
+        Some(lock(&self.holders).as_ref()?.get(&shard)?.address)
+    }
+
+    /// All daemons that hold some shard, each once; none before that was read.
+    pub(crate) fn owners(&self) -> Option<Vec<Member>> {
+        let mut found: Vec<_> = lock(&self.holders).as_ref()?.values().cloned().collect();
+        found.sort_unstable();
+        found.dedup();
+        Some(found)
     }
 
     /// Addresses of all daemons that hold some shard, but this one.
     pub(crate) fn other_daemons(&self) -> Vec<SocketAddr> {
-        let mut found: Vec<_> =
-            lock(&self.holders).values().filter_map(|member| address_of(member)).collect();
-        found.sort_unstable();
+        let owners = self.owners().unwrap_or_default();
+        let mut found: Vec<_> = owners.into_iter().map(|owner| owner.address).collect();
         found.dedup();
         found.retain(|address| *address != self.settings.peers);
         found
@@ -215,8 +229,3 @@
 pub(crate) fn only_partition(topic: Topic) -> Partition {
     Partition { topic, number: 0 }
 }
-
-/// A member's text is its address for peers and a number of its life.
-pub(crate) fn address_of(member: &str) -> Option<SocketAddr> {
-    member.split('/').next()?.parse().ok()
-}
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -174,9 +174,15 @@
     }
     let address = node.holder(shard)?;
     match node.peers.ask(address, &question).await {
-        Ok(answer) => Some(answer),
+        Ok(answer) => {
+            if matches!(answer, Answer::NotOwner) {
+                node.holders_doubted.notify_one();
+            }
+            Some(answer)
+        }
         Err(error) => {
             log::info!("event=holder_silent shard={shard} peer={address} error=\"{error}\"");
+            node.holders_doubted.notify_one();
             None
         }
     }
--- a/crates/crosspath_node/src/settings.rs
+++ b/crates/crosspath_node/src/settings.rs
@@ -13,6 +13,8 @@
 struct Options {
     name: Arc<str>,
     data_centre: Arc<str>,
+    #[serde(default = "one_core")]
+    cores: f64,
     listen: ListenOptions,
     platform: PlatformOptions,
     leases: LeaseOptions,
@@ -45,6 +47,11 @@
     stop_grace_s: u64,
 }
 
+/// Where the settings do not say, the VM is taken for a large one.
+fn one_core() -> f64 {
+    1.0
+}
+
 /// What the deployment pays, in one unit; only ratios matter.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(default)]
@@ -70,6 +77,8 @@
     pub name: Arc<str>,
     /// Its data centre.
     pub data_centre: Arc<str>,
+    /// Processor time of its VM, in thousandths of a core.
+    pub millicores: u32,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks.
@@ -157,8 +166,11 @@
         }
         ValueSnafu { file, field, value, remedy }.fail()
     };
-    let Options { name, data_centre, listen, platform, leases, costs } = options;
+    let Options { name, data_centre, cores, listen, platform, leases, costs } = options;
     require(!name.is_empty(), "name", name.to_string(), "write the VM's name")?;
+    require(cores > 0.0, "cores", cores.to_string(), "write the VM's share of a core, or cores")?;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+    let millicores = (cores * 1_000.0) as u32;
     let shards = platform.shards;
     require(shards >= 2, "platform.shards", shards.to_string(), "write 2 or more")?;
     let hold = leases.longest_hold_ms;
@@ -171,6 +183,7 @@
     Ok(Settings {
         name,
         data_centre,
+        millicores,
         callers: listen.callers,
         readiness: listen.readiness,
         peers: listen.peers,
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon's parts.
 
 mod away;
+mod candidacy;
 mod claim;
 mod map;
--- a/crates/crosspath_node/tests/node/map.rs
+++ b/crates/crosspath_node/tests/node/map.rs
@@ -13,7 +13,7 @@
 
 /// Adds what the map lacks for `pools` on `vms` VMs, with 23 shards to give.
 fn extend(map: &mut Map, pools: &BTreeSet<Arc<str>>, vms: usize) {
-    for Keyed { key, value } in map.missing(pools, vms, 23) {
+    for Keyed { key, value } in map.missing(pools, vms, 120, 23) {
         map.take(&Stored { offset: 0, key, value });
     }
 }
