Owners hear of jobs at once and read the log less often; pools grow as fast as the platform takes orders

Cause: each commit of an owner woke its own follower, so following cost a read a commit, and a job waited for that read (55 ms in the middle). Pools grew by 12 VMs a round whatever the platform takes, VMs that are off waited a round for a word that nobody gives, and a wave took 74 of the VMs that were off in the second in which a peak began. Change: the daemon that appends a record for a caller tells the shard's owner, which follows the log each 200 ms; daemons that do not stand for ownership do not read the worker list; orders a round by the platform's rate (new setting), off VMs are ordered in the round that chooses them, rounds begin each 200 ms, moves come before upkeep. Three tests of the planner.

--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -11,9 +11,6 @@
 use crate::share::{Wish, divide};
 use crate::wave::reported;
 
-/// Moves planned in one round at most; the platform takes a bounded number of orders a second.
-const MAX_MOVES: usize = 12;
-
 /// A pool that lacks less than this share of what it wants gets no VM that another pool uses: what
 /// is wanted changes all the time, and a move costs some seconds of a VM.
 const TOLERANCE: f64 = 0.1;
@@ -38,12 +35,14 @@
 }
 
 impl Planner {
-    pub(crate) fn choose_moves(&mut self, now: Duration, view: &View) {
+    /// Plans at most `most` moves to pools that lack VMs, and those of idle VMs to the spare pool.
+    /// VMs that pools lack after that.
+    pub(crate) fn choose_moves(&mut self, now: Duration, view: &View, most: usize) -> u32 {
         let mut balances = self.balances(view);
         self.tell(now, view, &balances);
-        for _ in 0..MAX_MOVES {
+        for _ in 0..most {
             let neediest = balances.iter().max_by_key(|(_, balance)| balance.lacks());
-            let Some((pool, balance)) = neediest else { return };
+            let Some((pool, balance)) = neediest else { break };
             if balance.lacks() == 0 {
                 break;
             }
@@ -52,13 +51,15 @@
             let Some(vm) = self.donor(now, view, &balances, &pool, lacks_much) else { break };
             self.move_vm(now, &vm, &pool, &mut balances);
         }
-        let Some(spare) = &view.spare else { return };
+        let lacking = balances.values().map(|balance| balance.lacks()).sum();
+        let Some(spare) = &view.spare else { return lacking };
         for vm in &view.vms {
             let over = balances.get(&vm.pool).is_some_and(|balance| balance.has_over() > 0);
             if over && self.is_free(now, vm) && self.is_long_idle(now, &vm.name) {
                 self.move_vm(now, vm, spare, &mut balances);
             }
         }
+        lacking
     }
 
     /// One line a pool, now and then.
--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -20,6 +20,8 @@
 const LIST_LAG: Duration = Duration::from_millis(800);
 /// Before a VM that was refused is tried again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(1_000);
+/// A longer time between two rounds gives no right to more orders.
+const MAX_ROUND: Duration = Duration::from_millis(400);
 /// For which a VM that is to become vacant may take; after it another is chosen.
 const VACATE_PATIENCE: Duration = Duration::from_secs(8);
 
@@ -30,6 +32,8 @@
     pub vm_second: f64,
     /// Cost of a move.
     pub vm_move: f64,
+    /// Orders that the platform takes a second, of all slices together.
+    pub orders_per_s: f64,
 }
 
 impl Settings {
@@ -89,6 +93,8 @@
     pub(crate) immovable: BTreeSet<Arc<str>>,
     /// When pools were last told of in the log.
     pub(crate) told: Duration,
+    /// When the last round was.
+    planned: Duration,
 }
 
 impl Planner {
@@ -109,6 +115,7 @@
             not_before,
             immovable: BTreeSet::new(),
             told: Duration::ZERO,
+            planned: Duration::ZERO,
         }
     }
 
@@ -126,13 +133,25 @@
     pub fn plan(&mut self, now: Duration, view: &View) -> Plan {
         self.settle(now, view);
         self.sample(now, view);
-        self.choose_upkeep(now, view);
-        self.choose_moves(now, view);
+        let most = self.orders_in_round(now, view);
+        // What pools lack comes before upkeep, which can wait for as long as its wave has time.
+        let lacking = self.choose_moves(now, view, most);
+        self.choose_upkeep(now, view, lacking);
+        self.planned = now;
         let orders = self.due_orders(now, view);
         let completed = self.completed(view);
         Plan { vacate: self.vacate(&view.vms), orders, completed }
     }
 
+    /// Orders that may be given in a round, by the time since the last one.
+    fn orders_in_round(&self, now: Duration, view: &View) -> usize {
+        let since = now.saturating_sub(self.planned).min(MAX_ROUND);
+        let rate = self.settings.orders_per_s / f64::from(view.slices.max(1));
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some orders")]
+        let orders = (rate * since.as_secs_f64()) as usize;
+        orders.max(1)
+    }
+
     /// Takes in how an order ended; whether upkeep of a wave is to be noted as had.
     pub fn ordered(
         &mut self,
@@ -211,10 +230,14 @@
     fn due_orders(&mut self, now: Duration, view: &View) -> Vec<(Arc<str>, Order)> {
         let mut orders = Vec::new();
         let vacant = vacant(view);
+        let off = off(view);
         for (name, intent) in &mut self.intents {
             let due = match intent.stage {
-                // Chosen in an earlier round, so that the pool's owner knew when it reported.
-                Stage::Vacating => intent.since < now && vacant.contains(name),
+                // Chosen in an earlier round, so that the pool's owner knew when it reported; a VM
+                // that is off has no owner.
+                Stage::Vacating => {
+                    off.contains(name) || (intent.since < now && vacant.contains(name))
+                }
                 Stage::Ordered { at } => now >= at + ORDER_AGAIN,
                 Stage::Done { .. } => false,
             };
@@ -234,10 +257,15 @@
     }
 }
 
-/// VMs on which nothing runs: in the spare pool, or reported so by their pool's owner.
-fn vacant(view: &View) -> BTreeSet<Arc<str>> {
+/// VMs of the spare pool.
+fn off(view: &View) -> BTreeSet<Arc<str>> {
     let spare = view.vms.iter().filter(|vm| Some(&vm.pool) == view.spare.as_ref());
-    let mut found: BTreeSet<_> = spare.map(|vm| Arc::clone(&vm.name)).collect();
+    spare.map(|vm| Arc::clone(&vm.name)).collect()
+}
+
+/// VMs of serving pools on which nothing runs, as their owners report.
+fn vacant(view: &View) -> BTreeSet<Arc<str>> {
+    let mut found = BTreeSet::new();
     for (name, pool) in &view.pools {
         let empty = pool.vms.iter().filter(|vm| vm.is_vacant());
         let there = |vm: &&report::Vm| {
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -13,6 +13,9 @@
 /// Time of one VM's upkeep with emptying it; a wave that has no more than this for each round of
 /// VMs left does not wait for quiet pools.
 const ROUND: Duration = Duration::from_millis(6_000);
+/// VMs that stay ready in the spare pool for each that pools lack: a pool that lacks some is growing,
+/// and upkeep takes as long as it takes a peak to come.
+const OFF_PER_LACKING: usize = 3;
 /// Capacity that a pool keeps for each unit of its forecast while VMs are taken out.
 const KEEP: f64 = 1.1;
 
@@ -25,7 +28,11 @@
         view.vms.iter().filter(is_left).collect()
     }
 
-    pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View) {
+    /// Plans upkeep, while pools lack `lacking` VMs.
+    pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View, lacking: u32) {
+        let off = view.vms.iter().filter(|vm| Some(&vm.pool) == view.spare.as_ref());
+        let off = off.filter(|vm| self.is_free(now, vm)).count();
+        let mut off_to_spare = off.saturating_sub(lacking as usize * OFF_PER_LACKING);
         for (wave, started) in &view.waves {
             let left = self.left(wave, view);
             let elsewhere = view.elsewhere.get(&wave.number).copied().unwrap_or(0);
@@ -42,7 +49,10 @@
                 if slots == 0 {
                     break;
                 }
-                if urgent || self.can_spare(vm, view) {
+                let is_off = Some(&vm.pool) == view.spare.as_ref();
+                let spared = if is_off { off_to_spare > 0 } else { self.can_spare(vm, view) };
+                if urgent || spared {
+                    off_to_spare = off_to_spare.saturating_sub(usize::from(is_off));
                     log::info!(
                         "event=upkeep_chosen vm={} wave={} urgent={urgent}",
                         vm.name,
@@ -70,9 +80,6 @@
 
     /// Whether the VM's pool keeps enough without it.
     pub(crate) fn can_spare(&self, vm: &Vm, view: &View) -> bool {
-        if Some(&vm.pool) == view.spare.as_ref() {
-            return true;
-        }
         let Some(demand) = self.demands.get(&vm.pool) else { return false };
         let staying = view.vms.iter().filter(|other| {
             other.pool == vm.pool
--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -20,7 +20,7 @@
 }
 
 pub(crate) fn settings() -> Settings {
-    Settings { vm_second: 0.078, vm_move: 0.088 }
+    Settings { vm_second: 0.078, vm_move: 0.088, orders_per_s: 64.0 }
 }
 
 pub(crate) fn vm(name: &str, pool: &str) -> Vm {
--- a/crates/crosspath_fleet/tests/fleet/moves.rs
+++ b/crates/crosspath_fleet/tests/fleet/moves.rs
@@ -1,6 +1,6 @@
 //! Pool sizes: where the work is, and off where there is none.
 
-use crate::common::{Bed, vm};
+use crate::common::{Bed, VM_MILLIS, vm};
 
 fn bed() -> Bed {
     let mut vms: Vec<_> = (0..8).map(|n| vm(&format!("c{n}"), "counter")).collect();
@@ -59,3 +59,27 @@
     }
     assert_eq!(bed.orders.len(), settled);
 }
+
+#[test]
+fn a_vm_that_is_off_is_ordered_in_the_round_that_chooses_it() {
+    let mut bed =
+        Bed::new(vec![vm("a1", "a"), vm("a2", "a"), vm("s1", "spare"), vm("s2", "spare")]);
+    bed.waiting.insert("a".into(), 3 * VM_MILLIS);
+    bed.round();
+    let moved: Vec<_> = bed.orders.iter().map(|(at, vm, _)| (*at, &**vm)).collect();
+    assert_eq!(moved, [(bed.now, "s1"), (bed.now, "s2")]);
+}
+
+#[test]
+fn orders_keep_to_the_rate_that_the_platform_takes() {
+    let mut vms = vec![vm("a1", "a"), vm("a2", "a")];
+    vms.extend((0..60).map(|n| vm(&format!("s{n}"), "spare")));
+    let mut bed = Bed::new(vms);
+    bed.waiting.insert("a".into(), 50 * VM_MILLIS);
+    for _ in 0..5 {
+        bed.round();
+    }
+    // 64 a second, at a round each 200 ms, after a first round of 400 ms at most.
+    assert!(bed.orders.len() <= 25 + 4 * 12, "{} orders in a second", bed.orders.len());
+    assert!(bed.orders.len() >= 40, "{} orders in a second", bed.orders.len());
+}
--- a/crates/crosspath_fleet/tests/fleet/wave.rs
+++ b/crates/crosspath_fleet/tests/fleet/wave.rs
@@ -6,7 +6,7 @@
 use crosspath_border::vm::{Order, State};
 use crosspath_fleet::Planner;
 
-use crate::common::{Bed, ms, settings, vm};
+use crate::common::{Bed, VM_MILLIS, ms, settings, vm};
 
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
@@ -78,3 +78,15 @@
     let vms: BTreeSet<_> = upkeep.map(|(_, vm, _)| vm).collect();
     assert_eq!(vms.len(), 1, "{vms:?}");
 }
+
+#[test]
+fn vms_that_a_growing_pool_will_want_are_not_taken_for_upkeep() {
+    let mut vms = vec![vm("a1", "a"), vm("a2", "a")];
+    vms.extend((0..8).map(|n| vm(&format!("s{n}"), "spare")));
+    let mut bed = Bed::new(vms);
+    bed.waiting.insert("a".into(), 20 * VM_MILLIS);
+    bed.wave(&["s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7"], 8);
+    bed.round();
+    let upkeep = bed.orders.iter().filter(|(_, _, order)| matches!(order, Order::Maintain { .. }));
+    assert_eq!(upkeep.count(), 0, "{:?}", bed.orders);
+}
--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -134,10 +134,16 @@
     }
 }
 
-/// Follows the worker list.
+/// Follows the worker list, while this daemon may come to own shards.
 pub(crate) async fn follow_workers(node: Arc<Node>) {
     let mut feed = Feed::new(only_partition(Topic::Workers));
     loop {
+        if !node.standing().candidate {
+            feed = Feed::new(only_partition(Topic::Workers));
+            node.directory().loaded = false;
+            tokio::time::sleep(WORKERS_PAUSE).await;
+            continue;
+        }
         let whole = !feed.is_started();
         match feed.read(&node, Duration::ZERO).await {
             Ok(records) => take_workers(&node, &records, whole && feed.is_started()),
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -13,6 +13,7 @@
 use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict, Vm};
 use crosspath_fleet::{Outcome, Planner, Settings, View};
 use futures::future::join_all;
+use tokio::time::MissedTickBehavior;
 
 use crate::claim::{Claim, claim};
 use crate::clock;
@@ -41,7 +42,11 @@
     let kept = kept(&node).await;
     let not_before = kept.not_before(clock::now(), clock::wall_ms(), node.settings.vm_order);
     let costs = node.settings.costs;
-    let settings = Settings { vm_second: costs.vm_second, vm_move: costs.vm_move };
+    let settings = Settings {
+        vm_second: costs.vm_second,
+        vm_move: costs.vm_move,
+        orders_per_s: node.settings.vm_orders_per_s,
+    };
     let mut owner = Owner {
         authority: Authority { holder: Arc::clone(&node.settings.name), token: claimed.token },
         slices: Vec::new(),
@@ -57,8 +62,10 @@
         fleet,
         node,
     };
+    let mut rounds = tokio::time::interval(ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while owner.round().await {
-        tokio::time::sleep(ROUND).await;
+        rounds.tick().await;
     }
 }
 
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Has the shard's owner hear of a kept record sooner than by the log; the caller does not wait.
+    fn tell_owner(&self, shard: u32, record: Record) {
+        let node = Arc::clone(&self.node);
+        drop(tokio::spawn(async move { rpc::tell_kept(&node, shard, &record).await }));
+    }
+
     /// Whether the queue had another pool before.
     fn has_moved(&self, queue: &Queue) -> bool {
         self.node.table().is_some_and(|table| table.pools_of(queue).len() > 1)
@@ -170,7 +176,10 @@
         );
         self.node.metrics.called(Call::Submit, &queue.name, took);
         match outcome {
-            Outcome::Kept => Submitted::Accepted,
+            Outcome::Kept => {
+                self.tell_owner(shard, record);
+                Submitted::Accepted
+            }
             Outcome::NotKept => Submitted::NotTaken { retry_after_s: RETRY_AFTER_S },
             Outcome::Unknown => Submitted::Unknown,
         }
@@ -197,8 +206,13 @@
         };
         let record = Record::Cancelled(job);
         let appends =
-            shards.into_iter().map(|shard| appender::append(&self.node, shard, &record, until));
+            shards.iter().map(|shard| appender::append(&self.node, *shard, &record, until));
         let outcomes = join_all(appends).await;
+        for (shard, outcome) in shards.into_iter().zip(&outcomes) {
+            if *outcome == Outcome::Kept {
+                self.tell_owner(shard, record.clone());
+            }
+        }
         let outcome = outcomes.into_iter().find(|outcome| *outcome != Outcome::Kept);
         let outcome = outcome.unwrap_or(Outcome::Kept);
         let took = clock::now().saturating_sub(began);
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -11,6 +11,7 @@
 use crosspath_http::server::{self, Limits, Stage};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
+use crosspath_job::record::Record;
 use crosspath_schedule::report;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -41,6 +42,8 @@
     Pool { shard: u32, vacate: BTreeSet<Arc<str>> },
     /// Append records for a daemon that the store turns away.
     Append { shard: u32, records: Vec<(String, String)> },
+    /// A record that a caller's request has just added to a shard, for its owner.
+    Kept { shard: u32, key: String, value: String },
     /// How long ago the store answered.
     Store,
 }
@@ -57,6 +60,8 @@
     Pool(report::Pool),
     /// Records were appended.
     Appended,
+    /// The owner has heard.
+    Heard,
     /// Records were not appended; whether that is sure.
     NotAppended { surely: bool },
     /// Ms since the store last answered.
@@ -151,6 +156,15 @@
             pool.map_or(Answer::NotOwner, Answer::Pool)
         }
         Question::Append { shard, records } => append(node, shard, records).await,
+        Question::Kept { shard, key, value } => {
+            let owned = node.owned();
+            let Some(handle) = owned.get(&shard) else { return Answer::NotOwner };
+            match Record::decode(&key, value.as_bytes()) {
+                Ok(record) => handle.tell(record),
+                Err(error) => log::warn!("event=record_unreadable error=\"{error}\""),
+            }
+            Answer::Heard
+        }
         Question::Store => {
             let since = clock::now().saturating_sub(node.standing().store_answered);
             Answer::Store { answered_ms_ago: u64::try_from(since.as_millis()).unwrap_or(u64::MAX) }
@@ -167,6 +181,16 @@
     }
 }
 
+/// Tells a shard's owner of a record that is kept. The owner reads it in the log anyway, a little
+/// later, so nothing depends on this.
+pub(crate) async fn tell_kept(node: &Arc<Node>, shard: u32, record: &Record) {
+    let value = String::from_utf8_lossy(&record.value()).into_owned();
+    let question = Question::Kept { shard, key: record.key(), value };
+    if ask_holder(node, shard, question).await.is_none() {
+        log::info!("event=owner_not_told shard={shard} key={}", record.key());
+    }
+}
+
 /// Asks the holder of a shard, which may be this daemon.
 pub(crate) async fn ask_holder(node: &Arc<Node>, shard: u32, question: Question) -> Option<Answer> {
     if node.owned().contains_key(&shard) {
--- a/crates/crosspath_node/src/settings.rs
+++ b/crates/crosspath_node/src/settings.rs
@@ -34,6 +34,8 @@
 struct PlatformOptions {
     log: SocketAddr,
     vms: Option<SocketAddr>,
+    #[serde(default = "vm_orders_per_s")]
+    vm_orders_per_s: f64,
     advice: Option<SocketAddr>,
     shards: u32,
 }
@@ -47,6 +49,11 @@
     stop_grace_s: u64,
 }
 
+/// Where the settings do not say: as the smallest deployment seen allows.
+fn vm_orders_per_s() -> f64 {
+    64.0
+}
+
 /// Where the settings do not say, the VM is taken for a large one.
 fn one_core() -> f64 {
     1.0
@@ -91,6 +98,8 @@
     pub log: SocketAddr,
     /// The platform's list of VMs; none where VMs are not managed.
     pub vms: Option<SocketAddr>,
+    /// Orders for VMs that the platform takes a second.
+    pub vm_orders_per_s: f64,
     /// The advice service; none where there is none.
     pub advice: Option<SocketAddr>,
     /// Partitions of a topic.
@@ -173,6 +182,8 @@
     let millicores = (cores * 1_000.0) as u32;
     let shards = platform.shards;
     require(shards >= 2, "platform.shards", shards.to_string(), "write 2 or more")?;
+    let orders = platform.vm_orders_per_s;
+    require(orders > 0.0, "platform.vm_orders_per_s", orders.to_string(), "write more than 0")?;
     let hold = leases.longest_hold_ms;
     require(hold >= 1_000, "leases.longest_hold_ms", hold.to_string(), "write 1000 or more")?;
     let grace = leases.stop_grace_s;
@@ -190,6 +201,7 @@
         metrics: listen.metrics,
         log: platform.log,
         vms: platform.vms,
+        vm_orders_per_s: orders,
         advice: platform.advice,
         shards,
         longest_hold: Duration::from_millis(hold),
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -35,8 +35,9 @@
 const GATHER_TICK: Duration = Duration::from_millis(12);
 /// For which a read of the shard waits for a record.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
-/// After records were read: what comes meanwhile, the own commits too, is read by one call.
-const FOLLOW_PAUSE: Duration = Duration::from_millis(20);
+/// After records were read: what comes meanwhile, the own commits too, is read by one call. Daemons
+/// that append for callers tell the owner so, and this is only for when they cannot.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
 /// After a call of the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// A start that could not be sent within this since it was decided is given up.
@@ -89,6 +90,13 @@
         self.events.send(event).ok();
     }
 
+    /// Passes on a record that a caller's request has added to the shard.
+    pub(crate) fn tell(&self, record: Record) {
+        if let Some(event) = asked_for(record) {
+            self.send(event);
+        }
+    }
+
     /// State of a job, none within when it is not known; none while taking over.
     pub(crate) fn state(&self, job: JobId) -> Option<Option<State>> {
         scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.state(job))
@@ -124,6 +132,15 @@
     }
 }
 
+/// What a record means that anyone may write; none for those of owners.
+fn asked_for(record: Record) -> Option<Event> {
+    match record {
+        Record::Accepted(job, accepted) => Some(Event::Accepted(job, accepted)),
+        Record::Cancelled(job) => Some(Event::Cancelled(job)),
+        Record::Claim(_) | Record::Progress(..) | Record::Dropped(_) => None,
+    }
+}
+
 fn decode(records: &[Stored]) -> Vec<Record> {
     let decoded = records.iter().filter_map(|stored| {
         let record = Record::decode(&stored.key, &stored.value);
@@ -451,16 +468,14 @@
         };
         let heard = !records.is_empty();
         for record in decode(&records) {
-            let event = match record {
-                Record::Accepted(job, accepted) => Event::Accepted(job, accepted),
-                Record::Cancelled(job) => Event::Cancelled(job),
-                Record::Claim(claim) if claim.epoch > epoch => {
-                    log::info!("event=shard_claimed_elsewhere shard={number} by={}", claim.owner);
-                    events.send(Event::Superseded).ok();
-                    return;
-                }
-                Record::Claim(_) | Record::Progress(..) | Record::Dropped(_) => continue,
-            };
+            if let Record::Claim(claim) = &record
+                && claim.epoch > epoch
+            {
+                log::info!("event=shard_claimed_elsewhere shard={number} by={}", claim.owner);
+                events.send(Event::Superseded).ok();
+                return;
+            }
+            let Some(event) = asked_for(record) else { continue };
             if events.send(event).is_err() {
                 return;
             }
