A start in doubt is settled at once; a job that surely is not kept is refused early

Cause: after an unanswered start and its answered stop, the scheduler waited for the look under way, which waits up to 1 s for another run's end (not_there after 0.24 s in the middle, 1.4 s for a tenth of 339). Change: the answer to such a stop asks for a look at once (nothing is heard of its failure: the worker's own looks tell whether it is silent). Orders time out after 300 ms instead of 400. Submits that no append can have kept are refused after 0.15 of the deadline with the time to come back; doubtful ones get their answer after 0.45.

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -20,6 +20,15 @@
 /// Records in one append at most; with a job of 4 KB far below the store's bound on a call.
 const MAX_RECORDS: usize = 128;
 
+/// For how long a record is tried.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Patience {
+    /// While it surely is not kept: the caller is better off being told so.
+    pub(crate) refused_at: Duration,
+    /// While it may be kept: repeating it may yet tell.
+    pub(crate) doubted_until: Duration,
+}
+
 /// What became of a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -34,7 +43,7 @@
 #[derive(Debug)]
 struct Item {
     record: Keyed,
-    until: Duration,
+    patience: Patience,
     /// Whether an append of it got no answer.
     doubtful: bool,
     answer: oneshot::Sender<Outcome>,
@@ -44,16 +53,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Appenders(Mutex<HashMap<u32, mpsc::UnboundedSender<Item>>>);
 
-/// Appends a record to a shard, trying until `until`.
+/// Appends a record to a shard.
 pub(crate) async fn append(
     node: &Arc<Node>,
     shard: u32,
     record: &Record,
-    until: Duration,
+    patience: Patience,
 ) -> Outcome {
     let (answer, outcome) = oneshot::channel();
     let record = Keyed { key: record.key(), value: record.value().into() };
-    let item = Item { record, until, doubtful: false, answer };
+    let item = Item { record, patience, doubtful: false, answer };
     sender(node, shard).send(item).ok();
     outcome.await.unwrap_or(Outcome::Unknown)
 }
@@ -106,7 +115,9 @@
     let now = clock::now();
     let mut kept = Vec::new();
     for item in batch {
-        if item.until > now {
+        let Patience { refused_at, doubted_until } = item.patience;
+        let until = if item.doubtful { doubted_until } else { refused_at };
+        if until > now {
             kept.push(item);
         } else if item.doubtful {
             item.answer.send(Outcome::Unknown).ok();
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -11,14 +11,18 @@
 use crosspath_job::{JobId, Spec};
 use futures::future::join_all;
 
-use crate::appender::{self, Outcome};
+use crate::appender::{self, Outcome, Patience};
 use crate::clock;
 use crate::metrics::Call;
 use crate::node::Node;
 use crate::rpc::{self, Answer, Question};
 
-/// Share of a caller's patience that is used for tries.
-const PATIENCE: f64 = 0.6;
+/// Share of a caller's patience that is used for tries to find out how a job is, or whether it is kept.
+/// Less than half: by then the caller should have its answer.
+const PATIENCE: f64 = 0.45;
+/// Share of it after which a job that surely is not kept is refused, so that the caller can come
+/// back in time. Two or three tries, each of which also goes through other daemons.
+const REFUSAL_PATIENCE: f64 = 0.15;
 /// Between questions to a holder that is not known or is taking over.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
@@ -53,6 +57,14 @@
         clock::now() + within.mul_f64(PATIENCE)
     }
 
+    fn patience(within: Duration) -> Patience {
+        let now = clock::now();
+        Patience {
+            refused_at: now + within.mul_f64(REFUSAL_PATIENCE),
+            doubted_until: now + within.mul_f64(PATIENCE),
+        }
+    }
+
     /// Asks the owners of all shards where the queue's job may be.
     async fn find(&self, queue: &Queue, job: JobId, until: Duration) -> Found {
         let pools = match self.node.table() {
@@ -167,7 +179,8 @@
             spec,
         };
         let record = Record::Accepted(job, Arc::new(accepted));
-        let outcome = appender::append(&self.node, shard, &record, self.until(within)).await;
+        let patience = Self::patience(within);
+        let outcome = appender::append(&self.node, shard, &record, patience).await;
         let took = clock::now().saturating_sub(began);
         log::info!(
             "event=submit job={job} queue={} shard={shard} outcome={outcome:?} took_ms={}",
@@ -205,8 +218,10 @@
             return Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S };
         };
         let record = Record::Cancelled(job);
+        // A cancel is worth as many tries as the caller waits for.
+        let patience = Patience { refused_at: until, doubted_until: until };
         let appends =
-            shards.iter().map(|shard| appender::append(&self.node, *shard, &record, until));
+            shards.iter().map(|shard| appender::append(&self.node, *shard, &record, patience));
         let outcomes = join_all(appends).await;
         for (shard, outcome) in shards.into_iter().zip(&outcomes) {
             if *outcome == Outcome::Kept {
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -6,7 +6,7 @@
 
 use crosspath_border::advice::Error as AdviceError;
 use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored};
-use crosspath_border::worker::{Entry, Error as WorkerError, Start};
+use crosspath_border::worker::{Entry, Error as WorkerError, Hold, Start};
 use crosspath_job::progress::State;
 use crosspath_job::record::Record;
 use crosspath_job::{JobId, TaskId};
@@ -302,6 +302,10 @@
                 let Some(watch) = duties.watches.get(&worker.id) else { return };
                 drop(tokio::spawn(Order::new(self, watch, duties).stop(task, run)));
             }
+            Action::Look { worker } => {
+                let Some(watch) = duties.watches.get(&worker.id) else { return };
+                drop(tokio::spawn(Order::new(self, watch, duties).look()));
+            }
             Action::Pace { worker, task, run, percent } => {
                 let Some(watch) = duties.watches.get(&worker.id) else { return };
                 drop(tokio::spawn(Order::new(self, watch, duties).pace(task, run, percent)));
@@ -413,6 +417,22 @@
         self.events.send(Event::StopAnswered { worker, task, run, answer }).ok();
     }
 
+    async fn look(self) {
+        let sent = clock::now();
+        let acknowledged = self.watch.acknowledged();
+        let wait = Duration::ZERO;
+        let hold = Hold { token: self.token, acknowledged, deadline_ms: None, wait };
+        let worker = Arc::clone(&self.watch.target.id);
+        match self.node.runner.hold(&self.watch.target, &hold).await {
+            Ok(held) => {
+                self.watch.heard(held.clock_ms);
+                self.events.send(Event::Held { worker, sent, extended: false, held }).ok();
+            }
+            // The worker's own looks tell whether it is silent.
+            Err(error) => log::info!("event=look_failed worker={worker} error=\"{error}\""),
+        }
+    }
+
     async fn pace(self, task: TaskId, run: u64, percent: u32) {
         let target = &self.watch.target;
         let answer = self.node.runner.pace(target, task, run, percent, self.token).await;
--- a/crates/crosspath_node/src/watch.rs
+++ b/crates/crosspath_node/src/watch.rs
@@ -64,6 +64,11 @@
         self.kept.notify_one();
     }
 
+    /// Number up to which ends are kept.
+    pub(crate) fn acknowledged(&self) -> u64 {
+        self.acknowledged.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn end(&self) {
         self.over.store(true, Ordering::Relaxed);
         self.kept.notify_one();
@@ -88,7 +93,7 @@
     let mut unkept = 0;
     while !watch.is_over() {
         let sent = clock::now();
-        let acknowledged = watch.acknowledged.load(Ordering::Relaxed);
+        let acknowledged = watch.acknowledged();
         // A worker that did not answer may still hear: its leases must be able to run out.
         let extended = !failing && node.may_act(sent);
         let wait = if first || failing || unkept > acknowledged { Duration::ZERO } else { WAIT };
@@ -124,7 +129,7 @@
 
 /// Waits until ends up to `number` are kept, but not for long.
 async fn await_kept(watch: &Watch, number: u64) {
-    let is_kept = || watch.acknowledged.load(Ordering::Relaxed) >= number || watch.is_over();
+    let is_kept = || watch.acknowledged() >= number || watch.is_over();
     let kept = async {
         while !is_kept() {
             watch.kept.notified().await;
--- a/crates/crosspath_schedule/src/action.rs
+++ b/crates/crosspath_schedule/src/action.rs
@@ -34,6 +34,11 @@
         /// Number of the run.
         run: u64,
     },
+    /// Look at a worker at once, beside the looks that wait there for an end.
+    Look {
+        /// Where.
+        worker: Target,
+    },
     /// Let a run work at a share of its speed.
     Pace {
         /// Where.
--- a/crates/crosspath_schedule/src/answers.rs
+++ b/crates/crosspath_schedule/src/answers.rs
@@ -6,6 +6,7 @@
 use crosspath_border::worker::{Error, Started};
 use crosspath_job::TaskId;
 
+use crate::action::Action;
 use crate::job::Phase;
 use crate::scheduler::Scheduler;
 
@@ -115,9 +116,14 @@
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.unanswered.remove(&(task, number));
                 }
-                if let Some(run) = self.run_mut(task, number) {
-                    run.phase = Phase::Stopped;
-                    run.answered = now;
+                let Some(run) = self.run_mut(task, number) else { return };
+                let doubtful = run.phase == Phase::Doubtful;
+                run.phase = Phase::Stopped;
+                run.answered = now;
+                // A run that was there is listed as ended soon; one that never was shows in no end,
+                // and the look under way may wait for another's for long.
+                if doubtful && let Some(worker) = self.workers.get(id) {
+                    self.actions.push(Action::Look { worker: worker.target() });
                 }
             }
             Err(Error::Fenced) => self.superseded = true,
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler by its events and actions.
 
 mod common;
+mod doubt;
 mod failing;
 mod form;
 mod lasting;
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -83,9 +83,21 @@
 
 #[derive(Debug, Clone)]
 enum Order {
-    Start { task: TaskId, run: u64, deadline: Duration },
-    Stop { task: TaskId, run: u64 },
-    Look { acknowledged: u64, deadline: Option<Duration> },
+    Start {
+        task: TaskId,
+        run: u64,
+        deadline: Duration,
+    },
+    Stop {
+        task: TaskId,
+        run: u64,
+    },
+    /// `beside` the looks that follow one another: nothing is heard of its failure.
+    Look {
+        acknowledged: u64,
+        deadline: Option<Duration>,
+        beside: bool,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -286,7 +298,7 @@
                 self.owners[owner].acknowledged.get(&worker).copied().unwrap_or_default();
             let deadline = (acts && !failing).then(|| now + HOLD);
             self.owners[owner].watched.insert(Arc::clone(&worker), (Duration::MAX, failing));
-            self.send(owner, worker, Order::Look { acknowledged, deadline });
+            self.send(owner, worker, Order::Look { acknowledged, deadline, beside: false });
         }
     }
 
@@ -317,6 +329,12 @@
             Action::Unwatch { worker } => {
                 self.owners[owner].watched.remove(&worker.id);
             }
+            Action::Look { worker } => {
+                let acknowledged =
+                    self.owners[owner].acknowledged.get(&worker.id).copied().unwrap_or_default();
+                let look = Order::Look { acknowledged, deadline: None, beside: true };
+                self.send(owner, worker.id, look);
+            }
             Action::Pace { .. } | Action::Advise { .. } => {}
         }
     }
@@ -380,7 +398,7 @@
                 *void = (*void).max(*run);
                 Ok(Reply::Stopped)
             }
-            Order::Look { acknowledged, deadline } => {
+            Order::Look { acknowledged, deadline, .. } => {
                 let acknowledged = *acknowledged;
                 let noted = worker.ended.iter().filter(|ended| ended.number <= acknowledged);
                 let done = noted.filter(|ended| ended.how == How::Done).map(|ended| ended.task);
@@ -427,6 +445,12 @@
                 let (task, run, answer) = (*task, *run, outcome.map(drop));
                 self.tell(owner, Event::StopAnswered { worker, task, run, answer });
             }
+            Order::Look { beside: true, .. } => {
+                if let Ok(Reply::Looked(held)) = outcome {
+                    let (sent, extended) = (message.sent, false);
+                    self.tell(owner, Event::Held { worker, sent, extended, held });
+                }
+            }
             Order::Look { deadline, .. } => {
                 let (sent, extended) = (message.sent, deadline.is_some());
                 let next = self.now + LOOK_EVERY;
--- a/crates/crosspathd/src/commands/platform.rs
+++ b/crates/crosspathd/src/commands/platform.rs
@@ -14,7 +14,7 @@
 /// For a call of the log that does not wait; slow answers take some hundred ms.
 const LOG_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// For an order to a worker; an answer takes some ms, and an order without one is made void.
-const WORKER_TIMEOUT: Duration = Duration::from_millis(400);
+const WORKER_TIMEOUT: Duration = Duration::from_millis(300);
 /// For an order to the list of VMs; it may be slow.
 const VM_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// For advice, of which a call may take some hundred ms for many workers.
