Of two lives of a VM the one that answers is there

Cause: a worker's entry in the list can be written seconds late while the store loses answers. Ruled out: two owners, late claims and joins (one owner throughout), the new looks beside others. Change: the list does not end a life. Lives of one VM are all looked at, and the one that answers ends those that were last known to answer before; a life that is known to be over is remembered for 60 s, so that its late entries are ignored. Places of entries in the list's log are not needed any more. Tests, failing before: three of late entries, and late entries in the model of owners, which then ran a task twice. The test of the written order is replaced by those: the order of writing proves nothing.

--- a/crates/crosspath_border/src/worker.rs
+++ b/crates/crosspath_border/src/worker.rs
@@ -30,23 +30,13 @@
     pub labels: Vec<Arc<str>>,
     /// Its own clock, in ms.
     pub clock_ms: u64,
-    /// Place of the entry in the worker list's log: of two lives of a VM, the one whose entry was
-    /// written later is the later one.
-    pub position: u64,
 }
 
 impl Entry {
     /// Whether it tells the same as `other`, but for when it was written.
     #[must_use]
     pub fn says_same(&self, other: &Self) -> bool {
-        Self { clock_ms: other.clock_ms, position: other.position, ..self.clone() } == *other
-    }
-
-    /// Whether it is a later life of the VM of `other`.
-    #[must_use]
-    pub fn replaces(&self, other: &Self) -> bool {
-        let same_vm = !self.vm.is_empty() && self.vm == other.vm;
-        same_vm && self.id != other.id && self.position > other.position
+        Self { clock_ms: other.clock_ms, ..self.clone() } == *other
     }
 }
 
--- a/crates/crosspath_schedule/src/answers.rs
+++ b/crates/crosspath_schedule/src/answers.rs
@@ -74,7 +74,7 @@
                 self.rest(id, now + REST_AFTER_SILENCE);
                 self.drop_and_queue(now, id, task, number, "not_reached");
             }
-            Err(Error::OtherLife) => self.worker_dead(now, id, "other_life"),
+            Err(Error::OtherLife) => self.end_life(now, id, "other_life"),
             Err(Error::NoAnswer) => self.start_unanswered(now, id, task, number),
         }
     }
@@ -127,7 +127,7 @@
                 }
             }
             Err(Error::Fenced) => self.superseded = true,
-            Err(Error::OtherLife) => self.worker_dead(now, id, "other_life"),
+            Err(Error::OtherLife) => self.end_life(now, id, "other_life"),
             Err(error) => {
                 log::info!(
                     "event=stop_failed task={task} run={number} worker={id} error=\"{error}\""
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -72,7 +72,7 @@
     #[must_use]
     pub fn report(&self, now: Duration) -> report::Pool {
         let mut pool = report::Pool::default();
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|worker| !self.is_doubtful_life(worker)) {
             let lasting = worker
                 .runs
                 .keys()
@@ -104,6 +104,15 @@
         pool
     }
 
+    /// Whether a worker does not answer while another life of its VM does.
+    fn is_doubtful_life(&self, worker: &Worker) -> bool {
+        let answers = |worker: &Worker| worker.synced && worker.failures == 0;
+        let same_vm = |other: &&Worker| {
+            other.entry.vm == worker.entry.vm && other.entry.id != worker.entry.id
+        };
+        !answers(worker) && self.workers.values().filter(same_vm).any(answers)
+    }
+
     /// Priority of the most urgent brief work.
     fn priority(&self) -> u32 {
         let running = self.jobs.values().filter(|job| !job.state.is_final());
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -12,21 +12,15 @@
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
+/// For which a late entry of a life that has ended is known as such. Writes are late by some seconds.
+const ENDED_LIFE_MEMORY: Duration = Duration::from_secs(60);
+
 impl Scheduler {
-    pub(crate) fn worker_seen(&mut self, now: Duration, entry: Entry) {
-        if self.workers.values().any(|worker| worker.entry.replaces(&entry)) {
+    pub(crate) fn worker_seen(&mut self, entry: Entry) {
+        if self.ended_lives.contains_key(&entry.id) {
             self.accounted(&entry.id);
             return;
         }
-        let replaced: Vec<_> = self
-            .workers
-            .values()
-            .filter(|worker| entry.replaces(&worker.entry))
-            .map(|worker| Arc::clone(&worker.entry.id))
-            .collect();
-        for old in replaced {
-            self.worker_dead(now, &old, "replaced");
-        }
         self.place_again = true;
         if let Some(worker) = self.workers.get_mut(&entry.id) {
             if entry.draining && !worker.entry.draining {
@@ -57,6 +51,34 @@
         }
     }
 
+    /// A life has answered: those of the same VM that were last known to answer before are over. The
+    /// list cannot tell that, since an entry may be written late.
+    fn end_lives_before(&mut self, now: Duration, id: &Arc<str>, sent: Duration) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let vm = &worker.entry.vm;
+        let others = self.workers.values().filter(|other| {
+            other.entry.vm == *vm && other.entry.id != *id && other.answered_sent <= sent
+        });
+        let before: Vec<_> = others.map(|other| Arc::clone(&other.entry.id)).collect();
+        if vm.is_empty() {
+            return;
+        }
+        for other in before {
+            self.end_life(now, &other, "replaced");
+        }
+    }
+
+    /// The worker's life is surely over, whatever the list may show of it yet.
+    pub(crate) fn end_life(&mut self, now: Duration, id: &Arc<str>, why: &str) {
+        self.ended_lives.insert(Arc::clone(id), now);
+        self.worker_dead(now, id, why);
+    }
+
+    /// Forgets ended lives of which no entry can come any more.
+    pub(crate) fn forget_ended_lives(&mut self, now: Duration) {
+        self.ended_lives.retain(|_, ended| now < *ended + ENDED_LIFE_MEMORY);
+    }
+
     /// The worker's life is over, and with it all that ran there.
     pub(crate) fn worker_dead(&mut self, now: Duration, id: &Arc<str>, why: &str) {
         let Some(worker) = self.workers.get(id) else { return };
@@ -103,7 +125,7 @@
         error: Error,
     ) {
         match error {
-            Error::OtherLife => return self.worker_dead(now, id, "other_life"),
+            Error::OtherLife => return self.end_life(now, id, "other_life"),
             Error::Fenced => self.superseded = true,
             Error::NotReached | Error::NoAnswer | Error::Refused { .. } => {}
         }
@@ -139,6 +161,7 @@
         self.place_again |= !worker.synced;
         worker.failures = 0;
         worker.synced = true;
+        worker.answered_sent = worker.answered_sent.max(sent);
         if extended {
             worker.leased_until(terms.over(sent, terms.hold));
         }
@@ -150,6 +173,7 @@
         }
         self.reconcile(now, id, sent, &held.running);
         self.accounted(id);
+        self.end_lives_before(now, id, sent);
     }
 
     /// A run that the worker lists.
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -40,6 +40,8 @@
     pub(crate) epoch: u64,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) workers: BTreeMap<Arc<str>, Worker>,
+    /// Lives of VMs that are over, and since when that is known.
+    pub(crate) ended_lives: BTreeMap<Arc<str>, Duration>,
     pub(crate) waiting: BTreeSet<Key>,
     pub(crate) actions: Vec<Action>,
     pub(crate) commits: Commits,
@@ -70,6 +72,7 @@
             epoch,
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            ended_lives: BTreeMap::new(),
             waiting: BTreeSet::new(),
             actions: Vec::new(),
             commits: Commits::default(),
@@ -125,7 +128,7 @@
         match event {
             Event::Accepted(id, accepted) => self.accept(now, wall_ms, id, accepted),
             Event::Cancelled(id) => self.cancel(now, id),
-            Event::WorkerSeen(entry) => self.worker_seen(now, entry),
+            Event::WorkerSeen(entry) => self.worker_seen(entry),
             Event::WorkerGone(id) => self.worker_gone(now, &id),
             Event::Held { worker, sent, extended, held } => {
                 self.held(now, &worker, sent, extended, held);
@@ -159,6 +162,7 @@
                 self.open_due(now, wall_ms);
                 self.release_lapsed(now);
                 self.forget_ended(now);
+                self.forget_ended_lives(now);
             }
         }
     }
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -16,6 +16,8 @@
     pub(crate) listed: bool,
     /// Whether a look under the own token was answered.
     pub(crate) synced: bool,
+    /// When the last look that it answered was sent.
+    pub(crate) answered_sent: Duration,
     /// Looks or orders that failed since the last answer.
     pub(crate) failures: u32,
     /// No new work before, after refusals and failures.
@@ -49,6 +51,7 @@
             entry,
             listed: true,
             synced: false,
+            answered_sent: Duration::ZERO,
             failures: 0,
             rest_until: Duration::ZERO,
             lease_over: Duration::ZERO,
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -51,7 +51,6 @@
         capacity: Room { cpu_millis: 32_000, mem_mb: 128_000, gpus: 0 },
         labels: vec!["a".into(), "r1".into()],
         clock_ms: 1_000,
-        position: 1,
     }
 }
 
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -189,12 +189,12 @@
 }
 
 #[test]
-fn of_two_lives_of_a_vm_the_one_written_later_is_there() {
+fn of_two_lives_of_a_vm_the_one_that_ran_the_task_is_asked() {
     let mut bed = Bed::new(2);
     let (order, records) = owner_before(&["a-new"]);
     // The list still has the life before, and gives it last.
-    let old = Entry { vm: "vm".into(), position: 7, ..entry("z-old") };
-    let new = Entry { vm: "vm".into(), position: 9, ..entry("a-new") };
+    let old = Entry { vm: "vm".into(), ..entry("z-old") };
+    let new = Entry { vm: "vm".into(), ..entry("a-new") };
     bed.scheduler.take_over(bed.now, WALL_MS, records, vec![new, old]);
     bed.decide();
     bed.pass(ms(100));
@@ -204,3 +204,59 @@
     assert_eq!(bed.starts(), Vec::new());
     assert_eq!(order.task, task(0, 0));
 }
+
+#[test]
+fn a_late_entry_of_an_earlier_life_does_not_end_the_one_that_answers() {
+    let mut bed = Bed::new(1);
+    let new = Entry { vm: "vm".into(), ..entry("new") };
+    let late = Entry { vm: "vm".into(), ..entry("old") };
+    bed.scheduler.take_over(bed.now, WALL_MS, Vec::new(), vec![new]);
+    bed.decide();
+    bed.held("new", Vec::new(), Vec::new());
+    bed.submit(vec![step(1, 2)]);
+    let order = bed.starts().remove(0);
+    bed.started(&order);
+    bed.send(Event::WorkerSeen(entry("other")));
+    bed.held("other", Vec::new(), Vec::new());
+    bed.send(Event::WorkerSeen(late));
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new(), "the task runs where it was");
+    // The earlier life does not answer, and the later one does.
+    silent(&mut bed, "old");
+    bed.held("new", vec![running(order.task, order.run)], Vec::new());
+    bed.pass(ms(1_000));
+    assert_eq!(bed.starts(), Vec::new());
+}
+
+#[test]
+fn of_two_lives_in_the_list_the_one_that_answers_is_there() {
+    let mut bed = Bed::new(2);
+    let (order, records) = owner_before(&["new"]);
+    let new = Entry { vm: "vm".into(), ..entry("new") };
+    let late = Entry { vm: "vm".into(), ..entry("old") };
+    bed.scheduler.take_over(bed.now, WALL_MS, records, vec![new, late, entry("other")]);
+    bed.decide();
+    bed.held("other", Vec::new(), Vec::new());
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new(), "the life that was recorded may run the task");
+    bed.held("new", vec![running(order.task, order.run)], Vec::new());
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new());
+}
+
+#[test]
+fn a_life_that_answers_ends_those_before_it() {
+    let mut bed = Bed::new(1);
+    let old = Entry { vm: "vm".into(), ..entry("old") };
+    let new = Entry { vm: "vm".into(), ..entry("new") };
+    bed.scheduler.take_over(bed.now, WALL_MS, Vec::new(), vec![old]);
+    bed.decide();
+    bed.held("old", Vec::new(), Vec::new());
+    bed.submit(vec![step(1, 2)]);
+    let order = bed.starts().remove(0);
+    bed.started(&order);
+    bed.send(Event::WorkerSeen(new));
+    bed.held("new", Vec::new(), Vec::new());
+    bed.pass(ms(50));
+    assert_eq!(bed.starts().len(), 1, "what ran in the life before is gone with it");
+}
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -129,6 +129,8 @@
     pub(crate) now: Duration,
     workers: BTreeMap<Arc<str>, SimWorker>,
     lives: u64,
+    /// Entries of lives that have ended.
+    ended: Vec<Entry>,
     records: BTreeMap<String, Record>,
     epoch: u64,
     owners: Vec<Owner>,
@@ -148,6 +150,7 @@
             now: ms(10_000),
             workers: BTreeMap::new(),
             lives: 0,
+            ended: Vec::new(),
             records: BTreeMap::new(),
             epoch: 0,
             owners: Vec::new(),
@@ -171,7 +174,7 @@
     fn add_worker(&mut self, vm: &str) {
         self.lives += 1;
         let id = format!("w-{}", self.lives);
-        let entry = Entry { vm: vm.into(), position: self.lives, ..entry(&id) };
+        let entry = Entry { vm: vm.into(), ..entry(&id) };
         self.workers.insert(Arc::clone(&entry.id), SimWorker::new(entry));
     }
 
@@ -223,6 +226,9 @@
         if self.chance(self.faults.crash) {
             self.crash();
         }
+        if self.chance(self.faults.crash) {
+            self.late_entry();
+        }
         if self.chance(self.faults.cut) {
             let at = self.rng.random_range(0..self.workers.len());
             let worker = self.workers.values_mut().nth(at).expect("a worker");
@@ -250,11 +256,20 @@
         let id = Arc::clone(self.workers.keys().nth(at).expect("a worker"));
         let Some(gone) = self.workers.remove(&id) else { return };
         self.add_worker(&gone.entry.vm);
-        let born = self.entries().into_iter().max_by_key(|entry| entry.position);
+        let born = self.entries().into_iter().find(|entry| entry.vm == gone.entry.vm);
         for owner in 0..self.owners.len() {
             self.tell(owner, Event::WorkerGone(Arc::clone(&id)));
             self.tell(owner, Event::WorkerSeen(born.clone().expect("a worker")));
         }
+        self.ended.push(gone.entry);
+    }
+
+    /// An entry of a life that has ended is written after those of the next.
+    fn late_entry(&mut self) {
+        let Some(entry) = self.ended.pop() else { return };
+        for owner in 0..self.owners.len() {
+            self.tell(owner, Event::WorkerSeen(entry.clone()));
+        }
     }
 
     /// Time passes on workers: runs end, leases lapse.
