A fault soak: real daemons under faults from outside, checked against the promises

A stand-in speaks the platform's protocol over loopback (its names stay in platform/), proxies harm connections, signals strike daemons, and an audit checks each start and the end of each run. Not played: VM moves and waves, advice, stepped clocks.

--- /dev/null
+++ b/crates/crosspath_soak/src/daemon.rs
@@ -0,0 +1,127 @@
+//! One daemon as a process: started, signalled, ended. Only processes started here are touched.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::json;
+use tokio::process::{Child, Command};
+
+/// Given to a daemon to end after the signal to stop.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The daemon's program in the folder of this one.
+pub(crate) fn beside_this_program() -> Option<PathBuf> {
+    let found = std::env::current_exe().ok()?.parent()?.join("crosspathd");
+    found.exists().then_some(found)
+}
+
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// A daemon, running or not; dropping it kills its process.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Daemon {
+    /// Writes the settings of a daemon that reaches the store at `store`.
+    pub(crate) fn new(
+        number: usize,
+        program: &Path,
+        folder: &Path,
+        store: SocketAddr,
+        shards: u32,
+    ) -> std::io::Result<Self> {
+        let name = format!("entry-{number}");
+        let callers = free_address()?;
+        let settings = json!({
+            "name": name,
+            "data_centre": "a",
+            "cores": 1.0,
+            "listen": {
+                "callers": callers,
+                "readiness": free_address()?,
+                "peers": free_address()?,
+                "metrics": free_address()?,
+            },
+            "platform": { "log": store, "shards": shards },
+            "leases": {
+                "longest_hold_ms": 10_000,
+                "membership_least_ms": 1_000,
+                "vm_order_ms": 3_000,
+                "keep_ended_s": 120,
+                "stop_grace_s": GRACE.as_secs(),
+            },
+        });
+        let file = folder.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string())?;
+        let log = folder.join(format!("{name}.log"));
+        let program = program.to_owned();
+        Ok(Self { name, callers, program, settings: file, log, child: None })
+    }
+
+    /// Starts the process, if it does not run.
+    pub(crate) fn start(&mut self) -> std::io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = std::fs::File::options().create(true).append(true).open(&self.log)?;
+        let errors = log.try_clone()?;
+        let child = Command::new(&self.program)
+            .arg("--platform")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let Some(id) = self.child.as_ref().and_then(Child::id) else { return };
+        let Ok(id) = i32::try_from(id) else { return };
+        if let Err(error) = kill(Pid::from_raw(id), signal) {
+            log::warn!("event=signal_failed daemon={} signal={signal} error={error}", self.name);
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub(crate) async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take()
+            && let Err(error) = child.kill().await
+        {
+            log::warn!("event=kill_failed daemon={} error={error}", self.name);
+        }
+    }
+
+    /// Asks the process to stop, waits for it, and kills it where it does not end in time; whether
+    /// it ended by itself.
+    pub(crate) async fn stop(&mut self) -> bool {
+        self.signal(Signal::SIGTERM);
+        let Some(child) = &mut self.child else { return true };
+        let ended = tokio::time::timeout(GRACE, child.wait()).await.is_ok();
+        self.kill().await;
+        ended
+    }
+}
--- /dev/null
+++ b/crates/crosspath_soak/src/traffic.rs
@@ -0,0 +1,132 @@
+//! What callers do during a run.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crosspath_job::JobId;
+use crosspath_platform_stand_in::caller::{Caller, Job, Outcome, Shown};
+use crosspath_platform_stand_in::worker::Work;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+use crate::audit::Audit;
+
+/// Tries of one submit or cancel.
+const TRIES: usize = 5;
+/// Between two tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Queues, each with a pool of its own.
+pub(crate) const QUEUES: [&str; 2] = ["counter", "meter"];
+
+/// A number in a hundred.
+fn chance(rng: &mut StdRng, percent: u32) -> bool {
+    rng.random_range(0..100) < percent
+}
+
+fn job(rng: &mut StdRng) -> Job {
+    let steps = (0..rng.random_range(1..=3)).map(|_| rng.random_range(1..=4)).collect();
+    let lasts = chance(rng, 5);
+    Job {
+        id: JobId(rng.random()),
+        queue: QUEUES[rng.random_range(0..QUEUES.len())].to_owned(),
+        steps: if lasts { vec![2] } else { steps },
+        work: Work { takes_ms: rng.random_range(30..600), lasts, fails_first: chance(rng, 10) },
+    }
+}
+
+/// Callers of all daemons.
+#[derive(Debug, Clone)]
+pub(crate) struct Traffic {
+    callers: Vec<Caller>,
+    audit: Audit,
+}
+
+impl Traffic {
+    pub(crate) fn new(daemons: impl Iterator<Item = SocketAddr>, audit: &Audit) -> Self {
+        Self { callers: daemons.map(Caller::new).collect(), audit: audit.clone() }
+    }
+
+    /// Submits jobs for a while, some of them twice, and cancels some.
+    pub(crate) async fn run(self, seed: u64, length: Duration, pause: Duration) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let until = tokio::time::Instant::now() + length;
+        let mut under_way = Vec::new();
+        while tokio::time::Instant::now() < until {
+            let job = job(&mut rng);
+            let fate = StdRng::seed_from_u64(rng.random());
+            under_way.push(tokio::spawn(self.clone().live(job, fate)));
+            tokio::time::sleep(pause.mul_f64(rng.random_range(0.2..1.8))).await;
+        }
+        for job in under_way {
+            if let Err(error) = job.await {
+                log::warn!("event=caller_failed error={error}");
+            }
+        }
+    }
+
+    /// One job, as its caller sees it.
+    async fn live(self, job: Job, mut rng: StdRng) {
+        self.audit.submitting(&job);
+        for _ in 0..TRIES {
+            let outcome = self.any(&mut rng).submit(&job).await;
+            match outcome {
+                Outcome::Done => {
+                    self.audit.told(job.id, |told| told.accepted = true);
+                    break;
+                }
+                Outcome::Refused => {}
+                Outcome::Unknown | Outcome::Doubtful => {
+                    self.audit.told(job.id, |told| told.doubtful = true);
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        if chance(&mut rng, 10) {
+            // The same job arrives again; it remains one job.
+            tokio::time::sleep(RETRY_PAUSE.mul_f64(rng.random_range(0.0..4.0))).await;
+            if self.any(&mut rng).submit(&job).await != Outcome::Refused {
+                self.audit.told(job.id, |told| told.doubtful = true);
+            }
+        }
+        if chance(&mut rng, 10) {
+            tokio::time::sleep(RETRY_PAUSE.mul_f64(rng.random_range(0.0..3.0))).await;
+            self.cancel(&job, &mut rng).await;
+        }
+        self.audit.told(job.id, |told| told.settled = true);
+    }
+
+    async fn cancel(&self, job: &Job, rng: &mut StdRng) {
+        self.audit.told(job.id, |told| told.cancelled = true);
+        for _ in 0..TRIES {
+            if self.any(rng).cancel(job).await == Outcome::Done {
+                return;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn any(&self, rng: &mut StdRng) -> &Caller {
+        &self.callers[rng.random_range(0..self.callers.len())]
+    }
+
+    /// A job's state, as the first daemon that knows something shows it.
+    pub(crate) async fn state(&self, job: &Job) -> Shown {
+        for caller in &self.callers {
+            let shown = caller.state(job).await;
+            if shown != Shown::Nothing {
+                return shown;
+            }
+        }
+        Shown::Nothing
+    }
+
+    /// Cancels a job at whichever daemon takes it.
+    pub(crate) async fn end(&self, job: &Job) -> bool {
+        for caller in &self.callers {
+            if caller.cancel(job).await == Outcome::Done {
+                return true;
+            }
+        }
+        false
+    }
+}
