--- a/crates/crosspath_soak/src/audit.rs
+++ b/crates/crosspath_soak/src/audit.rs
@@ -14,7 +14,9 @@
     pub(crate) accepted: bool,
     /// Some try got no clear answer.
     pub(crate) doubtful: bool,
-    /// Its cancelling was accepted, or may have been.
+    /// Its cancelling was asked for.
+    pub(crate) cancel_tried: bool,
+    /// Its cancelling was accepted.
     pub(crate) cancelled: bool,
     /// Nobody will try again.
     pub(crate) settled: bool,
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -173,7 +173,7 @@
         Shown::State(state) if state == "completed" => {
             (!audit.is_done(job)).then(|| format!("MIXED: job {} is not done", job.id))
         }
-        Shown::State(state) if state == "cancelled" && told.cancelled => {
+        Shown::State(state) if state == "cancelled" && told.cancel_tried => {
             (running > 0).then(|| format!("UNASKED: cancelled job {} runs", job.id))
         }
         Shown::State(state) if state == "running" && job.work.lasts && !told.cancelled => {
--- a/crates/crosspath_soak/src/traffic.rs
+++ b/crates/crosspath_soak/src/traffic.rs
@@ -96,10 +96,10 @@
     }
 
     async fn cancel(&self, job: &Job, rng: &mut StdRng) {
-        self.audit.told(job.id, |told| told.cancelled = true);
+        self.audit.told(job.id, |told| told.cancel_tried = true);
         for _ in 0..TRIES {
             if self.any(rng).cancel(job).await == Outcome::Done {
-                return;
+                return self.audit.told(job.id, |told| told.cancelled = true);
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
