A silent store gets no more appends: callers are told at once, truly, when to come back

Ruled out: want of owners (one throughout), the relay by peers (all were turned away). Change: a call of the store without an answer for 400 ms, and none to others meanwhile, shows it silent. Nothing is sent to it then but joins and readings of holders; submits go through peers, or are refused with Retry-After 2 s. Two tests of the contact.

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -60,8 +60,13 @@
     record: &Record,
     patience: Patience,
 ) -> Outcome {
-    let (answer, outcome) = oneshot::channel();
     let record = Keyed { key: record.key(), value: record.value().into() };
+    if node.is_store_silent(clock::now()) {
+        return through_peers(node, shard, &[record])
+            .await
+            .map_or_else(outcome_of, |()| Outcome::Kept);
+    }
+    let (answer, outcome) = oneshot::channel();
     let item = Item { record, patience, doubtful: false, answer };
     sender(node, shard).send(item).ok();
     outcome.await.unwrap_or(Outcome::Unknown)
@@ -128,20 +133,39 @@
     kept
 }
 
+/// What an append that failed says of its records.
+fn outcome_of(error: Error) -> Outcome {
+    if error.is_not_done() { Outcome::NotKept } else { Outcome::Unknown }
+}
+
 /// Appends directly, or through a daemon that the store serves.
 async fn append_somehow(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<(), Error> {
+    if node.is_store_silent(clock::now()) {
+        return through_peers(node, shard, records).await;
+    }
+    node.store_asked(clock::now());
     let direct = node.store.append(shard_partition(shard), records, Guard::Free).await;
-    let mut error = match direct {
+    let error = match direct {
         Ok(_) => {
             node.store_answers(clock::now());
             return Ok(());
         }
         Err(error) => error,
     };
+    match through_peers(node, shard, records).await {
+        Ok(()) => Ok(()),
+        // What is in doubt once stays so.
+        Err(other) if error.is_not_done() => Err(other),
+        Err(_) => Err(error),
+    }
+}
+
+/// Appends through a daemon that the store serves.
+async fn through_peers(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<(), Error> {
+    let mut error = Error::NotReached;
     for peer in node.other_daemons() {
         match rpc::relay_append(node, peer, shard, records).await {
             Ok(()) => return Ok(()),
-            // What is in doubt once stays so.
             Err(other) if error.is_not_done() => error = other,
             Err(_) => {}
         }
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -27,6 +27,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
 const RETRY_AFTER_S: u32 = 1;
+/// The same while the store is silent: outages take some seconds, and callers try a few times only.
+const SILENT_RETRY_AFTER_S: u32 = 2;
 
 /// For which a cancel looks for its job's shard before it goes to all where the job may be.
 const FIND_PATIENCE: Duration = Duration::from_millis(400);
@@ -57,6 +59,11 @@
         clock::now() + within.mul_f64(PATIENCE)
     }
 
+    /// When a caller whose record was not kept is to come back.
+    fn retry_after_s(&self) -> u32 {
+        if self.node.is_store_silent(clock::now()) { SILENT_RETRY_AFTER_S } else { RETRY_AFTER_S }
+    }
+
     fn patience(within: Duration) -> Patience {
         let now = clock::now();
         Patience {
@@ -193,7 +200,7 @@
                 self.tell_owner(shard, record);
                 Submitted::Accepted
             }
-            Outcome::NotKept => Submitted::NotTaken { retry_after_s: RETRY_AFTER_S },
+            Outcome::NotKept => Submitted::NotTaken { retry_after_s: self.retry_after_s() },
             Outcome::Unknown => Submitted::Unknown,
         }
     }
@@ -235,7 +242,7 @@
         self.node.metrics.called(Call::Cancel, &queue.name, took);
         match outcome {
             Outcome::Kept => Cancelled::Done,
-            Outcome::NotKept => Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S },
+            Outcome::NotKept => Cancelled::Unavailable { retry_after_s: self.retry_after_s() },
             Outcome::Unknown => Cancelled::Unknown,
         }
     }
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod candidacy;
 pub mod claim;
 mod clock;
+pub mod contact;
 mod daemon;
 mod feed;
 mod fleet;
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -83,6 +83,7 @@
         let mut pause = INTERVAL;
         let sent = clock::now();
         let (ttl, generation) = (self.ttl, self.generation);
+        node.store_asked(sent);
         let join = Join { member: Arc::clone(&node.member), ttl, generation };
         let timeout = if node.is_store_away(sent) { AWAY_TIMEOUT } else { TIMEOUT };
         match tokio::time::timeout(timeout, node.store.join(&join)).await {
@@ -116,9 +117,14 @@
 
     /// Reads who owns what, and waits a while.
     async fn standby(&mut self) {
-        refresh_holders(Arc::clone(&self.node)).await;
+        let reading = refresh_holders(Arc::clone(&self.node));
+        if tokio::time::timeout(TIMEOUT, reading).await.is_err() {
+            log::info!("event=holders_unread error=\"timed out\"");
+        }
         let doubted = self.node.holders_doubted.notified();
-        if tokio::time::timeout(STANDBY_INTERVAL, doubted).await.is_ok() {
+        let silent = self.node.is_store_silent(clock::now());
+        let pause = if silent { STANDBY_AGAIN } else { STANDBY_INTERVAL };
+        if tokio::time::timeout(pause, doubted).await.is_ok() {
             tokio::time::sleep(STANDBY_AGAIN).await;
         }
     }
@@ -184,8 +190,10 @@
 }
 
 async fn refresh_holders(node: Arc<Node>) {
+    node.store_asked(clock::now());
     match node.store.holders().await {
         Ok(holders) => {
+            node.store_answers(clock::now());
             let known = holders.into_iter().filter_map(|holder| {
                 let member: Result<Member, _> = holder.member.parse();
                 let member = member.inspect_err(|error| {
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::appender::Appenders;
+use crate::contact::Contact;
 use crate::map::Map;
 use crate::member::Member;
 use crate::metrics::Metrics;
@@ -44,8 +45,8 @@
     pub(crate) away_until: Duration,
     /// Whether this daemon stands for ownership.
     pub(crate) candidate: bool,
-    /// When the store last answered anything.
-    pub(crate) store_answered: Duration,
+    /// Calls and answers of the store.
+    pub(crate) contact: Contact,
 }
 
 /// What the daemon's tasks share.
@@ -189,9 +190,19 @@
         *lock(&self.standing)
     }
 
+    /// A call was sent to the store that is answered at once when the store is well.
+    pub(crate) fn store_asked(&self, now: Duration) {
+        lock(&self.standing).contact.asked(now);
+    }
+
+    /// Whether the store keeps silent towards this daemon.
+    pub(crate) fn is_store_silent(&self, now: Duration) -> bool {
+        lock(&self.standing).contact.is_silent(now)
+    }
+
     /// The store has answered.
     pub(crate) fn store_answers(&self, now: Duration) {
-        lock(&self.standing).store_answered = now;
+        lock(&self.standing).contact.answered(now);
     }
 
     pub(crate) fn set_standing(&self, change: impl FnOnce(&mut Standing)) {
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -166,7 +166,7 @@
             Answer::Heard
         }
         Question::Store => {
-            let since = clock::now().saturating_sub(node.standing().store_answered);
+            let since = clock::now().saturating_sub(node.standing().contact.last_answer());
             Answer::Store { answered_ms_ago: u64::try_from(since.as_millis()).unwrap_or(u64::MAX) }
         }
     }
@@ -175,8 +175,15 @@
 async fn append(node: &Node, shard: u32, records: Vec<(String, String)>) -> Answer {
     let keyed = |(key, value): (String, String)| Keyed { key, value: value.into() };
     let records: Vec<_> = records.into_iter().map(keyed).collect();
+    if node.is_store_silent(clock::now()) {
+        return Answer::NotAppended { surely: true };
+    }
+    node.store_asked(clock::now());
     match node.store.append(shard_partition(shard), &records, Guard::Free).await {
-        Ok(_) => Answer::Appended,
+        Ok(_) => {
+            node.store_answers(clock::now());
+            Answer::Appended
+        }
         Err(error) => Answer::NotAppended { surely: error.is_not_done() },
     }
 }
--- /dev/null
+++ b/crates/crosspath_node/tests/node/contact.rs
@@ -0,0 +1,34 @@
+//! Whether the store answers this daemon.
+
+use std::time::Duration;
+
+use crosspath_node::contact::Contact;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn a_store_that_answers_is_not_silent_however_late() {
+    let mut contact = Contact::default();
+    for at in (0..5_000).step_by(300) {
+        contact.asked(ms(at));
+        assert!(!contact.is_silent(ms(at + 290)), "at {at}");
+        contact.answered(ms(at + 290));
+    }
+    assert!(!contact.is_silent(ms(60_000)), "nothing was asked");
+    assert_eq!(contact.last_answer(), ms(5_090));
+}
+
+#[test]
+fn silence_counts_from_the_oldest_call_and_ends_with_an_answer() {
+    let mut contact = Contact::default();
+    contact.asked(ms(1_000));
+    contact.asked(ms(1_350));
+    assert!(!contact.is_silent(ms(1_399)));
+    assert!(contact.is_silent(ms(1_400)));
+    contact.asked(ms(2_000));
+    assert!(contact.is_silent(ms(2_000)), "asking again does not end it");
+    contact.answered(ms(2_100));
+    assert!(!contact.is_silent(ms(2_100)));
+}
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -3,4 +3,5 @@
 mod away;
 mod candidacy;
 mod claim;
+mod contact;
 mod map;
