--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -185,6 +185,15 @@
         }
     }
 
+    /// When it should have ended, by its estimates.
+    pub(crate) fn due(&self) -> Duration {
+        let policy = &self.accepted.policy;
+        let chain = self.chains_ms.iter().max().copied().unwrap_or_default();
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some minutes")]
+        let allowed = (policy.stretch * chain as f64) as u64 + policy.target_ms;
+        self.since + Duration::from_millis(allowed)
+    }
+
     /// Whether `is_over` rules out a worker's runs; forgets those that nobody has seen.
     pub(crate) fn rule_out(&mut self, is_over: impl Fn(&Arc<str>) -> bool) {
         let steps = self.instances.iter_mut().flat_map(|instance| &mut instance.steps);
--- a/crates/crosspath_schedule/src/lasting.rs
+++ b/crates/crosspath_schedule/src/lasting.rs
@@ -16,6 +16,8 @@
 const AT_WORK: u32 = 100;
 /// Tasks with a checkpoint go on elsewhere below this percent of their work; above, they end soon.
 const MOVE_BELOW: u32 = 70;
+/// What moving a task costs its job: a stop of up to 0.9 s, a wait for room, another start.
+const MOVE_COST: Duration = Duration::from_millis(1_500);
 
 impl Scheduler {
     pub(crate) fn vacate_tasks(&mut self, now: Duration) {
@@ -44,7 +46,8 @@
             let limit = step.may_miss.unwrap_or(1);
             return self.others_away(job, id) < limit && self.has_room_elsewhere(now, id);
         }
-        step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some()
+        let movable = step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some();
+        movable && !is_made_late_by_move(now, job, id, run.percent)
     }
 
     /// Other tasks of the step that are not at work, as far as is known.
@@ -143,3 +146,14 @@
         total
     }
 }
+
+/// Whether a job ends in time by its estimates if its task goes on where it is, and does not if the
+/// task is moved.
+fn is_made_late_by_move(now: Duration, job: &Job, id: TaskId, percent: u32) -> bool {
+    let estimate = job.accepted.spec.steps[id.step as usize].estimate_ms;
+    let done = estimate * u64::from(percent.min(100)) / 100;
+    let left = job.chains_ms[id.step as usize].saturating_sub(done);
+    let end = now + Duration::from_millis(left);
+    let due = job.due();
+    end <= due && end + MOVE_COST > due
+}
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -56,17 +56,13 @@
 
 impl Key {
     pub(crate) fn of(job: &Job, task: TaskId) -> Self {
-        let policy = &job.accepted.policy;
         let step = &job.accepted.spec.steps[task.step as usize];
-        let chain = job.chains_ms.iter().max().copied().unwrap_or_default();
         let rest = job.chains_ms[task.step as usize];
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some minutes")]
-        let allowed = (policy.stretch * chain as f64) as u64 + policy.target_ms;
-        let since = u64::try_from(job.since.as_millis()).unwrap_or(u64::MAX);
+        let due_ms = u64::try_from(job.due().as_millis()).unwrap_or(u64::MAX);
         Self {
-            priority: policy.priority,
+            priority: job.accepted.policy.priority,
             brief: !step.lasting,
-            latest_ms: (since + allowed).saturating_sub(rest),
+            latest_ms: due_ms.saturating_sub(rest),
             task,
             room: step.reserved(),
             anywhere: step.requires.is_none() && step.per_worker == 0,
--- a/crates/crosspath_schedule/tests/schedule/lasting.rs
+++ b/crates/crosspath_schedule/tests/schedule/lasting.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crosspath_border::worker::{Error, How};
+use crosspath_border::worker::{Error, How, Running};
 use crosspath_job::spec::Step;
 use crosspath_schedule::Event;
 
@@ -101,3 +101,26 @@
         assert_eq!(again[0].task, order.task);
     }
 }
+
+/// Whether a checkpointed task of a job with an estimate of 4 s, that is due after 7 s, is stopped on a
+/// VM that is to leave, `after_ms` from its start and at `percent`.
+fn is_moved(after_ms: u64, percent: u32) -> bool {
+    let mut bed = Bed::with_workers(&["a", "b"]);
+    bed.submit(vec![Step { checkpoints: true, estimate_ms: 4_000, ..step(1, 2) }]);
+    let order = bed.starts().remove(0);
+    bed.started(&order);
+    bed.pass(ms(after_ms));
+    let row =
+        Running { percent, checkpoint: Some("half".into()), ..running(order.task, order.run) };
+    bed.held(&order.worker, vec![row], Vec::new());
+    bed.send(Event::Vacate([format!("vm-{}", order.worker).into()].into()));
+    bed.pass(ms(60));
+    !bed.stops().is_empty()
+}
+
+#[test]
+fn a_checkpointed_task_is_moved_where_its_job_can_afford_it() {
+    assert!(is_moved(1_000, 25), "2 s to spare");
+    assert!(!is_moved(2_500, 25), "half a second to spare, and a move takes longer");
+    assert!(is_moved(5_000, 25), "late in any case");
+}
