Orders to workers, reports and vacating VMs in files of their own

Moves only: crosspath_node::order out of shard, crosspath_schedule::report holds what is reported, vacate what empties a worker (before: lasting, which held both).

--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod order;
 mod rpc;
 pub mod settings;
 mod shard;
--- /dev/null
+++ b/crates/crosspath_node/src/order.rs
@@ -0,0 +1,102 @@
+//! One order to a worker on its way, and what became of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::worker::{Error, Hold, Start, Started};
+use crosspath_job::TaskId;
+use crosspath_schedule::Event;
+use crosspath_schedule::lease::Terms;
+use tokio::sync::mpsc;
+
+use crate::clock;
+use crate::node::Node;
+use crate::watch::Watch;
+
+/// A start that could not be sent within this since it was decided is given up.
+const ORDER_PATIENCE: Duration = Duration::from_millis(250);
+
+/// An order to a worker on its way.
+#[derive(Debug)]
+pub(crate) struct Order {
+    node: Arc<Node>,
+    watch: Arc<Watch>,
+    events: mpsc::UnboundedSender<Event>,
+    terms: Terms,
+    token: u64,
+    decided: Duration,
+}
+
+impl Order {
+    pub(crate) fn new(
+        node: &Arc<Node>,
+        watch: &Arc<Watch>,
+        events: &mpsc::UnboundedSender<Event>,
+        terms: Terms,
+        token: u64,
+    ) -> Self {
+        Self {
+            node: Arc::clone(node),
+            watch: Arc::clone(watch),
+            events: events.clone(),
+            terms,
+            token,
+            decided: clock::now(),
+        }
+    }
+
+    pub(crate) async fn start(self, mut start: Start) {
+        let answer = self.try_start(&mut start).await;
+        let worker = Arc::clone(&self.watch.target.id);
+        let (task, run) = (start.task, start.run);
+        self.events.send(Event::StartAnswered { worker, task, run, answer }).ok();
+    }
+
+    async fn try_start(&self, start: &mut Start) -> Result<Started, Error> {
+        let permit = self.watch.orders.acquire().await;
+        let Ok(_permit) = permit else { return Err(Error::NotReached) };
+        let now = clock::now();
+        // Too late, or by now another daemon may be the owner: the order is not sent.
+        if now > self.decided + ORDER_PATIENCE || !self.node.may_act(now) {
+            return Err(Error::NotReached);
+        }
+        start.deadline_ms = self.watch.deadline_ms(now, self.terms.start);
+        let answer = self.node.runner.start(&self.watch.target, start).await?;
+        if let Some(clock_ms) = answer.clock_ms {
+            self.watch.heard(clock_ms);
+        }
+        Ok(answer.value)
+    }
+
+    pub(crate) async fn stop(self, task: TaskId, run: u64) {
+        let answer = self.node.runner.stop(&self.watch.target, task, run, self.token).await;
+        let worker = Arc::clone(&self.watch.target.id);
+        let answer = answer.map(|clocked| clocked.value);
+        self.events.send(Event::StopAnswered { worker, task, run, answer }).ok();
+    }
+
+    pub(crate) async fn look(self) {
+        let sent = clock::now();
+        let acknowledged = self.watch.acknowledged();
+        let wait = Duration::ZERO;
+        let hold = Hold { token: self.token, acknowledged, deadline_ms: None, wait };
+        let worker = Arc::clone(&self.watch.target.id);
+        match self.node.runner.hold(&self.watch.target, &hold).await {
+            Ok(held) => {
+                self.watch.heard(held.clock_ms);
+                self.events.send(Event::Held { worker, sent, extended: false, held }).ok();
+            }
+            // The worker's own looks tell whether it is silent.
+            Err(error) => log::info!("event=look_failed worker={worker} error=\"{error}\""),
+        }
+    }
+
+    pub(crate) async fn pace(self, task: TaskId, run: u64, percent: u32) {
+        let target = &self.watch.target;
+        let answer = self.node.runner.pace(target, task, run, percent, self.token).await;
+        if let Err(error) = answer {
+            let worker = &target.id;
+            log::info!("event=pace_failed task={task} run={run} worker={worker} error=\"{error}\"");
+        }
+    }
+}
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -6,10 +6,10 @@
 
 use crosspath_border::advice::Error as AdviceError;
 use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored};
-use crosspath_border::worker::{Entry, Error as WorkerError, Hold, Start};
+use crosspath_border::worker::{Entry, Start};
+use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_job::record::Record;
-use crosspath_job::{JobId, TaskId};
 use crosspath_schedule::lease::Terms;
 use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
 use tokio::sync::mpsc;
@@ -21,6 +21,7 @@
 use crate::map::Unit;
 use crate::membership::TTL;
 use crate::node::{Node, shard_partition};
+use crate::order::Order;
 use crate::watch::{self, Watch};
 
 /// What a look extends leases to; see [`Terms::hold`].
@@ -40,8 +41,6 @@
 const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
 /// After a call of the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// A start that could not be sent within this since it was decided is given up.
-const ORDER_PATIENCE: Duration = Duration::from_millis(250);
 /// Events taken in before the next decision.
 const MAX_EVENTS: usize = 64;
 
@@ -289,26 +288,31 @@
         Some(actions)
     }
 
+    /// An order to a worker under the shard's token.
+    fn order(&self, watch: &Arc<Watch>, duties: &Duties) -> Order {
+        Order::new(&self.node, watch, &self.events, duties.terms, duties.claimed.token)
+    }
+
     fn carry_out(&self, duties: &mut Duties, action: Action) {
         match action {
             Action::Start { worker, task, run, text, checkpoint, ticket } => {
                 let Some(watch) = duties.watches.get(&worker.id) else { return };
                 let token = duties.claimed.token;
                 let start = Start { task, run, text, deadline_ms: 0, token, checkpoint, ticket };
-                let order = Order::new(self, watch, duties);
+                let order = self.order(watch, duties);
                 drop(tokio::spawn(order.start(start)));
             }
             Action::Stop { worker, task, run } => {
                 let Some(watch) = duties.watches.get(&worker.id) else { return };
-                drop(tokio::spawn(Order::new(self, watch, duties).stop(task, run)));
+                drop(tokio::spawn(self.order(watch, duties).stop(task, run)));
             }
             Action::Look { worker } => {
                 let Some(watch) = duties.watches.get(&worker.id) else { return };
-                drop(tokio::spawn(Order::new(self, watch, duties).look()));
+                drop(tokio::spawn(self.order(watch, duties).look()));
             }
             Action::Pace { worker, task, run, percent } => {
                 let Some(watch) = duties.watches.get(&worker.id) else { return };
-                drop(tokio::spawn(Order::new(self, watch, duties).pace(task, run, percent)));
+                drop(tokio::spawn(self.order(watch, duties).pace(task, run, percent)));
             }
             Action::Advise { step, workers } => {
                 let (node, events) = (Arc::clone(&self.node), self.events.clone());
@@ -361,88 +365,6 @@
     }
 }
 
-/// An order to a worker on its way.
-#[derive(Debug)]
-struct Order {
-    node: Arc<Node>,
-    watch: Arc<Watch>,
-    events: mpsc::UnboundedSender<Event>,
-    terms: Terms,
-    token: u64,
-    decided: Duration,
-}
-
-impl Order {
-    fn new(owner: &Owner, watch: &Arc<Watch>, duties: &Duties) -> Self {
-        Self {
-            node: Arc::clone(&owner.node),
-            watch: Arc::clone(watch),
-            events: owner.events.clone(),
-            terms: duties.terms,
-            token: duties.claimed.token,
-            decided: clock::now(),
-        }
-    }
-
-    async fn start(self, mut start: Start) {
-        let answer = self.try_start(&mut start).await;
-        let worker = Arc::clone(&self.watch.target.id);
-        let (task, run) = (start.task, start.run);
-        self.events.send(Event::StartAnswered { worker, task, run, answer }).ok();
-    }
-
-    async fn try_start(
-        &self,
-        start: &mut Start,
-    ) -> Result<crosspath_border::worker::Started, WorkerError> {
-        let permit = self.watch.orders.acquire().await;
-        let Ok(_permit) = permit else { return Err(WorkerError::NotReached) };
-        let now = clock::now();
-        // Too late, or by now another daemon may be the owner: the order is not sent.
-        if now > self.decided + ORDER_PATIENCE || !self.node.may_act(now) {
-            return Err(WorkerError::NotReached);
-        }
-        start.deadline_ms = self.watch.deadline_ms(now, self.terms.start);
-        let answer = self.node.runner.start(&self.watch.target, start).await?;
-        if let Some(clock_ms) = answer.clock_ms {
-            self.watch.heard(clock_ms);
-        }
-        Ok(answer.value)
-    }
-
-    async fn stop(self, task: TaskId, run: u64) {
-        let answer = self.node.runner.stop(&self.watch.target, task, run, self.token).await;
-        let worker = Arc::clone(&self.watch.target.id);
-        let answer = answer.map(|clocked| clocked.value);
-        self.events.send(Event::StopAnswered { worker, task, run, answer }).ok();
-    }
-
-    async fn look(self) {
-        let sent = clock::now();
-        let acknowledged = self.watch.acknowledged();
-        let wait = Duration::ZERO;
-        let hold = Hold { token: self.token, acknowledged, deadline_ms: None, wait };
-        let worker = Arc::clone(&self.watch.target.id);
-        match self.node.runner.hold(&self.watch.target, &hold).await {
-            Ok(held) => {
-                self.watch.heard(held.clock_ms);
-                self.events.send(Event::Held { worker, sent, extended: false, held }).ok();
-            }
-            // The worker's own looks tell whether it is silent.
-            Err(error) => log::info!("event=look_failed worker={worker} error=\"{error}\""),
-        }
-    }
-
-    async fn pace(self, task: TaskId, run: u64, percent: u32) {
-        let target = &self.watch.target;
-        let answer = self.node.runner.pace(target, task, run, percent, self.token).await;
-        if let Err(error) = answer {
-            let worker = &target.id;
-            log::info!("event=pace_failed task={task} run={run} worker={worker} error=\"{error}\"");
-        }
-    }
-}
-
 /// Appends as owner until the store has answered; whether the shard is still owned.
 pub(crate) async fn append_owned(
     node: &Node,
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -15,7 +15,6 @@
 mod event;
 pub mod job;
 mod jobs;
-mod lasting;
 pub mod lease;
 mod looks;
 mod pace;
@@ -25,6 +24,7 @@
 mod scheduler;
 mod stall;
 mod takeover;
+mod vacate;
 mod worker;
 
 pub use action::Action;
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -1,9 +1,13 @@
 //! What a shard's owner tells the fleet's owner.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::scheduler::Scheduler;
+use crate::worker::Worker;
+
 /// One VM of the pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
@@ -54,3 +58,80 @@
         self.known && self.tasks == 0
     }
 }
+
+impl Scheduler {
+    /// The pool for the fleet's owner.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> Pool {
+        let mut pool = Pool::default();
+        for worker in self.workers.values().filter(|worker| !self.is_doubtful_life(worker)) {
+            let lasting = worker
+                .runs
+                .keys()
+                .filter(|(task, _)| self.step_of(*task).is_some_and(|step| step.lasting));
+            pool.running_millis += worker.used.cpu_millis;
+            pool.vms.push(Vm {
+                name: worker.entry.vm.clone(),
+                cpu_millis: worker.entry.capacity.cpu_millis,
+                used_millis: worker.used.cpu_millis,
+                tasks: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
+                lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
+                usable: worker.is_usable(now),
+                // An end that is not kept yet would be lost with the worker.
+                known: worker.synced
+                    && worker.failures == 0
+                    && worker.ends_seen == worker.ends_acknowledged,
+            });
+        }
+        for key in &self.waiting {
+            let cpu = key.room.cpu_millis;
+            pool.waiting_millis += cpu;
+            pool.largest_millis = pool.largest_millis.max(cpu);
+        }
+        pool.blocked_millis = self.blocked_millis();
+        pool.unplaced_millis = if self.waiting.is_empty() { 0 } else { self.unplaced_millis };
+        pool.unplaced_lasting = if self.waiting.is_empty() { 0 } else { self.unplaced_lasting };
+        pool.spread = self.spread();
+        pool.priority = self.priority();
+        pool
+    }
+
+    /// Whether a worker does not answer while another life of its VM does.
+    fn is_doubtful_life(&self, worker: &Worker) -> bool {
+        let answers = |worker: &Worker| worker.synced && worker.failures == 0;
+        let same_vm = |other: &&Worker| {
+            other.entry.vm == worker.entry.vm && other.entry.id != worker.entry.id
+        };
+        !answers(worker) && self.workers.values().filter(same_vm).any(answers)
+    }
+
+    /// Priority of the most urgent brief work.
+    fn priority(&self) -> u32 {
+        let running = self.jobs.values().filter(|job| !job.state.is_final());
+        let brief = running.filter(|job| !job.accepted.spec.steps.iter().any(|step| step.lasting));
+        brief.map(|job| job.accepted.policy.priority).min().unwrap_or(u32::MAX)
+    }
+
+    /// Workers over which some step must be spread.
+    fn spread(&self) -> u32 {
+        let running = self.jobs.values().filter(|job| !job.state.is_final());
+        let steps = running.flat_map(|job| &job.accepted.spec.steps);
+        let spread = steps.filter(|step| step.per_worker > 0);
+        spread.map(|step| step.tasks.div_ceil(step.per_worker)).max().unwrap_or(0)
+    }
+
+    fn blocked_millis(&self) -> u64 {
+        let mut total = 0;
+        for job in self.jobs.values().filter(|job| !job.state.is_final()) {
+            for instance in job.instances.iter().filter(|instance| instance.due) {
+                for (number, step) in instance.steps.iter().enumerate() {
+                    if !step.open {
+                        let room = job.accepted.spec.steps[number].reserved();
+                        total += room.cpu_millis * u64::from(step.left);
+                    }
+                }
+            }
+        }
+        total
+    }
+}
