--- a/crates/crosspath_node/src/contact.rs
+++ b/crates/crosspath_node/src/contact.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 /// A call without an answer for so long, and no other answer meanwhile, shows a silent store: one that
-/// is slow takes some 250 ms.
-const SILENCE: Duration = Duration::from_millis(400);
+/// is slow takes some 420 ms (incident inc-0822 of cua-cobros).
+const SILENCE: Duration = Duration::from_millis(800);
 
 /// Calls and answers of the store.
 #[derive(Debug, Default, Clone, Copy)]
