crosspath trace: the story of one job, from saved logs of all daemons

An on-call engineer has only logs. The command prints the lines of the job and its tasks in order, with those on the workers that ran it and on the owners of its shard meanwhile; it asks no daemon, so an address is only required by the commands that do.

--- a/crates/crosspath/src/api.rs
+++ b/crates/crosspath/src/api.rs
@@ -1,5 +1,6 @@
 //! Calls of a daemon's resource API.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crosspath_http::client::{self, Client, Method};
@@ -12,7 +13,7 @@
 use snafu::OptionExt as _;
 
 use crate::args::Connection;
-use crate::error::{Error, NoTokenSnafu};
+use crate::error::{Error, NoServerSnafu, NoTokenSnafu};
 
 const TIMEOUT: Duration = Duration::from_secs(15);
 const TOKEN_VARIABLE: &str = "CROSSPATH_TOKEN";
@@ -29,10 +30,16 @@
     pub(crate) fn new(connection: &Connection) -> Result<Self, Error> {
         let token = connection.token.clone().or_else(|| std::env::var(TOKEN_VARIABLE).ok());
         let token = token.context(NoTokenSnafu { variable: TOKEN_VARIABLE })?;
-        let client = Client::new(connection.server, TIMEOUT).with_token(&token);
+        let server = connection.server.context(NoServerSnafu)?;
+        let client = Client::new(server, TIMEOUT).with_token(&token);
         Ok(Self { client, token })
     }
 
+    /// The daemon.
+    pub(crate) fn server(&self) -> SocketAddr {
+        self.client.address()
+    }
+
     pub(crate) fn token(&self) -> &str {
         &self.token
     }
--- a/crates/crosspath/src/args.rs
+++ b/crates/crosspath/src/args.rs
@@ -20,7 +20,8 @@
 /// Where the daemon is and who asks.
 #[derive(Debug, Clone)]
 pub(crate) struct Connection {
-    pub(crate) server: SocketAddr,
+    /// None for commands that ask no daemon.
+    pub(crate) server: Option<SocketAddr>,
     /// None when it is in the environment, which the help text must not show.
     pub(crate) token: Option<String>,
 }
@@ -107,6 +108,16 @@
     /// Show every daemon
     #[bpaf(command)]
     Status,
+    /// Print the story of one job, from saved logs of all daemons
+    #[bpaf(command)]
+    Trace {
+        /// Identifier of the job
+        #[bpaf(positional("JOB"))]
+        job: String,
+        /// Logs; standard input when there is none
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// Ask what became of a change whose fate was not known
     #[bpaf(command)]
     Change {
@@ -157,7 +168,8 @@
     let server = long("server")
         .env("CROSSPATH_SERVER")
         .help("Address of a daemon's resource API")
-        .argument::<SocketAddr>("ADDRESS");
+        .argument::<SocketAddr>("ADDRESS")
+        .optional();
     let token = long("token")
         .help("Bearer token; better set as CROSSPATH_TOKEN, which other users cannot list")
         .argument::<String>("TOKEN")
--- a/crates/crosspath/src/commands.rs
+++ b/crates/crosspath/src/commands.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod get;
 mod status;
+mod trace;
 mod watch;
 mod wave;
 
@@ -20,22 +21,23 @@
 
 /// Runs one command.
 pub(crate) async fn run(args: Args) -> Result<ExitStatus, Error> {
-    let api = Api::new(&args.connection)?;
     let format = args.format;
+    let api = || Api::new(&args.connection);
     match args.command {
-        Command::Get { kind, name } => get::run(&api, format, kind, name.as_deref()).await,
+        Command::Get { kind, name } => get::run(&api()?, format, kind, name.as_deref()).await,
         Command::Apply { file, dry_run, wait } => {
-            apply::run(&api, format, &file, apply::Mode { dry_run, wait }).await
+            apply::run(&api()?, format, &file, apply::Mode { dry_run, wait }).await
         }
-        Command::Diff { file } => diff::run(&api, format, &file).await,
+        Command::Diff { file } => diff::run(&api()?, format, &file).await,
         Command::Delete { revision, kind, name } => {
-            delete::run(&api, format, &id(kind, &name)?, revision).await
+            delete::run(&api()?, format, &id(kind, &name)?, revision).await
         }
-        Command::Watch { from, kind } => watch::run(&args.connection, &api, kind, from).await,
-        Command::Wave(command) => wave::run(&api, format, command).await,
-        Command::Explain { kind, name } => explain::run(&api, format, &id(kind, &name)?).await,
-        Command::Status => status::run(&api, format).await,
-        Command::Change { id } => change::run(&api, format, &id).await,
+        Command::Watch { from, kind } => watch::run(&api()?, kind, from).await,
+        Command::Wave(command) => wave::run(&api()?, format, command).await,
+        Command::Explain { kind, name } => explain::run(&api()?, format, &id(kind, &name)?).await,
+        Command::Status => status::run(&api()?, format).await,
+        Command::Trace { job, files } => trace::run(format, &job, &files),
+        Command::Change { id } => change::run(&api()?, format, &id).await,
     }
 }
 
--- a/crates/crosspath/src/commands/watch.rs
+++ b/crates/crosspath/src/commands/watch.rs
@@ -11,23 +11,17 @@
 use hyper_util::rt::TokioExecutor;
 
 use crate::api::Api;
-use crate::args::Connection;
 use crate::error::{Error, ExitStatus};
 use crosspath_http::client;
 use crosspath_operator::model::Problem;
 
 /// Prints each change as a line of JSON, until the daemon ends the watch.
-pub(crate) async fn run(
-    connection: &Connection,
-    api: &Api,
-    kind: Kind,
-    from: Option<u64>,
-) -> Result<ExitStatus, Error> {
+pub(crate) async fn run(api: &Api, kind: Kind, from: Option<u64>) -> Result<ExitStatus, Error> {
     let from = match from {
         Some(from) => from,
         None => api.list(kind).await?.revision.0,
     };
-    let address = connection.server;
+    let address = api.server();
     let request = Request::get(format!("http://{address}/v1/{kind}?watch={from}"))
         .header(header::AUTHORIZATION, format!("Bearer {}", api.token()))
         .body(Empty::<Bytes>::new());
--- a/crates/crosspath/src/error.rs
+++ b/crates/crosspath/src/error.rs
@@ -32,6 +32,10 @@
     Shape { file: PathBuf, field: String, source: serde_json::Error },
     #[snafu(display("{}: resource {name}: {source}", file.display()))]
     Name { file: PathBuf, name: String, source: crosspath_state::name::InvalidName },
+    #[snafu(display("no daemon; set CROSSPATH_SERVER or write --server ADDRESS"))]
+    NoServer,
+    #[snafu(display("no line names the job {job}; are the logs of all daemons given?"))]
+    NotLogged { job: String },
     #[snafu(display("no token; set {variable} or write --token"))]
     NoToken { variable: &'static str },
     #[snafu(display("{}", problem.message))]
@@ -47,9 +51,12 @@
 impl Error {
     pub(crate) fn exit_status(&self) -> ExitStatus {
         match self {
-            Self::Read { .. } | Self::Shape { .. } | Self::Name { .. } | Self::NoToken { .. } => {
-                ExitStatus::BadInput
-            }
+            Self::Read { .. }
+            | Self::Shape { .. }
+            | Self::Name { .. }
+            | Self::NoServer
+            | Self::NotLogged { .. }
+            | Self::NoToken { .. } => ExitStatus::BadInput,
             Self::Refused { status: 400 | 413 | 422, .. } => ExitStatus::BadInput,
             Self::Refused { status: 503, .. } => ExitStatus::NotAccepted,
             Self::Refused { status: 504, .. } => ExitStatus::Unknown,
--- a/crates/crosspath/tests/cli/main.rs
+++ b/crates/crosspath/tests/cli/main.rs
@@ -1,5 +1,7 @@
 //! The tool against a real daemon, as an operator uses it.
 
+mod trace;
+
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
--- /dev/null
+++ b/crates/crosspath/tests/cli/trace.rs
@@ -0,0 +1,41 @@
+//! `crosspath trace` over saved logs.
+
+use std::process::{Command, Output};
+
+fn trace(job: &str, files: &[&str]) -> Output {
+    let fixture = |name: &&str| format!("{}/tests/cli/fixtures/{name}", env!("CARGO_MANIFEST_DIR"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_crosspath"));
+    command.env_remove("CROSSPATH_SERVER").args(["trace", job]);
+    command.args(files.iter().map(fixture)).output().expect("the tool runs")
+}
+
+/// The `event` of each printed line.
+fn events(output: &Output) -> Vec<String> {
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let event = |line: &str| line.split("event=").nth(1)?.split(' ').next().map(str::to_owned);
+    text.lines().filter_map(event).collect()
+}
+
+#[test]
+fn the_story_of_a_job_is_told_over_all_daemons_in_order() {
+    let output = trace("00000000000000a1", &["entry-a.log", "entry-b.log"]);
+    let told =
+        ["shard_claimed", "submit", "run_placed", "worker_silent", "run_placed", "run_ended"];
+    assert_eq!(events(&output), told, "neither the other job nor the worker that it did not use");
+    assert_eq!(output.status.code(), Some(0));
+}
+
+#[test]
+fn a_job_that_no_line_names_is_an_error() {
+    let output = trace("00000000000000ff", &["entry-a.log"]);
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(error.contains("00000000000000ff"), "{error}");
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let output = trace("00000000000000a1", &["none.log"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("none.log"));
+}
