--- a/crates/crosspath_soak/src/daemon.rs
+++ b/crates/crosspath_soak/src/daemon.rs
@@ -1,6 +1,6 @@
 //! One daemon as a process: started, signalled, ended. Only processes started here are touched.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -19,8 +19,18 @@
     found.exists().then_some(found)
 }
 
-fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// Ports of every daemon; each has a loopback address of its own.
+const CALLERS: u16 = 7_001;
+const READINESS: u16 = 7_002;
+const PEERS: u16 = 7_003;
+const METRICS: u16 = 7_004;
+
+/// A loopback address that no other daemon has, of this process or another: a port that is free for a
+/// moment may be taken by the time that a daemon is started again.
+fn own_ip(number: usize) -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = u8::try_from(number % 250).expect("below 250");
+    Ipv4Addr::new(127, 1 + high % 250, low, 1 + number)
 }
 
 /// A daemon, running or not; dropping it kills its process.
@@ -44,16 +54,18 @@
         shards: u32,
     ) -> std::io::Result<Self> {
         let name = format!("entry-{number}");
-        let callers = free_address()?;
+        let ip = own_ip(number);
+        let listen = |port: u16| SocketAddr::from((ip, port));
+        let callers = listen(CALLERS);
         let settings = json!({
             "name": name,
             "data_centre": "a",
             "cores": 1.0,
             "listen": {
                 "callers": callers,
-                "readiness": free_address()?,
-                "peers": free_address()?,
-                "metrics": free_address()?,
+                "readiness": listen(READINESS),
+                "peers": listen(PEERS),
+                "metrics": listen(METRICS),
             },
             "platform": { "log": store, "shards": shards },
             "leases": {
@@ -90,7 +102,7 @@
         Ok(())
     }
 
-    fn is_running(&mut self) -> bool {
+    pub(crate) fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -151,6 +151,12 @@
     }
     site.heal().await;
     let completed = settle(&audit, &traffic).await;
+    for daemon in &site.daemons {
+        let mut daemon = daemon.lock().await;
+        if !daemon.is_running() {
+            audit.violation(format!("{} does not run, though nothing strikes it", daemon.name));
+        }
+    }
     let jobs = audit.jobs();
     let violations = audit.violations();
     let logs = (!violations.is_empty()).then(|| folder.keep());
