One piece of code for what stood twice; behaviour unchanged

What stood twice or in a needless shape: - "has answered, and its last look too" was written in four places: now Worker::answers. - "VM is in the spare pool" was written in six: now View::is_off. - The append with its silence check and its two notes on the store stood in the appender and in the rpc answer: now Node::append; the appender's two loops over the peers are one. - tell_kept encoded and decoded a record to hand it to this same daemon: it is handed over as it is. ask_holder rang for the holders in two arms. - Candidacy::observe says whether it changed its mind; the loop compared. - choose_upkeep is split by question (slots, hurries, candidates). - end_lives_before searched all workers before it looked at an empty name.

Conclusion: no decision, bound or message on the wire changes.

--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -51,7 +51,7 @@
             let Some(vm) = self.donor(now, view, &balances, &pool, lacks_much) else { break };
             self.move_vm(now, &vm, &pool, &mut balances);
         }
-        let lacking = balances.values().map(|balance| balance.lacks()).sum();
+        let lacking = balances.values().copied().map(Balance::lacks).sum();
         let Some(spare) = &view.spare else { return lacking };
         for vm in &view.vms {
             let over = balances.get(&vm.pool).is_some_and(|balance| balance.has_over() > 0);
@@ -134,7 +134,7 @@
 
     /// Whether a VM can be given to one of the pools now.
     fn may_serve(&self, vm: &Vm, wishes: &BTreeMap<Arc<str>, Wish>, view: &View) -> bool {
-        let known = wishes.contains_key(&vm.pool) || Some(&vm.pool) == view.spare.as_ref();
+        let known = wishes.contains_key(&vm.pool) || view.is_off(vm);
         let intent = self.intents.get(&vm.name);
         let out = intent.is_some_and(|intent| intent.upkeep_of().is_some());
         known && vm.state != State::Down && !out
@@ -159,7 +159,7 @@
             vm.pool != *needy && self.is_free(now, vm) && !self.immovable.contains(&vm.name)
         };
         let rank = |vm: &Vm| -> Option<(u32, u64)> {
-            if Some(&vm.pool) == view.spare.as_ref() {
+            if view.is_off(vm) {
                 return Some((0, 0));
             }
             if !lacks_much || balances.get(&vm.pool)?.has_over() == 0 {
--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -67,6 +67,13 @@
     pub elsewhere: BTreeMap<u64, usize>,
 }
 
+impl View {
+    /// Whether a VM is off: in the spare pool, where nothing runs.
+    pub(crate) fn is_off(&self, vm: &Vm) -> bool {
+        Some(&vm.pool) == self.spare.as_ref()
+    }
+}
+
 /// What is to be done.
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
@@ -258,10 +265,10 @@
     }
 }
 
-/// VMs of the spare pool.
+/// VMs that are off.
 fn off(view: &View) -> BTreeSet<Arc<str>> {
-    let spare = view.vms.iter().filter(|vm| Some(&vm.pool) == view.spare.as_ref());
-    spare.map(|vm| Arc::clone(&vm.name)).collect()
+    let off = view.vms.iter().filter(|vm| view.is_off(vm));
+    off.map(|vm| Arc::clone(&vm.name)).collect()
 }
 
 /// VMs of serving pools on which nothing runs, as their owners report.
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -33,54 +33,68 @@
 
     /// Plans upkeep, while pools lack `lacking` VMs.
     pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View, lacking: u32) {
-        let off = view.vms.iter().filter(|vm| Some(&vm.pool) == view.spare.as_ref());
-        let off = off.filter(|vm| self.is_free(now, vm)).count();
+        let off = view.vms.iter().filter(|vm| view.is_off(vm) && self.is_free(now, vm)).count();
         let mut off_to_spare = off.saturating_sub(lacking as usize * OFF_PER_LACKING);
         for (wave, started) in &view.waves {
-            let left = self.left(wave, view);
-            let elsewhere = view.elsewhere.get(&wave.number).copied().unwrap_or(0);
-            let under_way = self.under_way(now, wave, view) + elsewhere;
-            let mut slots = (wave.maximum.max(1) as usize).saturating_sub(under_way);
             let end = *started + Duration::from_millis(wave.deadline_ms);
-            let share = (wave.maximum / view.slices.max(1)).max(1);
-            let rounds = left.len().div_ceil(share as usize);
-            let urgent = now + ROUND * u32::try_from(rounds).unwrap_or(u32::MAX) > end;
-            let mut candidates: Vec<_> =
-                left.into_iter().filter(|vm| self.is_free(now, vm)).collect();
-            candidates.sort_by_key(|vm| {
-                let quick = time_to_empty(vm, view) < ROUND;
-                (quick, burden(vm, view), Arc::clone(&vm.name))
-            });
+            let mut slots = self.slots(now, wave, view);
             // What takes long is begun with first, beside what is quick.
             let mut long_slots = slots.div_ceil(2);
-            for vm in candidates {
+            let hurries = self.hurries(now, wave, end, view);
+            for vm in self.candidates(now, wave, view) {
                 if slots == 0 {
                     break;
                 }
-                let time = time_to_empty(vm, view);
-                let is_long = time >= ROUND;
+                let emptying = time_to_empty(vm, view);
+                let is_long = is_long(emptying);
                 if is_long && long_slots == 0 {
                     continue;
                 }
-                let urgent = urgent || now + time + ROUND > end;
-                let is_off = Some(&vm.pool) == view.spare.as_ref();
+                let urgent = hurries || now + emptying + ROUND > end;
+                let is_off = view.is_off(vm);
                 let spared = if is_off { off_to_spare > 0 } else { self.can_spare(vm, view) };
-                if urgent || spared {
-                    off_to_spare = off_to_spare.saturating_sub(usize::from(is_off));
-                    log::info!(
-                        "event=upkeep_chosen vm={} wave={} urgent={urgent}",
-                        vm.name,
-                        wave.number
-                    );
-                    let order = Order::Maintain { wave: wave.number };
-                    self.intents.insert(Arc::clone(&vm.name), Intent::new(order, now, time));
-                    slots -= 1;
-                    long_slots -= usize::from(is_long);
+                if !urgent && !spared {
+                    continue;
                 }
+                log::info!(
+                    "event=upkeep_chosen vm={} wave={} urgent={urgent}",
+                    vm.name,
+                    wave.number
+                );
+                let order = Order::Maintain { wave: wave.number };
+                self.intents.insert(Arc::clone(&vm.name), Intent::new(order, now, emptying));
+                slots -= 1;
+                long_slots -= usize::from(is_long);
+                off_to_spare = off_to_spare.saturating_sub(usize::from(is_off));
             }
         }
     }
 
+    /// VMs of a wave that may yet be taken out beside those that are.
+    fn slots(&self, now: Duration, wave: &Wave, view: &View) -> usize {
+        let elsewhere = view.elsewhere.get(&wave.number).copied().unwrap_or(0);
+        let under_way = self.under_way(now, wave, view) + elsewhere;
+        (wave.maximum.max(1) as usize).saturating_sub(under_way)
+    }
+
+    /// Whether a wave has no time left to wait for quiet pools.
+    fn hurries(&self, now: Duration, wave: &Wave, end: Duration, view: &View) -> bool {
+        let share = (wave.maximum / view.slices.max(1)).max(1);
+        let rounds = self.left(wave, view).len().div_ceil(share as usize);
+        now + ROUND * u32::try_from(rounds).unwrap_or(u32::MAX) > end
+    }
+
+    /// VMs of a wave that can be taken out now, in the order in which they are wanted out.
+    fn candidates<'a>(&self, now: Duration, wave: &Wave, view: &'a View) -> Vec<&'a Vm> {
+        let mut found = self.left(wave, view);
+        found.retain(|vm| self.is_free(now, vm));
+        found.sort_by_key(|vm| {
+            let quick = !is_long(time_to_empty(vm, view));
+            (quick, burden(vm, view), Arc::clone(&vm.name))
+        });
+        found
+    }
+
     /// VMs of a wave that are, or may be, in their upkeep, also by orders of an owner before.
     #[must_use]
     pub fn under_way(&self, now: Duration, wave: &Wave, view: &View) -> usize {
@@ -125,9 +139,14 @@
     LASTING_MOVE * reported(vm, view).map_or(0, |vm| vm.lasting)
 }
 
+/// Whether emptying a VM takes as long as a whole round of upkeep.
+fn is_long(emptying: Duration) -> bool {
+    emptying >= ROUND
+}
+
 /// Order in which VMs are taken out: idle ones first, those with lasting tasks last.
 fn burden(vm: &Vm, view: &View) -> (u32, u64) {
-    if Some(&vm.pool) == view.spare.as_ref() {
+    if view.is_off(vm) {
         return (0, 0);
     }
     reported(vm, view).map_or((u32::MAX, 0), |vm| (1 + vm.lasting, vm.used_millis))
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -7,12 +7,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use crosspath_border::store::{Error, Guard, Keyed};
+use crosspath_border::store::{Error, Keyed};
 use crosspath_job::record::Record;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock;
-use crate::node::{Node, shard_partition};
+use crate::node::Node;
 use crate::rpc;
 
 /// Between tries of an append that was refused.
@@ -61,10 +61,10 @@
     patience: Patience,
 ) -> Outcome {
     let record = Keyed { key: record.key(), value: record.value().into() };
+    // What is under way may hold the queue up for long while the store is silent.
     if node.is_store_silent(clock::now()) {
-        return through_peers(node, shard, &[record])
-            .await
-            .map_or_else(outcome_of, |()| Outcome::Kept);
+        let appended = append_somehow(node, shard, &[record]).await;
+        return appended.map_or_else(outcome_of, |()| Outcome::Kept);
     }
     let (answer, outcome) = oneshot::channel();
     let item = Item { record, patience, doubtful: false, answer };
@@ -140,32 +140,14 @@
 
 /// Appends directly, or through a daemon that the store serves.
 async fn append_somehow(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<(), Error> {
-    if node.is_store_silent(clock::now()) {
-        return through_peers(node, shard, records).await;
-    }
-    node.store_asked(clock::now());
-    let direct = node.store.append(shard_partition(shard), records, Guard::Free).await;
-    let error = match direct {
-        Ok(_) => {
-            node.store_answers(clock::now());
-            return Ok(());
-        }
+    let mut error = match node.append(shard, records).await {
+        Ok(()) => return Ok(()),
         Err(error) => error,
     };
-    match through_peers(node, shard, records).await {
-        Ok(()) => Ok(()),
-        // What is in doubt once stays so.
-        Err(other) if error.is_not_done() => Err(other),
-        Err(_) => Err(error),
-    }
-}
-
-/// Appends through a daemon that the store serves.
-async fn through_peers(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<(), Error> {
-    let mut error = Error::NotReached;
     for peer in node.other_daemons() {
         match rpc::relay_append(node, peer, shard, records).await {
             Ok(()) => return Ok(()),
+            // What is in doubt once stays so.
             Err(other) if error.is_not_done() => error = other,
             Err(_) => {}
         }
--- a/crates/crosspath_node/src/candidacy.rs
+++ b/crates/crosspath_node/src/candidacy.rs
@@ -45,10 +45,10 @@
         self.stands
     }
 
-    /// Takes in who owns shards at `now`.
-    pub fn observe(&mut self, now: Duration, owners: &[Member]) {
+    /// Takes in who owns shards at `now`; whether it has changed its mind.
+    pub fn observe(&mut self, now: Duration, owners: &[Member]) -> bool {
         if self.large {
-            return;
+            return false;
         }
         let large = owners.iter().filter(|owner| owner.millicores >= LARGE_MILLICORES).count();
         let (against, patience) = if self.stands {
@@ -61,17 +61,15 @@
         };
         if !against {
             self.since = None;
-            return;
+            return false;
         }
         let since = *self.since.get_or_insert(now);
-        if now >= since + patience {
-            self.stands = !self.stands;
-            self.since = None;
-            log::info!(
-                "event=candidacy stands={} owners={} large={large}",
-                self.stands,
-                owners.len()
-            );
+        if now < since + patience {
+            return false;
         }
+        self.stands = !self.stands;
+        self.since = None;
+        log::info!("event=candidacy stands={} owners={} large={large}", self.stands, owners.len());
+        true
     }
 }
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -117,7 +117,7 @@
     /// Has the shard's owner hear of a kept record sooner than by the log; the caller does not wait.
     fn tell_owner(&self, shard: u32, record: Record) {
         let node = Arc::clone(&self.node);
-        drop(tokio::spawn(async move { rpc::tell_kept(&node, shard, &record).await }));
+        drop(tokio::spawn(async move { rpc::tell_kept(&node, shard, record).await }));
     }
 
     /// Whether the queue had another pool before.
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -57,10 +57,11 @@
             rounds.standby().await;
         }
         let Some(owners) = node.owners() else { continue };
-        let stood = candidacy.stands();
-        candidacy.observe(clock::now(), &owners);
+        if !candidacy.observe(clock::now(), &owners) {
+            continue;
+        }
         node.set_standing(|standing| standing.candidate = candidacy.stands());
-        if stood && !candidacy.stands() {
+        if !candidacy.stands() {
             rounds.step_back().await;
         }
     }
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -9,13 +9,14 @@
 
 use crosspath_border::advice::Advisor;
 use crosspath_border::operator::Wave;
-use crosspath_border::store::{Partition, Store, Topic};
+use crosspath_border::store::{Error, Guard, Keyed, Partition, Store, Topic};
 use crosspath_border::vm::Fleet;
 use crosspath_border::worker::{Entry, Runner};
 use crosspath_http::server::Stage;
 use tokio::sync::{Notify, watch};
 
 use crate::appender::Appenders;
+use crate::clock;
 use crate::contact::Contact;
 use crate::map::Map;
 use crate::member::Member;
@@ -205,6 +206,17 @@
         lock(&self.standing).contact.answered(now);
     }
 
+    /// Appends records of callers to a shard; nothing is sent to a silent store.
+    pub(crate) async fn append(&self, shard: u32, records: &[Keyed]) -> Result<(), Error> {
+        if self.is_store_silent(clock::now()) {
+            return Err(Error::NotReached);
+        }
+        self.store_asked(clock::now());
+        self.store.append(shard_partition(shard), records, Guard::Free).await?;
+        self.store_answers(clock::now());
+        Ok(())
+    }
+
     pub(crate) fn set_standing(&self, change: impl FnOnce(&mut Standing)) {
         change(&mut lock(&self.standing));
     }
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use crosspath_border::store::{Error, Guard, Keyed};
+use crosspath_border::store::{Error, Keyed};
 use crosspath_http::body::{self, Body};
 use crosspath_http::client::{Client, Error as CallError, Method};
 use crosspath_http::server::{self, Limits, Stage};
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
-use crate::node::{Node, shard_partition};
+use crate::node::Node;
 
 /// A peer is at most some ms away; one that does not answer within this is asked no longer.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -175,22 +175,18 @@
 async fn append(node: &Node, shard: u32, records: Vec<(String, String)>) -> Answer {
     let keyed = |(key, value): (String, String)| Keyed { key, value: value.into() };
     let records: Vec<_> = records.into_iter().map(keyed).collect();
-    if node.is_store_silent(clock::now()) {
-        return Answer::NotAppended { surely: true };
-    }
-    node.store_asked(clock::now());
-    match node.store.append(shard_partition(shard), &records, Guard::Free).await {
-        Ok(_) => {
-            node.store_answers(clock::now());
-            Answer::Appended
-        }
+    match node.append(shard, &records).await {
+        Ok(()) => Answer::Appended,
         Err(error) => Answer::NotAppended { surely: error.is_not_done() },
     }
 }
 
 /// Tells a shard's owner of a record that is kept. The owner reads it in the log anyway, a little
 /// later, so nothing depends on this.
-pub(crate) async fn tell_kept(node: &Arc<Node>, shard: u32, record: &Record) {
+pub(crate) async fn tell_kept(node: &Arc<Node>, shard: u32, record: Record) {
+    if let Some(handle) = node.owned().get(&shard) {
+        return handle.tell(record);
+    }
     let value = String::from_utf8_lossy(&record.value()).into_owned();
     let question = Question::Kept { shard, key: record.key(), value };
     if ask_holder(node, shard, question).await.is_none() {
@@ -204,17 +200,11 @@
         return Some(answer(node, question).await);
     }
     let address = node.holder(shard)?;
-    match node.peers.ask(address, &question).await {
-        Ok(answer) => {
-            if matches!(answer, Answer::NotOwner) {
-                node.holders_doubted.notify_one();
-            }
-            Some(answer)
-        }
-        Err(error) => {
-            log::info!("event=holder_silent shard={shard} peer={address} error=\"{error}\"");
-            node.holders_doubted.notify_one();
-            None
-        }
+    let answer = node.peers.ask(address, &question).await.inspect_err(|error| {
+        log::info!("event=holder_silent shard={shard} peer={address} error=\"{error}\"");
+    });
+    if matches!(answer, Err(_) | Ok(Answer::NotOwner)) {
+        node.holders_doubted.notify_one();
     }
+    answer.ok()
 }
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -56,13 +56,13 @@
     fn end_lives_before(&mut self, now: Duration, id: &Arc<str>, sent: Duration) {
         let Some(worker) = self.workers.get(id) else { return };
         let vm = &worker.entry.vm;
+        if vm.is_empty() {
+            return;
+        }
         let others = self.workers.values().filter(|other| {
             other.entry.vm == *vm && other.entry.id != *id && other.answered_sent <= sent
         });
         let before: Vec<_> = others.map(|other| Arc::clone(&other.entry.id)).collect();
-        if vm.is_empty() {
-            return;
-        }
         for other in before {
             self.end_life(now, &other, "replaced");
         }
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -78,9 +78,7 @@
                 lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
                 usable: worker.is_usable(now),
                 // An end that is not kept yet would be lost with the worker.
-                known: worker.synced
-                    && worker.failures == 0
-                    && worker.ends_seen == worker.ends_acknowledged,
+                known: worker.answers() && worker.ends_seen == worker.ends_acknowledged,
             });
         }
         for key in &self.waiting {
@@ -98,11 +96,10 @@
 
     /// Whether a worker does not answer while another life of its VM does.
     fn is_doubtful_life(&self, worker: &Worker) -> bool {
-        let answers = |worker: &Worker| worker.synced && worker.failures == 0;
         let same_vm = |other: &&Worker| {
             other.entry.vm == worker.entry.vm && other.entry.id != worker.entry.id
         };
-        !answers(worker) && self.workers.values().filter(same_vm).any(answers)
+        !worker.answers() && self.workers.values().filter(same_vm).any(Worker::answers)
     }
 
     /// Priority of the most urgent brief work.
--- a/crates/crosspath_schedule/src/vacate.rs
+++ b/crates/crosspath_schedule/src/vacate.rs
@@ -55,7 +55,7 @@
         let step = &job.instances[id.time as usize].steps[id.step as usize];
         let at_work = |run: &Run| {
             let worker = self.workers.get(&run.worker);
-            let sound = worker.is_some_and(|worker| worker.synced && worker.failures == 0);
+            let sound = worker.is_some_and(Worker::answers);
             sound && run.phase == Phase::Running && run.percent >= AT_WORK
         };
         let others = (0..).zip(&step.tasks).filter(|(index, _)| *index != id.index);
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -73,13 +73,14 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// Whether it has answered this owner, and its last look too.
+    pub(crate) fn answers(&self) -> bool {
+        self.synced && self.failures == 0
+    }
+
     /// Whether it takes new work, room aside.
     pub(crate) fn is_usable(&self, now: Duration) -> bool {
-        self.listed
-            && self.synced
-            && !self.entry.draining
-            && self.failures == 0
-            && now >= self.rest_until
+        self.listed && self.answers() && !self.entry.draining && now >= self.rest_until
     }
 
     pub(crate) fn blame_at(&self, now: Duration) -> f64 {
