--- a/crates/crosspath/src/commands/trace.rs
+++ b/crates/crosspath/src/commands/trace.rs
@@ -1,8 +1,8 @@
 //! `crosspath trace`: the story of one job, from saved logs of all daemons.
 //!
-//! It prints the lines that name the job or one of its tasks, and, from a little before the first to a
-//! little after the last of those, the lines that tell of the workers that ran them and of who owned
-//! the job's shard.
+//! It prints the lines that name the job or one of its tasks, and, from a little before the first of
+//! those to the last, the lines that tell of the workers that ran them and of who owned the job's
+//! shard.
 
 use std::collections::BTreeSet;
 use std::io::Read as _;
@@ -15,8 +15,6 @@
 
 /// Lines on owners that come this many seconds before the job's first line still bear on it.
 const BEFORE_S: u64 = 5;
-/// Seconds of a day.
-const DAY_S: u64 = 86_400;
 
 /// One line of a log.
 #[derive(Debug)]
@@ -74,7 +72,7 @@
     lines.sort_by_key(|line| line.at_s);
     let own: Vec<_> = lines.iter().filter(|line| line.is_of(job)).collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
-    let (from, to) = (first.at_s.saturating_sub(BEFORE_S), last.at_s.min(DAY_S));
+    let (from, to) = (first.at_s.saturating_sub(BEFORE_S), last.at_s);
     let values =
         |key: &str| -> BTreeSet<&str> { own.iter().filter_map(|line| line.value(key)).collect() };
     let (workers, shards) = (values("worker"), values("shard"));
--- a/crates/crosspath_soak/src/audit.rs
+++ b/crates/crosspath_soak/src/audit.rs
@@ -94,7 +94,7 @@
         let ran: Vec<JobId> =
             refused.map(|(job, _)| job.id).filter(|id| state.started.contains(id)).collect();
         for job in ran {
-            state.violations.push(format!("REFUSED: job {job} was refused at each try, and ran"));
+            state.violations.push(format!("job {job} was refused at each try, and ran"));
         }
     }
 }
@@ -112,31 +112,29 @@
 impl State {
     fn check_start(&self, worker: &str, task: TaskId, run: u64, text: &str) -> Option<String> {
         let Some((job, _)) = self.jobs.get(&task.job) else {
-            return Some(format!(
-                "UNASKED: {task} run {run} on {worker}: nobody submitted its job"
-            ));
+            return Some(format!("{task} run {run} started on {worker}: nobody submitted its job"));
         };
         if job.text() != text || !tasks(job).any(|known| known == task) {
-            return Some(format!("UNASKED: {task} run {run} on {worker}: not as submitted"));
+            return Some(format!("{task} run {run} started on {worker}: not as submitted"));
         }
         if let Some((other, there)) = self.running.get(&task) {
             return Some(format!(
-                "TWICE: {task} run {run} on {worker} while run {there} is on {other}"
+                "{task} run {run} started on {worker} while run {there} is on {other}"
             ));
         }
         if self.noted.contains(&task) {
-            return Some(format!("TWICE: {task} run {run} on {worker} after its end was noted"));
+            return Some(format!("{task} run {run} started on {worker} after its end was noted"));
         }
         let before = tasks(job).filter(|other| other.step < task.step);
         let open = before.into_iter().find(|other| !self.done.contains(other))?;
-        Some(format!("ORDER: {task} run {run} on {worker} before {open} has ended"))
+        Some(format!("{task} run {run} started on {worker} before {open} has ended"))
     }
 }
 
 impl worker::Audit for Audit {
     fn began(&self, worker: &str, task: &str, run: u64, text: &str) -> u64 {
         let Ok(id) = task.parse::<TaskId>() else {
-            self.violation(format!("UNASKED: {task} run {run}: no name of a task"));
+            self.violation(format!("{task} run {run}: no name of a task"));
             return 0;
         };
         let mut state = self.lock();
--- a/crates/crosspath_soak/src/faults.rs
+++ b/crates/crosspath_soak/src/faults.rs
@@ -121,14 +121,10 @@
         }
         Fault::Reload(daemon) => site.daemons[daemon].lock().await.signal(Signal::SIGHUP),
         Fault::CutFromStore(daemon, harm) => {
-            site.store_proxies[daemon].set(harm);
-            tokio::time::sleep(lasts).await;
-            site.store_proxies[daemon].set(Harm::None);
+            site.store_proxies[daemon].harm_for(harm, lasts).await;
         }
         Fault::CutFromWorker(worker, harm) => {
-            site.worker_proxies[worker].set(harm);
-            tokio::time::sleep(lasts).await;
-            site.worker_proxies[worker].set(Harm::None);
+            site.worker_proxies[worker].harm_for(harm, lasts).await;
         }
         Fault::Crash(worker) => site.workers[worker].crash(),
         Fault::Store(mode) => {
--- a/crates/crosspath_soak/src/proxy.rs
+++ b/crates/crosspath_soak/src/proxy.rs
@@ -56,6 +56,13 @@
         Ok(Self { address, harm, task })
     }
 
+    /// Harms the connections for a while.
+    pub(crate) async fn harm_for(&self, harm: Harm, lasts: Duration) {
+        self.set(harm);
+        tokio::time::sleep(lasts).await;
+        self.set(Harm::None);
+    }
+
     pub(crate) fn set(&self, harm: Harm) {
         *self.harm.lock().unwrap_or_else(PoisonError::into_inner) = harm;
     }
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -177,17 +177,18 @@
     let running = audit.running(job.id);
     match &shown {
         Shown::State(state) if state == "completed" => {
-            (!audit.is_done(job)).then(|| format!("MIXED: job {} is not done", job.id))
+            (!audit.is_done(job)).then(|| format!("job {} is shown as done and is not", job.id))
         }
         Shown::State(state) if state == "cancelled" && told.cancel_tried => {
-            (running > 0).then(|| format!("UNASKED: cancelled job {} runs", job.id))
+            (running > 0).then(|| format!("cancelled job {} runs", job.id))
         }
         Shown::State(state) if state == "running" && job.work.lasts && !told.cancelled => {
             let all = job.steps.iter().sum::<u32>() as usize;
-            (running < all).then(|| format!("LOST: lasting job {} runs {running}", job.id))
+            (running < all)
+                .then(|| format!("lasting job {} runs only {running} of {all} tasks", job.id))
         }
         Shown::None if !told.accepted => None,
-        other => Some(format!("LOST: job {} is shown as {other:?} ({told:?})", job.id)),
+        other => Some(format!("job {} may not be shown as {other:?} now ({told:?})", job.id)),
     }
 }
 
@@ -220,15 +221,15 @@
 
 /// Cancels what lasts, which must then stop.
 async fn end_lasting(audit: &Audit, traffic: &Traffic) {
-    let lasting: Vec<Job> = audit.jobs().into_iter().map(|(job, _)| job).collect();
-    let lasting: Vec<Job> = lasting.into_iter().filter(|job| job.work.lasts).collect();
+    let jobs = audit.jobs().into_iter().map(|(job, _)| job);
+    let lasting: Vec<Job> = jobs.filter(|job| job.work.lasts).collect();
     for job in &lasting {
         if audit.running(job.id) > 0 && !traffic.end(job).await {
-            audit.violation(format!("UNASKED: job {} cannot be cancelled", job.id));
+            audit.violation(format!("job {} cannot be cancelled", job.id));
         }
     }
     tokio::time::sleep(STOPPING).await;
     for job in lasting.iter().filter(|job| audit.running(job.id) > 0) {
-        audit.violation(format!("UNASKED: job {} runs on after its cancelling", job.id));
+        audit.violation(format!("job {} runs on after its cancelling", job.id));
     }
 }
