A caller takes back a record that was not sent

The patience of a record was looked at between appends only. In a slow store an append takes up to 2.8 s (1.2 s and 0.5 s for each other owner), so what waited behind it outlived its caller, who got no answer at all. What was not sent when its caller is to be refused is now taken back by the caller's side, never sent, and refused truly (503 with Retry-After); what was sent is in doubt after the second bound, as the constants always said. Patience, outcome and the two sides of a record are in `pending`, which needs no store to be tested.

Ruled out: too many peers asked (only owners are, two or three); a bound on the append itself (it would leave what is under way in doubt sooner, and queue as before).

Tests: two of the four new ones fail with the wait as it was.

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -9,10 +9,11 @@
 
 use crosspath_border::store::{Error, Keyed};
 use crosspath_job::record::Record;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::clock;
 use crate::node::Node;
+use crate::pending::{self, Outcome, Patience, Pending};
 use crate::rpc;
 
 /// Between tries of an append that was refused.
@@ -20,38 +21,9 @@
 /// Records in one append at most; with a job of 4 KB far below the store's bound on a call.
 const MAX_RECORDS: usize = 128;
 
-/// For how long a record is tried.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Patience {
-    /// While it surely is not kept: the caller is better off being told so.
-    pub(crate) refused_at: Duration,
-    /// While it may be kept: repeating it may yet tell.
-    pub(crate) doubted_until: Duration,
-}
-
-/// What became of a record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Outcome {
-    /// It is kept.
-    Kept,
-    /// It surely is not, and never will be.
-    NotKept,
-    /// That is not known.
-    Unknown,
-}
-
-#[derive(Debug)]
-struct Item {
-    record: Keyed,
-    patience: Patience,
-    /// Whether an append of it got no answer.
-    doubtful: bool,
-    answer: oneshot::Sender<Outcome>,
-}
-
 /// One queue of records a shard.
 #[derive(Debug, Default)]
-pub(crate) struct Appenders(Mutex<HashMap<u32, mpsc::UnboundedSender<Item>>>);
+pub(crate) struct Appenders(Mutex<HashMap<u32, mpsc::UnboundedSender<Pending>>>);
 
 /// Appends a record to a shard.
 pub(crate) async fn append(
@@ -66,13 +38,12 @@
         let appended = append_somehow(node, shard, &[record]).await;
         return appended.map_or_else(outcome_of, |()| Outcome::Kept);
     }
-    let (answer, outcome) = oneshot::channel();
-    let item = Item { record, patience, doubtful: false, answer };
-    sender(node, shard).send(item).ok();
-    outcome.await.unwrap_or(Outcome::Unknown)
+    let (pending, waiter) = pending::pair(record, patience);
+    sender(node, shard).send(pending).ok();
+    waiter.outcome(clock::now()).await
 }
 
-fn sender(node: &Arc<Node>, shard: u32) -> mpsc::UnboundedSender<Item> {
+fn sender(node: &Arc<Node>, shard: u32) -> mpsc::UnboundedSender<Pending> {
     let mut all = node.appenders.0.lock().unwrap_or_else(PoisonError::into_inner);
     let sender = all.entry(shard).or_insert_with(|| {
         let (sender, receiver) = mpsc::unbounded_channel();
@@ -82,21 +53,25 @@
     sender.clone()
 }
 
-async fn run(node: Arc<Node>, shard: u32, mut receiver: mpsc::UnboundedReceiver<Item>) {
-    let mut batch: Vec<Item> = Vec::new();
+async fn run(node: Arc<Node>, shard: u32, mut receiver: mpsc::UnboundedReceiver<Pending>) {
+    let mut batch: Vec<Pending> = Vec::new();
     loop {
-        if batch.is_empty() && receiver.recv_many(&mut batch, MAX_RECORDS).await == 0 {
-            return;
+        if batch.is_empty() {
+            let Some(first) = receiver.recv().await else { return };
+            batch.extend(Some(first).filter(Pending::take));
         }
         while batch.len() < MAX_RECORDS {
-            let Ok(item) = receiver.try_recv() else { break };
-            batch.push(item);
+            let Ok(next) = receiver.try_recv() else { break };
+            batch.extend(Some(next).filter(Pending::take));
+        }
+        if batch.is_empty() {
+            continue;
         }
-        let records: Vec<Keyed> = batch.iter().map(|item| item.record.clone()).collect();
+        let records: Vec<Keyed> = batch.iter().map(|pending| pending.record.clone()).collect();
         match append_somehow(&node, shard, &records).await {
             Ok(()) => {
-                for item in batch.drain(..) {
-                    item.answer.send(Outcome::Kept).ok();
+                for pending in batch.drain(..) {
+                    pending.settle(Outcome::Kept);
                 }
             }
             Err(error) => {
@@ -104,9 +79,8 @@
                     "event=append_failed shard={shard} records={} error=\"{error}\"",
                     batch.len()
                 );
-                let doubtful = !error.is_not_done();
-                for item in &mut batch {
-                    item.doubtful |= doubtful;
+                for pending in &mut batch {
+                    pending.failed(!error.is_not_done());
                 }
                 batch = give_up(batch);
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -115,19 +89,14 @@
     }
 }
 
-/// Answers those whose time is over, or who are better off elsewhere.
-fn give_up(batch: Vec<Item>) -> Vec<Item> {
+/// Answers those that are not tried again; the others.
+fn give_up(batch: Vec<Pending>) -> Vec<Pending> {
     let now = clock::now();
     let mut kept = Vec::new();
-    for item in batch {
-        let Patience { refused_at, doubted_until } = item.patience;
-        let until = if item.doubtful { doubted_until } else { refused_at };
-        if until > now {
-            kept.push(item);
-        } else if item.doubtful {
-            item.answer.send(Outcome::Unknown).ok();
-        } else {
-            item.answer.send(Outcome::NotKept).ok();
+    for pending in batch {
+        match pending.verdict(now) {
+            Some(outcome) => pending.settle(outcome),
+            None => kept.push(pending),
         }
     }
     kept
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -11,10 +11,11 @@
 use crosspath_job::{JobId, Spec};
 use futures::future::join_all;
 
-use crate::appender::{self, Outcome, Patience};
+use crate::appender;
 use crate::clock;
 use crate::metrics::Call;
 use crate::node::Node;
+use crate::pending::{Outcome, Patience};
 use crate::rpc::{self, Answer, Question};
 
 /// Share of a caller's patience that is used for tries to find out how a job is, or whether it is kept.
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod node;
 mod order;
+pub mod pending;
 mod rpc;
 pub mod settings;
 mod shard;
--- /dev/null
+++ b/crates/crosspath_node/src/pending.rs
@@ -0,0 +1,110 @@
+//! A record that is to be appended, and the caller that waits for what becomes of it.
+//!
+//! An append may take longer than the caller waits, most of all behind others while the store is slow
+//! (incident inc-cec5 of mgta-crosspath-grown). The caller takes back a record that was not sent yet:
+//! it is then never sent, and the refusal is true. What was sent stays in doubt.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crosspath_border::store::Keyed;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// For how long a record is tried; times of the process's clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// While it surely is not kept: the caller is better off being told so.
+    pub refused_at: Duration,
+    /// While it may be kept: repeating it may yet tell.
+    pub doubted_until: Duration,
+}
+
+/// What became of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is kept.
+    Kept,
+    /// It surely is not, and never will be.
+    NotKept,
+    /// That is not known.
+    Unknown,
+}
+
+/// The queue's side of a record.
+#[derive(Debug)]
+pub struct Pending {
+    /// What is to be kept.
+    pub record: Keyed,
+    patience: Patience,
+    /// Whether an append of it got no answer.
+    doubtful: bool,
+    taken: Arc<AtomicBool>,
+    answer: oneshot::Sender<Outcome>,
+}
+
+/// The caller's side of a record.
+#[derive(Debug)]
+pub struct Waiter {
+    patience: Patience,
+    taken: Arc<AtomicBool>,
+    outcome: oneshot::Receiver<Outcome>,
+}
+
+/// Both sides of a record.
+#[must_use]
+pub fn pair(record: Keyed, patience: Patience) -> (Pending, Waiter) {
+    let (answer, outcome) = oneshot::channel();
+    let taken = Arc::<AtomicBool>::default();
+    let waiter = Waiter { patience, taken: Arc::clone(&taken), outcome };
+    (Pending { record, patience, doubtful: false, taken, answer }, waiter)
+}
+
+impl Pending {
+    /// Takes the record for sending, once; false when the caller has taken it back.
+    #[must_use]
+    pub fn take(&self) -> bool {
+        !self.taken.swap(true, Ordering::AcqRel)
+    }
+
+    /// An append of it failed; whether it may be kept all the same.
+    pub fn failed(&mut self, doubtful: bool) {
+        self.doubtful |= doubtful;
+    }
+
+    /// What it ends with when it is not tried again; none while it is worth more tries.
+    #[must_use]
+    pub fn verdict(&self, now: Duration) -> Option<Outcome> {
+        let (until, outcome) = if self.doubtful {
+            (self.patience.doubted_until, Outcome::Unknown)
+        } else {
+            (self.patience.refused_at, Outcome::NotKept)
+        };
+        (until <= now).then_some(outcome)
+    }
+
+    /// Tells the caller, who may have stopped waiting.
+    pub fn settle(self, outcome: Outcome) {
+        self.answer.send(outcome).ok();
+    }
+}
+
+impl Waiter {
+    /// What becomes of the record, by the end of the caller's patience.
+    pub async fn outcome(mut self, now: Duration) -> Outcome {
+        let Patience { refused_at, doubted_until } = self.patience;
+        let first = refused_at.saturating_sub(now);
+        if let Ok(told) = timeout(first, &mut self.outcome).await {
+            return told.unwrap_or(Outcome::Unknown);
+        }
+        if !self.taken.swap(true, Ordering::AcqRel) {
+            return Outcome::NotKept;
+        }
+        let rest = doubted_until.saturating_sub(now.max(refused_at));
+        match timeout(rest, self.outcome).await {
+            Ok(told) => told.unwrap_or(Outcome::Unknown),
+            Err(_) => Outcome::Unknown,
+        }
+    }
+}
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -5,3 +5,4 @@
 mod claim;
 mod contact;
 mod map;
+mod pending;
