After a call without an answer no other waits on a silent connection

Cause: open connections may go silent for good while new ones work. A call that timed out closed its own connection, but the others of the pool were as silent, and each next call waited for its whole time-out on one of them.

Change: a call that ends without an answer, or whose caller stops waiting first, costs its client all idle connections; calls under way keep theirs. Idle connections are probed by keep-alives (dead after 3 s).

Ruled out: closing only connections older than the call (as many lines again, and a reconnection costs one round trip); a connection for each call (new connections to workers are paid for).

Figures: tests/http/silent.rs, 3 of 4 fail before, all pass after.

--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -1,6 +1,11 @@
 //! A small JSON client for one server.
+//!
+//! An open connection may go silent for good while new ones work, and nothing but an answer that does
+//! not come shows it. So a call without an answer costs the client all its idle connections, which may
+//! be silent too: the next call is made on a new one. What waits long is probed by keep-alives.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +20,11 @@
 use snafu::{ResultExt as _, Snafu};
 
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Idle time after which a connection is probed, and time between probes: the kernel counts whole
+/// seconds.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is dead: one may be lost.
+const KEEPALIVE_PROBES: u32 = 2;
 
 /// A call that gave no answer that can be used.
 #[derive(Debug, Snafu)]
@@ -51,10 +61,13 @@
     },
 }
 
-/// A client of one server.
+type Connections = Pool<HttpConnector, Full<Bytes>>;
+
+/// A client of one server; clones share its connections.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pool: Pool<HttpConnector, Full<Bytes>>,
+    connections: Arc<Mutex<Connections>>,
+    connect_timeout: Duration,
     address: SocketAddr,
     timeout: Duration,
     token: Option<String>,
@@ -80,11 +93,8 @@
     /// made within `connect` is [`Error::NotSent`].
     #[must_use]
     pub fn with_connect_timeout(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(connect));
-        connector.set_nodelay(true);
-        let pool = Pool::builder(TokioExecutor::new()).build(connector);
-        Self { pool, address, timeout, token: None }
+        let connections = Arc::new(Mutex::new(connections(connect)));
+        Self { connections, connect_timeout: connect, address, timeout, token: None }
     }
 
     /// Shows `token` as bearer with each call.
@@ -172,16 +182,24 @@
         let Ok(request) = request.body(Full::new(body)) else {
             return NotSentSnafu { address }.fail();
         };
+        // Also when the caller stops waiting first, and this future is dropped.
+        let doubt = Doubt { client: self };
         let exchange = tokio::time::timeout(timeout, self.exchange(request));
-        match exchange.await {
-            Ok(answer) => answer,
-            Err(_) => NoAnswerSnafu { address }.fail(),
-        }
+        let Ok(answer) = exchange.await else {
+            return NoAnswerSnafu { address }.fail();
+        };
+        doubt.settle();
+        answer
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Connections> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
         let address = self.address;
-        let answer = match self.pool.request(request).await {
+        let connections = self.connections().clone();
+        let answer = match connections.request(request).await {
             Ok(answer) => answer,
             Err(error) if error.is_connect() => return NotSentSnafu { address }.fail(),
             Err(_) => return NoAnswerSnafu { address }.fail(),
@@ -193,3 +211,34 @@
         Ok(Answer { head, body: whole.to_bytes() })
     }
 }
+
+/// Connections to one server, none open yet.
+fn connections(connect_timeout: Duration) -> Connections {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(connect_timeout));
+    connector.set_nodelay(true);
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
+    Pool::builder(TokioExecutor::new()).build(connector)
+}
+
+/// A call that has no answer yet. Dropped without one it gives up the idle connections; calls under
+/// way keep theirs.
+#[derive(Debug)]
+struct Doubt<'a> {
+    client: &'a Client,
+}
+
+impl Doubt<'_> {
+    /// The call has ended with an answer, or with an error of its connection.
+    fn settle(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Doubt<'_> {
+    fn drop(&mut self) {
+        *self.client.connections() = connections(self.client.connect_timeout);
+    }
+}
--- /dev/null
+++ b/crates/crosspath_http/tests/http/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the client against servers over loopback.
+
+mod silent;
--- /dev/null
+++ b/crates/crosspath_http/tests/http/silent.rs
@@ -0,0 +1,133 @@
+//! Open connections go silent for good, without a reset, while new ones work.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crosspath_http::client::{Client, Error, Method};
+use futures::future::join_all;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that are open at once.
+const CONNECTIONS: usize = 4;
+/// For an answer; far above what loopback takes on a busy machine.
+const TIMEOUT: Duration = Duration::from_millis(2_000);
+/// For an answer that will not come.
+const SHORT: Duration = Duration::from_millis(100);
+/// So long a request is under way, so that others need connections of their own.
+const SERVICE_TIME: Duration = Duration::from_millis(30);
+
+/// A server whose first connections can be silenced.
+#[derive(Debug, Default)]
+struct Server {
+    accepted: AtomicUsize,
+    /// Connections with a number below this say nothing more.
+    silent_below: AtomicUsize,
+}
+
+impl Server {
+    async fn start() -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let server = Arc::new(Self::default());
+        drop(tokio::spawn(Arc::clone(&server).accept(listener)));
+        (server, address)
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = self.accepted.fetch_add(1, Ordering::SeqCst);
+            drop(tokio::spawn(Arc::clone(&self).answer(stream, number)));
+        }
+    }
+
+    async fn answer(self: Arc<Self>, mut stream: TcpStream, number: usize) {
+        let mut head = vec![0; 4096];
+        while let Ok(length) = stream.read(&mut head).await {
+            if length == 0 {
+                return;
+            }
+            tokio::time::sleep(SERVICE_TIME).await;
+            if number < self.silent_below.load(Ordering::SeqCst) {
+                std::future::pending::<()>().await;
+            }
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnull";
+            if stream.write_all(answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn silence_open_connections(&self) {
+        self.silent_below.store(self.connections(), Ordering::SeqCst);
+    }
+
+    fn connections(&self) -> usize {
+        self.accepted.load(Ordering::SeqCst)
+    }
+}
+
+async fn call(client: &Client, timeout: Duration) -> Result<(), Error> {
+    client.call_within(Method::GET, "/", None::<&()>, timeout).await
+}
+
+/// A client with some idle connections, all of which have gone silent.
+async fn silenced() -> (Arc<Server>, Client) {
+    let (server, address) = Server::start().await;
+    let client = Client::new(address, TIMEOUT);
+    for answer in join_all((0..CONNECTIONS).map(|_| call(&client, TIMEOUT))).await {
+        answer.expect("an answer");
+    }
+    server.silence_open_connections();
+    (server, client)
+}
+
+#[tokio::test]
+async fn after_a_call_without_an_answer_none_waits_on_a_silent_connection() {
+    let (_server, client) = silenced().await;
+    let unanswered = call(&client, SHORT).await;
+    assert!(matches!(unanswered, Err(Error::NoAnswer { .. })), "{unanswered:?}");
+    for _ in 0..CONNECTIONS {
+        call(&client, TIMEOUT).await.expect("an answer on a new connection");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_stops_waiting_first_leaves_no_silent_connection_to_the_next() {
+    let (_server, client) = silenced().await;
+    let unanswered = tokio::time::timeout(SHORT, call(&client, TIMEOUT)).await;
+    assert!(unanswered.is_err(), "{unanswered:?}");
+    // A clone shares the connections.
+    let client = client.clone();
+    for _ in 0..CONNECTIONS {
+        call(&client, TIMEOUT).await.expect("an answer on a new connection");
+    }
+}
+
+#[tokio::test]
+async fn a_call_under_way_is_not_cut_by_another_without_an_answer() {
+    let (_server, client) = silenced().await;
+    let unanswered = call(&client, Duration::from_millis(1));
+    let waits = async {
+        // On a new connection: the first one has given up the silent ones by then.
+        tokio::time::sleep(SERVICE_TIME).await;
+        let slow = call(&client, TIMEOUT);
+        let other = call(&client, Duration::from_millis(1));
+        let (slow, _) = tokio::join!(slow, other);
+        slow
+    };
+    let (_, slow) = tokio::join!(unanswered, waits);
+    slow.expect("an answer");
+}
+
+#[tokio::test]
+async fn answered_calls_share_a_connection() {
+    let (server, address) = Server::start().await;
+    let client = Client::new(address, TIMEOUT);
+    for _ in 0..CONNECTIONS {
+        call(&client, TIMEOUT).await.expect("an answer");
+    }
+    assert_eq!(server.connections(), 1);
+}
