--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -3,12 +3,17 @@
 //! An open connection may go silent for good while new ones work, and nothing but an answer that does
 //! not come shows it. So a call without an answer costs the client all its idle connections, which may
 //! be silent too: the next call is made on a new one. What waits long is probed by keep-alives.
+//!
+//! A request that may be repeated is sent again on a new connection once its answer is overdue by what
+//! the server lately took, while the first goes on: an answer that is lost costs the time until then
+//! and not the whole time-out, and a server that turns slow loses nothing by it.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt as _};
 pub use http::{Method, StatusCode};
 use http::{Request, header};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -18,6 +23,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt as _, Snafu};
+use tokio::time::Instant;
+
+use crate::latency::Latency;
 
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Idle time after which a connection is probed, and time between probes: the kernel counts whole
@@ -25,6 +33,9 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is dead: one may be lost.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Times that a request which may be repeated is sent at most: of answers of which a third is lost,
+/// one call in 27 gets none.
+const MOST_TRIES: usize = 3;
 
 /// A call that gave no answer that can be used.
 #[derive(Debug, Snafu)]
@@ -67,6 +78,7 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     connections: Arc<Mutex<Connections>>,
+    latency: Arc<Mutex<Latency>>,
     connect_timeout: Duration,
     address: SocketAddr,
     timeout: Duration,
@@ -93,8 +105,14 @@
     /// made within `connect` is [`Error::NotSent`].
     #[must_use]
     pub fn with_connect_timeout(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
-        let connections = Arc::new(Mutex::new(connections(connect)));
-        Self { connections, connect_timeout: connect, address, timeout, token: None }
+        Self {
+            connections: Arc::new(Mutex::new(connections(connect))),
+            latency: Arc::default(),
+            connect_timeout: connect,
+            address,
+            timeout,
+            token: None,
+        }
     }
 
     /// Shows `token` as bearer with each call.
@@ -135,9 +153,29 @@
         body: Option<&(impl Serialize + Sync)>,
         timeout: Duration,
     ) -> Result<A, Error> {
-        let bytes = body.map(|body| serde_json::to_vec(body).expect("requests have a JSON form"));
         let request = Request::builder().method(method).uri(path);
-        let answer = self.send_within(request, bytes.unwrap_or_default().into(), timeout).await?;
+        let answer = self.send_within(request, encode(body), timeout).await?;
+        self.decode(&answer)
+    }
+
+    /// As [`Self::call`], for a call whose effect is the same however often it arrives.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::call`].
+    pub async fn call_repeatable<A: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&(impl Serialize + Sync)>,
+    ) -> Result<A, Error> {
+        let request = Request::builder().method(method).uri(path);
+        let body = encode(body);
+        let answer = self.send_repeatable(request, body, self.timeout, Duration::ZERO).await?;
+        self.decode(&answer)
+    }
+
+    fn decode<A: DeserializeOwned>(&self, answer: &Answer) -> Result<A, Error> {
         let address = self.address;
         let status = answer.head.status;
         if !status.is_success() {
@@ -172,26 +210,111 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Answer, Error> {
-        let address = self.address;
-        let path = request.uri_ref().map(ToString::to_string).unwrap_or_default();
-        let request = request.uri(format!("http://{address}{path}"));
-        let request = match &self.token {
-            Some(token) => request.header(header::AUTHORIZATION, format!("Bearer {token}")),
-            None => request,
-        };
-        let Ok(request) = request.body(Full::new(body)) else {
-            return NotSentSnafu { address }.fail();
-        };
+        let request = self.request(request, body)?;
         // Also when the caller stops waiting first, and this future is dropped.
         let doubt = Doubt { client: self };
         let exchange = tokio::time::timeout(timeout, self.exchange(request));
         let Ok(answer) = exchange.await else {
-            return NoAnswerSnafu { address }.fail();
+            return NoAnswerSnafu { address: self.address }.fail();
         };
         doubt.settle();
         answer
     }
 
+    /// As [`Self::send_within`], for a request whose effect is the same however often it arrives.
+    /// The server may let `wait` pass before it answers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn send_repeatable(
+        &self,
+        request: http::request::Builder,
+        body: Bytes,
+        timeout: Duration,
+        wait: Duration,
+    ) -> Result<Answer, Error> {
+        let request = self.request(request, body)?;
+        let doubt = Doubt { client: self };
+        let Ok(answer) = tokio::time::timeout(timeout, self.tries(&request, wait)).await else {
+            return NoAnswerSnafu { address: self.address }.fail();
+        };
+        doubt.settle();
+        answer
+    }
+
+    fn request(
+        &self,
+        request: http::request::Builder,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let address = self.address;
+        let path = request.uri_ref().map(ToString::to_string).unwrap_or_default();
+        let request = request.uri(format!("http://{address}{path}"));
+        let request = match &self.token {
+            Some(token) => request.header(header::AUTHORIZATION, format!("Bearer {token}")),
+            None => request,
+        };
+        request.body(Full::new(body)).or(NotSentSnafu { address }.fail())
+    }
+
+    /// The first answer to some tries, each begun when the one before is overdue or has failed.
+    async fn tries(&self, request: &Request<Full<Bytes>>, wait: Duration) -> Result<Answer, Error> {
+        let mut tries = FuturesUnordered::new();
+        let mut overdue = self.latency().overdue();
+        let mut failed = Vec::new();
+        for _ in 0..MOST_TRIES {
+            tries.push(self.observed(request.clone(), wait));
+            match tokio::time::timeout(wait + overdue, tries.next()).await {
+                Ok(Some(Ok(answer))) => return Ok(answer),
+                Ok(Some(Err(error))) => failed.push(error),
+                Ok(None) | Err(_) => {
+                    log::info!(
+                        "event=answer_overdue server={} after_ms={}",
+                        self.address,
+                        (wait + overdue).as_millis()
+                    );
+                    overdue *= 2;
+                }
+            }
+            self.renew();
+        }
+        while let Some(result) = tries.next().await {
+            match result {
+                Ok(answer) => return Ok(answer),
+                Err(error) => failed.push(error),
+            }
+        }
+        let was_sent = |error: &Error| !matches!(error, Error::NotSent { .. });
+        let address = self.address;
+        // One that may have had its effect tells more than those that surely had none.
+        let doubtful = failed.into_iter().find(was_sent);
+        Err(doubtful.unwrap_or(Error::NotSent { address }))
+    }
+
+    /// An exchange whose time is noted, unless the server was asked to wait.
+    async fn observed(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Answer, Error> {
+        let sent = Instant::now();
+        let answer = self.exchange(request).await?;
+        if wait.is_zero() {
+            self.latency().observe(sent.elapsed());
+        }
+        Ok(answer)
+    }
+
+    fn latency(&self) -> MutexGuard<'_, Latency> {
+        self.latency.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives up the idle connections; calls under way keep theirs.
+    fn renew(&self) {
+        *self.connections() = connections(self.connect_timeout);
+    }
+
     fn connections(&self) -> MutexGuard<'_, Connections> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -212,6 +335,11 @@
     }
 }
 
+fn encode(body: Option<&impl Serialize>) -> Bytes {
+    let bytes = body.map(|body| serde_json::to_vec(body).expect("requests have a JSON form"));
+    bytes.unwrap_or_default().into()
+}
+
 /// Connections to one server, none open yet.
 fn connections(connect_timeout: Duration) -> Connections {
     let mut connector = HttpConnector::new();
@@ -223,8 +351,7 @@
     Pool::builder(TokioExecutor::new()).build(connector)
 }
 
-/// A call that has no answer yet. Dropped without one it gives up the idle connections; calls under
-/// way keep theirs.
+/// A call that has no answer yet. Dropped without one it gives up the idle connections.
 #[derive(Debug)]
 struct Doubt<'a> {
     client: &'a Client,
@@ -239,6 +366,6 @@
 
 impl Drop for Doubt<'_> {
     fn drop(&mut self) {
-        *self.client.connections() = connections(self.client.connect_timeout);
+        self.client.renew();
     }
 }
--- a/crates/crosspath_http/src/lib.rs
+++ b/crates/crosspath_http/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod latency;
 pub mod server;
 
 pub use body::Body;
--- /dev/null
+++ b/crates/crosspath_http/tests/http/repeat.rs
@@ -0,0 +1,111 @@
+//! Requests that may be repeated: an answer that is lost costs little.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use crosspath_http::client::{Answer, Client, Error, Method};
+use http::Request;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// For a call; far above the time in which it is repeated.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A server that loses the answers to its first requests; a connection says nothing after that.
+#[derive(Debug)]
+struct Server {
+    requests: AtomicUsize,
+    lost: usize,
+    takes: Duration,
+}
+
+impl Server {
+    async fn start(lost: usize, takes: Duration) -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let server = Arc::new(Self { requests: AtomicUsize::new(0), lost, takes });
+        drop(tokio::spawn(Arc::clone(&server).accept(listener)));
+        (server, address)
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            drop(tokio::spawn(Arc::clone(&self).answer(stream)));
+        }
+    }
+
+    async fn answer(self: Arc<Self>, mut stream: TcpStream) {
+        let mut head = vec![0; 4096];
+        while let Ok(length) = stream.read(&mut head).await {
+            if length == 0 {
+                return;
+            }
+            let number = self.requests.fetch_add(1, Ordering::SeqCst);
+            tokio::time::sleep(self.takes).await;
+            if number < self.lost {
+                std::future::pending::<()>().await;
+            }
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnull";
+            if stream.write_all(answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+async fn send(client: &Client, timeout: Duration, wait: Duration) -> Result<Answer, Error> {
+    let request = Request::builder().method(Method::GET).uri("/");
+    client.send_repeatable(request, Bytes::new(), timeout, wait).await
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_asked_for_again() {
+    let (server, address) = Server::start(2, Duration::ZERO).await;
+    let client = Client::new(address, TIMEOUT);
+    send(&client, TIMEOUT, Duration::ZERO).await.expect("an answer to the third try");
+    assert_eq!(server.requests(), 3);
+}
+
+#[tokio::test]
+async fn a_request_that_may_not_be_repeated_is_sent_once() {
+    let (server, address) = Server::start(1, Duration::ZERO).await;
+    let client = Client::new(address, TIMEOUT);
+    let timeout = Duration::from_secs(1);
+    let answer = client.call_within::<()>(Method::GET, "/", None::<&()>, timeout).await;
+    assert!(matches!(answer, Err(Error::NoAnswer { .. })), "{answer:?}");
+    assert_eq!(server.requests(), 1);
+}
+
+#[tokio::test]
+async fn an_answer_that_the_server_may_delay_is_waited_for() {
+    let takes = Duration::from_millis(800);
+    let (server, address) = Server::start(0, takes).await;
+    let client = Client::new(address, TIMEOUT);
+    send(&client, TIMEOUT, takes * 4).await.expect("an answer");
+    assert_eq!(server.requests(), 1);
+}
+
+#[tokio::test]
+async fn a_slow_server_answers_the_first_try() {
+    let (server, address) = Server::start(0, Duration::from_millis(700)).await;
+    let client = Client::new(address, TIMEOUT);
+    send(&client, TIMEOUT, Duration::ZERO).await.expect("an answer");
+    assert!(server.requests() <= 3, "{} requests", server.requests());
+}
+
+#[tokio::test]
+async fn a_server_that_is_not_there_was_surely_not_reached() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let client = Client::new(address, TIMEOUT);
+    let answer = send(&client, TIMEOUT, Duration::ZERO).await;
+    assert!(matches!(answer, Err(Error::NotSent { .. })), "{answer:?}");
+}
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -88,7 +88,12 @@
         address: SocketAddr,
         question: &Question,
     ) -> Result<Answer, CallError> {
-        self.client(address).call(Method::POST, PATH, Some(question)).await
+        let client = self.client(address);
+        match question {
+            // Its fate is told of one try.
+            Question::Append { .. } => client.call(Method::POST, PATH, Some(question)).await,
+            _ => client.call_repeatable(Method::POST, PATH, Some(question)).await,
+        }
     }
 }
 
