--- a/crates/crosspath_fleet/src/intent.rs
+++ b/crates/crosspath_fleet/src/intent.rs
@@ -1,5 +1,6 @@
 //! What is planned for a VM.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,4 +51,27 @@
             Order::Maintain { .. } => None,
         }
     }
+
+    /// Whether the VM is to become vacant for its upkeep in a wave.
+    pub(crate) fn is_emptying_for(&self, wave: u64) -> bool {
+        self.upkeep_of() == Some(wave) && self.stage == Stage::Vacating
+    }
+
+    /// Whether upkeep in a wave was ordered, done or not.
+    pub(crate) fn is_ordered_for(&self, wave: u64) -> bool {
+        self.upkeep_of() == Some(wave) && self.stage != Stage::Vacating
+    }
+
+    /// Whether the order may be given by what is left of the upkeep orders of each wave; it is then
+    /// one fewer. An order that was given before is counted already.
+    pub(crate) fn takes_turn(&self, upkeep_left: &mut BTreeMap<u64, usize>) -> bool {
+        let Some(wave) = self.upkeep_of() else { return true };
+        if self.stage != Stage::Vacating {
+            return true;
+        }
+        let Some(left) = upkeep_left.get_mut(&wave) else { return false };
+        let may = *left > 0;
+        *left = left.saturating_sub(1);
+        may
+    }
 }
--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -1,6 +1,6 @@
 //! Which VM moves to which pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -158,16 +158,24 @@
         let fits = |vm: &&Vm| {
             vm.pool != *needy && self.is_free(now, vm) && !self.immovable.contains(&vm.name)
         };
-        let rank = |vm: &Vm| -> Option<(u32, u64)> {
+        let awaits_upkeep: BTreeSet<_> = view
+            .waves
+            .iter()
+            .flat_map(|(wave, _)| self.left(wave, view))
+            .map(|vm| &vm.name)
+            .collect();
+        // A VM that is idle while it awaits its upkeep can have it at once.
+        let rank = |vm: &Vm| -> Option<(u32, bool, u64)> {
+            let awaits = awaits_upkeep.contains(&vm.name);
             if view.is_off(vm) {
-                return Some((0, 0));
+                return Some((0, awaits, 0));
             }
             if !lacks_much || balances.get(&vm.pool)?.has_over() == 0 {
                 return None;
             }
             let reported = reported(vm, view)?;
             let takes = reported.usable && reported.lasting == 0;
-            takes.then_some((1, reported.used_millis))
+            takes.then_some((1, awaits, reported.used_millis))
         };
         let ranked = view.vms.iter().filter(fits).filter_map(|vm| Some((rank(vm)?, vm)));
         let best = ranked.min_by_key(|(rank, vm)| (*rank, Arc::clone(&vm.name)));
--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -239,6 +239,9 @@
         let mut orders = Vec::new();
         let vacant = vacant(view);
         let off = off(view);
+        let left =
+            |(wave, _): &(Wave, Duration)| (wave.number, self.upkeep_orders_left(now, wave, view));
+        let mut upkeep_left: BTreeMap<_, _> = view.waves.iter().map(left).collect();
         for (name, intent) in &mut self.intents {
             let due = match intent.stage {
                 // Chosen in an earlier round, so that the pool's owner knew when it reported; a VM
@@ -249,7 +252,7 @@
                 Stage::Ordered { at } => now >= at + ORDER_AGAIN,
                 Stage::Done { .. } => false,
             };
-            if due {
+            if due && intent.takes_turn(&mut upkeep_left) {
                 intent.stage = Stage::Ordered { at: now };
                 orders.push((Arc::clone(name), intent.order.clone()));
             }
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -38,16 +38,11 @@
         for (wave, started) in &view.waves {
             let end = *started + Duration::from_millis(wave.deadline_ms);
             let mut slots = self.slots(now, wave, view);
-            // What takes long is begun with first, beside what is quick.
-            let mut long_slots = slots.div_ceil(2);
             let hurries = self.hurries(now, wave, end, view);
             for vm in self.candidates(now, wave, view) {
-                if slots == 0 {
-                    break;
-                }
                 let emptying = time_to_empty(vm, view);
-                let is_long = is_long(emptying);
-                if is_long && long_slots == 0 {
+                let is_ready = is_ready(vm, view);
+                if !slots.has_one(is_ready, emptying) {
                     continue;
                 }
                 let urgent = hurries || now + emptying + ROUND > end;
@@ -57,21 +52,33 @@
                     continue;
                 }
                 log::info!(
-                    "event=upkeep_chosen vm={} wave={} urgent={urgent}",
+                    "event=upkeep_chosen vm={} wave={} urgent={urgent} ready={is_ready}",
                     vm.name,
                     wave.number
                 );
                 let order = Order::Maintain { wave: wave.number };
                 self.intents.insert(Arc::clone(&vm.name), Intent::new(order, now, emptying));
-                slots -= 1;
-                long_slots -= usize::from(is_long);
+                slots.take(is_ready, emptying);
                 off_to_spare = off_to_spare.saturating_sub(usize::from(is_off));
             }
         }
     }
 
-    /// VMs of a wave that may yet be taken out beside those that are.
-    fn slots(&self, now: Duration, wave: &Wave, view: &View) -> usize {
+    /// VMs of a wave that may yet be chosen.
+    fn slots(&self, now: Duration, wave: &Wave, view: &View) -> Slots {
+        let chosen = |vm: &&Vm| {
+            let intent = self.intents.get(&vm.name);
+            intent.is_some_and(|intent| intent.is_emptying_for(wave.number))
+        };
+        let chosen: Vec<_> = view.vms.iter().filter(chosen).collect();
+        let ready = chosen.iter().filter(|vm| is_ready(vm, view)).count();
+        let orders = self.upkeep_orders_left(now, wave, view);
+        let empty = orders.saturating_sub(chosen.len());
+        Slots { ready: orders.saturating_sub(ready), empty, long: empty.div_ceil(2) }
+    }
+
+    /// Upkeep orders that the wave's maximum allows now.
+    pub(crate) fn upkeep_orders_left(&self, now: Duration, wave: &Wave, view: &View) -> usize {
         let elsewhere = view.elsewhere.get(&wave.number).copied().unwrap_or(0);
         let under_way = self.under_way(now, wave, view) + elsewhere;
         (wave.maximum.max(1) as usize).saturating_sub(under_way)
@@ -100,9 +107,10 @@
     pub fn under_way(&self, now: Duration, wave: &Wave, view: &View) -> usize {
         let of_wave = view.vms.iter().filter(|vm| wave.vms.contains(&vm.name));
         let busy = of_wave.filter(|vm| {
-            let intent = self.intents.get(&vm.name).and_then(Intent::upkeep_of);
+            let intent = self.intents.get(&vm.name);
+            let ordered = intent.is_some_and(|intent| intent.is_ordered_for(wave.number));
             let rests = self.not_before.get(&vm.name).is_some_and(|until| now < *until);
-            intent == Some(wave.number) || vm.state == State::Upkeep || rests
+            ordered || vm.state == State::Upkeep || rests
         });
         busy.count()
     }
@@ -129,6 +137,37 @@
     }
 }
 
+/// VMs of a wave that may yet be chosen. Those that are being emptied do not keep idle ones from their
+/// upkeep: orders are counted when they are given.
+#[derive(Debug)]
+struct Slots {
+    /// VMs on which nothing runs.
+    ready: usize,
+    /// VMs that must be emptied first.
+    empty: usize,
+    /// Those among them that take long: what takes long is begun with first, beside what is quick.
+    long: usize,
+}
+
+impl Slots {
+    fn has_one(&self, is_ready: bool, emptying: Duration) -> bool {
+        if is_ready {
+            return self.ready > 0;
+        }
+        self.empty > 0 && (self.long > 0 || !is_long(emptying))
+    }
+
+    fn take(&mut self, is_ready: bool, emptying: Duration) {
+        if is_ready {
+            self.ready -= 1;
+            self.empty = self.empty.saturating_sub(1);
+            return;
+        }
+        self.empty -= 1;
+        self.long = self.long.saturating_sub(usize::from(is_long(emptying)));
+    }
+}
+
 /// The pool's owner's word on a VM.
 pub(crate) fn reported<'a>(vm: &Vm, view: &'a View) -> Option<&'a report::Vm> {
     view.pools.get(&vm.pool)?.vms.iter().find(|reported| reported.name == vm.name)
@@ -139,6 +178,11 @@
     LASTING_MOVE * reported(vm, view).map_or(0, |vm| vm.lasting)
 }
 
+/// Whether a VM needs no emptying: its upkeep costs its pool 2 s of an idle VM.
+fn is_ready(vm: &Vm, view: &View) -> bool {
+    view.is_off(vm) || reported(vm, view).is_some_and(report::Vm::is_vacant)
+}
+
 /// Whether emptying a VM takes as long as a whole round of upkeep.
 fn is_long(emptying: Duration) -> bool {
     emptying >= ROUND
--- a/crates/crosspath_fleet/tests/fleet/wave.rs
+++ b/crates/crosspath_fleet/tests/fleet/wave.rs
@@ -124,3 +124,35 @@
 fn a_vm_with_few_lasting_tasks_is_in_time() {
     assert!(upkeep_of_laden(2, ms(1_400)).is_some());
 }
+
+#[test]
+fn vms_that_are_slow_to_empty_do_not_keep_idle_ones_from_their_upkeep() {
+    let mut bed = bed();
+    for name in NAMES {
+        bed.tasks.insert(name.into(), 1);
+    }
+    bed.round();
+    let chosen: usize = bed.planner.vacate(&bed.view.vms).values().map(|vms| vms.len()).sum();
+    assert_eq!(chosen, 2, "as many as may be down");
+    for name in &NAMES[2..] {
+        bed.tasks.remove(*name);
+    }
+    // Before the first two are given up.
+    for _ in 0..35 {
+        bed.round();
+        assert!(bed.down() <= 2, "{} down", bed.down());
+    }
+    assert_eq!(upkeeps(&bed), 4);
+}
+
+#[test]
+fn a_pool_that_lacks_vms_gets_those_that_do_not_await_upkeep() {
+    let vms = vec![vm("a1", "a"), vm("a2", "a"), vm("s1", "spare"), vm("s2", "spare")];
+    let mut bed = Bed::new(vms);
+    bed.wave(&["s1"], 1);
+    bed.waiting.insert("a".into(), VM_MILLIS);
+    bed.round();
+    let moved = bed.orders.iter().filter(|(_, _, order)| matches!(order, Order::Move { .. }));
+    let moved: Vec<_> = moved.map(|(_, vm, _)| &**vm).collect();
+    assert_eq!(moved.first(), Some(&"s2"), "{moved:?}");
+}
