--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -2,13 +2,19 @@
 //!
 //! One append a shard is under way from this daemon; what arrives meanwhile goes with the next. A
 //! record whose append got no answer is appended again: it is the newest of its key either way.
+//!
+//! Records go to the shard's owner, who appends those of all daemons together: a partition takes its
+//! appends in turn, so a store that took 72 times as long kept 73 of 1,360 jobs of 32 daemons in 6 s
+//! when each daemon appended by itself. An owner that does not answer is passed by.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use crosspath_border::store::{Error, Keyed};
 use crosspath_job::record::Record;
+use futures::future::{Either, join_all, select};
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -18,6 +24,11 @@
 
 /// Between tries of an append that was refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// After which a daemon appends by itself while the owner has not answered: an append takes 10 ms, and
+/// an owner that is busy some 50 ms more.
+const OWNER_PATIENCE: Duration = Duration::from_millis(300);
+/// For an append by the shard's owner while the store is slow: one under way, and the next.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Records in one append at most; with a job of 4 KB far below the store's bound on a call.
 const MAX_RECORDS: usize = 128;
 
@@ -35,8 +46,15 @@
     let record = Keyed { key: record.key(), value: record.value().into() };
     // What is under way may hold the queue up for long while the store is silent.
     if node.is_store_silent(clock::now()) {
-        let appended = append_somehow(node, shard, &[record]).await;
-        return appended.map_or_else(outcome_of, |()| Outcome::Kept);
+        let records = [record];
+        let appended = append_somehow(node, shard, &records).await;
+        return match appended {
+            Ok(by) => {
+                by.tell_owner(node, shard, &records);
+                Outcome::Kept
+            }
+            Err(error) => outcome_of(error),
+        };
     }
     let (pending, waiter) = pending::pair(record, patience);
     sender(node, shard).send(pending).ok();
@@ -69,7 +87,8 @@
         }
         let records: Vec<Keyed> = batch.iter().map(|pending| pending.record.clone()).collect();
         match append_somehow(&node, shard, &records).await {
-            Ok(()) => {
+            Ok(by) => {
+                by.tell_owner(&node, shard, &records);
                 for pending in batch.drain(..) {
                     pending.settle(Outcome::Kept);
                 }
@@ -107,14 +126,90 @@
     if error.is_not_done() { Outcome::NotKept } else { Outcome::Unknown }
 }
 
-/// Appends directly, or through a daemon that the store serves.
-async fn append_somehow(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<(), Error> {
+/// Appends what other daemons were asked for, with what this one was asked for. What is not kept may be
+/// known to be so: the error says whether it surely is not.
+pub(crate) async fn append_as_owner(
+    node: &Arc<Node>,
+    shard: u32,
+    records: Vec<Keyed>,
+) -> Result<(), bool> {
+    let now = clock::now();
+    let until = now + OWNER_TIMEOUT;
+    let patience = Patience { refused_at: until, doubted_until: until };
+    let waiters = records.iter().map(|record| {
+        let (pending, waiter) = pending::pair(record.clone(), patience);
+        sender(node, shard).send(pending).ok();
+        waiter.outcome(now)
+    });
+    let outcomes = join_all(waiters).await;
+    if outcomes.iter().all(|outcome| *outcome == Outcome::Kept) {
+        return Ok(());
+    }
+    // Together they were asked for, so together they are answered.
+    Err(outcomes.iter().all(|outcome| *outcome == Outcome::NotKept))
+}
+
+/// Appends through the shard's owner, or else directly or through any daemon that the store serves.
+async fn append_somehow(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<By, Error> {
+    let owner = node.holder(shard).filter(|_| !node.owned().contains_key(&shard));
+    let by_any = async || append_by_any(node, shard, records).await.map(|()| By::Other);
+    let Some(owner) = owner else { return by_any().await };
+    let by_owner = pin!(rpc::relay_append(node, owner, shard, records, OWNER_TIMEOUT));
+    let patience = if node.is_store_slow(clock::now()) { OWNER_TIMEOUT } else { OWNER_PATIENCE };
+    let by_owner = match select(by_owner, pin!(tokio::time::sleep(patience))).await {
+        Either::Left((Ok(()), _)) => return Ok(By::Owner),
+        Either::Left((Err(error), _)) => {
+            node.holders_doubted.notify_one();
+            return by_any().await.map_err(|other| worse(error, other));
+        }
+        Either::Right(((), by_owner)) => by_owner,
+    };
+    // The owner may have it appended all the same; that twice is as good as once.
+    match select(by_owner, pin!(by_any())).await {
+        Either::Left((Ok(()), _)) => Ok(By::Owner),
+        Either::Right((Ok(by), _)) => Ok(by),
+        Either::Left((Err(error), other)) => other.await.map_err(|other| worse(error, other)),
+        Either::Right((Err(error), other)) => {
+            other.await.map(|()| By::Owner).map_err(|other| worse(error, other))
+        }
+    }
+}
+
+/// Who has appended a record.
+#[derive(Debug, Clone, Copy)]
+enum By {
+    /// The shard's owner, who knows of it.
+    Owner,
+    /// This daemon, or one that the store serves.
+    Other,
+}
+
+impl By {
+    /// Has the owner hear of records sooner than by the log, if it does not know of them; nobody waits
+    /// for that.
+    fn tell_owner(self, node: &Arc<Node>, shard: u32, records: &[Keyed]) {
+        if matches!(self, Self::Owner) {
+            return;
+        }
+        for record in records {
+            let (node, record) = (Arc::clone(node), record.clone());
+            drop(tokio::spawn(async move { rpc::tell_kept(&node, shard, &record).await }));
+        }
+    }
+}
+
+/// What two failed ways say together: what is in doubt by one of them is in doubt.
+fn worse(one: Error, other: Error) -> Error {
+    if one.is_not_done() { other } else { one }
+}
+
+async fn append_by_any(node: &Arc<Node>, shard: u32, records: &[Keyed]) -> Result<(), Error> {
     let mut error = match node.append(shard, records).await {
         Ok(()) => return Ok(()),
         Err(error) => error,
     };
     for peer in node.other_daemons() {
-        match rpc::relay_append(node, peer, shard, records).await {
+        match rpc::relay_append(node, peer, shard, records, rpc::TIMEOUT).await {
             Ok(()) => return Ok(()),
             // What is in doubt once stays so.
             Err(other) if error.is_not_done() => error = other,
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -24,6 +24,9 @@
 /// Share of it after which a job that surely is not kept is refused, so that the caller can come
 /// back in time. Two or three tries, each of which also goes through other daemons.
 const REFUSAL_PATIENCE: f64 = 0.15;
+/// The same while the store answers slowly: the record may have to wait for one append under way, and
+/// is better served by the next than by coming back.
+const SLOW_REFUSAL_PATIENCE: f64 = 0.3;
 /// Between questions to a holder that is not known or is taking over.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
@@ -65,10 +68,12 @@
         if self.node.is_store_silent(clock::now()) { SILENT_RETRY_AFTER_S } else { RETRY_AFTER_S }
     }
 
-    fn patience(within: Duration) -> Patience {
+    fn patience(&self, within: Duration) -> Patience {
         let now = clock::now();
+        let slow = self.node.is_store_slow(now);
+        let refusal = if slow { SLOW_REFUSAL_PATIENCE } else { REFUSAL_PATIENCE };
         Patience {
-            refused_at: now + within.mul_f64(REFUSAL_PATIENCE),
+            refused_at: now + within.mul_f64(refusal),
             doubted_until: now + within.mul_f64(PATIENCE),
         }
     }
@@ -115,12 +120,6 @@
         }
     }
 
-    /// Has the shard's owner hear of a kept record sooner than by the log; the caller does not wait.
-    fn tell_owner(&self, shard: u32, record: Record) {
-        let node = Arc::clone(&self.node);
-        drop(tokio::spawn(async move { rpc::tell_kept(&node, shard, record).await }));
-    }
-
     /// Whether the queue had another pool before.
     fn has_moved(&self, queue: &Queue) -> bool {
         self.node.table().is_some_and(|table| table.pools_of(queue).len() > 1)
@@ -187,7 +186,7 @@
             spec,
         };
         let record = Record::Accepted(job, Arc::new(accepted));
-        let patience = Self::patience(within);
+        let patience = self.patience(within);
         let outcome = appender::append(&self.node, shard, &record, patience).await;
         let took = clock::now().saturating_sub(began);
         log::info!(
@@ -197,10 +196,7 @@
         );
         self.node.metrics.called(Call::Submit, &queue.name, took);
         match outcome {
-            Outcome::Kept => {
-                self.tell_owner(shard, record);
-                Submitted::Accepted
-            }
+            Outcome::Kept => Submitted::Accepted,
             Outcome::NotKept => Submitted::NotTaken { retry_after_s: self.retry_after_s() },
             Outcome::Unknown => Submitted::Unknown,
         }
@@ -231,11 +227,6 @@
         let appends =
             shards.iter().map(|shard| appender::append(&self.node, *shard, &record, patience));
         let outcomes = join_all(appends).await;
-        for (shard, outcome) in shards.into_iter().zip(&outcomes) {
-            if *outcome == Outcome::Kept {
-                self.tell_owner(shard, record.clone());
-            }
-        }
         let outcome = outcomes.into_iter().find(|outcome| *outcome != Outcome::Kept);
         let outcome = outcome.unwrap_or(Outcome::Kept);
         let took = clock::now().saturating_sub(began);
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -19,11 +19,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::appender;
 use crate::clock;
 use crate::node::Node;
 
 /// A peer is at most some ms away; one that does not answer within this is asked no longer.
-const TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(500);
 /// For a new connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Bytes of a question at most: some appended jobs.
@@ -40,7 +41,7 @@
     Waiting { shard: u32, queue: Arc<str> },
     /// VMs that are to become vacant, and how the pool is.
     Pool { shard: u32, vacate: BTreeSet<Arc<str>> },
-    /// Append records for a daemon that the store turns away.
+    /// Append records for a daemon that the store turns away, or answers slowly.
     Append { shard: u32, records: Vec<(String, String)> },
     /// A record that a caller's request has just added to a shard, for its owner.
     Kept { shard: u32, key: String, value: String },
@@ -92,26 +93,32 @@
         address: SocketAddr,
         question: &Question,
     ) -> Result<Answer, CallError> {
-        let client = self.client(address);
-        match question {
-            // Its fate is told of one try.
-            Question::Append { .. } => client.call(Method::POST, PATH, Some(question)).await,
-            _ => client.call_repeatable(Method::POST, PATH, Some(question)).await,
-        }
+        self.client(address).call_repeatable(Method::POST, PATH, Some(question)).await
+    }
+
+    /// Asks a peer to append: sent once, since the fate of one try is told.
+    async fn ask_to_append(
+        &self,
+        address: SocketAddr,
+        question: &Question,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        self.client(address).call_within(Method::POST, PATH, Some(question), timeout).await
     }
 }
 
-/// Appends through a peer.
+/// Appends through a peer, who may take until `timeout` for it.
 pub(crate) async fn relay_append(
     node: &Node,
     peer: SocketAddr,
     shard: u32,
     records: &[Keyed],
+    timeout: Duration,
 ) -> Result<(), Error> {
     let text =
         |record: &Keyed| (record.key.clone(), String::from_utf8_lossy(&record.value).into_owned());
     let records = records.iter().map(text).collect();
-    match node.peers.ask(peer, &Question::Append { shard, records }).await {
+    match node.peers.ask_to_append(peer, &Question::Append { shard, records }, timeout).await {
         Ok(Answer::Appended) => Ok(()),
         Ok(Answer::NotAppended { surely: true }) | Err(CallError::NotSent { .. }) => {
             Err(Error::NotReached)
@@ -166,13 +173,11 @@
         }
         Question::Append { shard, records } => append(node, shard, records).await,
         Question::Kept { shard, key, value } => {
-            let owned = node.owned();
-            let Some(handle) = owned.get(&shard) else { return Answer::NotOwner };
-            match Record::decode(&key, value.as_bytes()) {
-                Ok(record) => handle.tell(record),
-                Err(error) => log::warn!("event=record_unreadable error=\"{error}\""),
+            if tell_owner_here(node, shard, &key, value.as_bytes()) {
+                Answer::Heard
+            } else {
+                Answer::NotOwner
             }
-            Answer::Heard
         }
         Question::Life => Answer::Life { member: Arc::clone(&node.member) },
         Question::Store => {
@@ -182,25 +187,41 @@
     }
 }
 
-async fn append(node: &Node, shard: u32, records: Vec<(String, String)>) -> Answer {
+async fn append(node: &Arc<Node>, shard: u32, records: Vec<(String, String)>) -> Answer {
     let keyed = |(key, value): (String, String)| Keyed { key, value: value.into() };
     let records: Vec<_> = records.into_iter().map(keyed).collect();
-    match node.append(shard, &records).await {
+    let outcome = if node.owned().contains_key(&shard) {
+        appender::append_as_owner(node, shard, records).await
+    } else {
+        node.append(shard, &records).await.map_err(|error| error.is_not_done())
+    };
+    match outcome {
         Ok(()) => Answer::Appended,
-        Err(error) => Answer::NotAppended { surely: error.is_not_done() },
+        Err(surely) => Answer::NotAppended { surely },
+    }
+}
+
+/// Passes a record that is kept on to the shard's owner; whether this daemon is that.
+fn tell_owner_here(node: &Node, shard: u32, key: &str, value: &[u8]) -> bool {
+    let owned = node.owned();
+    let Some(handle) = owned.get(&shard) else { return false };
+    match Record::decode(key, value) {
+        Ok(record) => handle.tell(record),
+        Err(error) => log::warn!("event=record_unreadable error=\"{error}\""),
     }
+    true
 }
 
 /// Tells a shard's owner of a record that is kept. The owner reads it in the log anyway, a little
 /// later, so nothing depends on this.
-pub(crate) async fn tell_kept(node: &Arc<Node>, shard: u32, record: Record) {
-    if let Some(handle) = node.owned().get(&shard) {
-        return handle.tell(record);
+pub(crate) async fn tell_kept(node: &Arc<Node>, shard: u32, record: &Keyed) {
+    if tell_owner_here(node, shard, &record.key, &record.value) {
+        return;
     }
-    let value = String::from_utf8_lossy(&record.value()).into_owned();
-    let question = Question::Kept { shard, key: record.key(), value };
+    let value = String::from_utf8_lossy(&record.value).into_owned();
+    let question = Question::Kept { shard, key: record.key.clone(), value };
     if ask_holder(node, shard, question).await.is_none() {
-        log::info!("event=owner_not_told shard={shard} key={}", record.key());
+        log::info!("event=owner_not_told shard={shard} key={}", record.key);
     }
 }
 
