--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -274,6 +274,9 @@
                         self.address,
                         (wait + overdue).as_millis()
                     );
+                    // It takes at least as long, so that a server that turns slow is not asked again
+                    // and again.
+                    self.latency().observe(overdue);
                     overdue *= 2;
                 }
             }
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -8,6 +8,7 @@
 //! when each daemon appended by itself. An owner that does not answer is passed by.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -20,12 +21,12 @@
 use crate::clock;
 use crate::node::Node;
 use crate::pending::{self, Outcome, Patience, Pending};
-use crate::rpc;
+use crate::rpc::{self, Question};
 
 /// Between tries of an append that was refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// After which a daemon appends by itself while the owner has not answered: an append takes 10 ms, and
-/// an owner that is busy some 50 ms more.
+/// After which an owner that has not answered is asked whether it lives: an append takes 10 ms, and an
+/// owner that is busy some 50 ms more.
 const OWNER_PATIENCE: Duration = Duration::from_millis(300);
 /// For an append by the shard's owner while the store is slow: one under way, and the next.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -154,10 +155,13 @@
     let owner = node.holder(shard).filter(|_| !node.owned().contains_key(&shard));
     let by_any = async || append_by_any(node, shard, records).await.map(|()| By::Other);
     let Some(owner) = owner else { return by_any().await };
+    let sent = clock::now();
     let by_owner = pin!(rpc::relay_append(node, owner, shard, records, OWNER_TIMEOUT));
-    let patience = if node.is_store_slow(clock::now()) { OWNER_TIMEOUT } else { OWNER_PATIENCE };
-    let by_owner = match select(by_owner, pin!(tokio::time::sleep(patience))).await {
-        Either::Left((Ok(()), _)) => return Ok(By::Owner),
+    let by_owner = match select(by_owner, pin!(owner_is_silent(node, owner))).await {
+        Either::Left((Ok(()), _)) => {
+            node.store_took(clock::now().saturating_sub(sent));
+            return Ok(By::Owner);
+        }
         Either::Left((Err(error), _)) => {
             node.holders_doubted.notify_one();
             return by_any().await.map_err(|other| worse(error, other));
@@ -198,6 +202,18 @@
     }
 }
 
+/// Ends when an owner that was asked to append turns out to be silent; one that answers other questions
+/// waits for the store.
+async fn owner_is_silent(node: &Node, owner: SocketAddr) {
+    loop {
+        tokio::time::sleep(OWNER_PATIENCE).await;
+        if let Err(error) = node.peers.ask(owner, &Question::Life).await {
+            log::info!("event=owner_silent peer={owner} error=\"{error}\"");
+            return;
+        }
+    }
+}
+
 /// What two failed ways say together: what is in doubt by one of them is in doubt.
 fn worse(one: Error, other: Error) -> Error {
     if one.is_not_done() { other } else { one }
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -211,6 +211,11 @@
         lock(&self.standing).contact.answered(now);
     }
 
+    /// An append through a shard's owner took so long.
+    pub(crate) fn store_took(&self, took: Duration) {
+        lock(&self.standing).contact.took(took);
+    }
+
     /// The store has answered a call, sent at `sent`, that it answers at once when it is well.
     pub(crate) fn store_answered_at_once(&self, sent: Duration, now: Duration) {
         let mut standing = lock(&self.standing);
