--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -149,7 +149,7 @@
         let stays = dealt.contains(number) && !handle.is_over();
         if !stays {
             log::info!("event=shard_released shard={number}");
-            handle.stop();
+            node.leave_shard(*number, handle);
         }
         stays
     });
@@ -212,7 +212,9 @@
 
 /// Leaves the group on a planned stop, so that others own at once what this daemon owned.
 pub(crate) async fn leave(node: &Node) {
-    node.owned().clear();
+    for (number, handle) in std::mem::take(&mut *node.owned()) {
+        node.leave_shard(number, &handle);
+    }
     match tokio::time::timeout(TIMEOUT, node.store.leave(&node.member)).await {
         Ok(Ok(())) => log::info!("event=left_group"),
         Ok(Err(error)) => log::info!("event=leave_failed error=\"{error}\""),
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -13,6 +13,7 @@
 use crosspath_border::vm::Fleet;
 use crosspath_border::worker::{Entry, Runner};
 use crosspath_http::server::Stage;
+use crosspath_schedule::takeover::Legacy;
 use tokio::sync::{Notify, watch};
 
 use crate::appender::Appenders;
@@ -78,6 +79,8 @@
     /// Rung when a holder did not answer as one.
     pub(crate) holders_doubted: Notify,
     owned: Mutex<BTreeMap<u32, Handle>>,
+    /// What was known of silent workers of shards when they were left.
+    left: Mutex<HashMap<u32, Legacy>>,
     standing: Mutex<Standing>,
 }
 
@@ -126,6 +129,7 @@
             map: Mutex::default(),
             holders: Mutex::default(),
             owned: Mutex::default(),
+            left: Mutex::default(),
             standing: Mutex::default(),
         }
     }
@@ -187,6 +191,24 @@
         lock(&self.owned)
     }
 
+    /// This daemon leaves a shard: nothing of it is ordered or kept after this.
+    pub(crate) fn leave_shard(&self, shard: u32, handle: &Handle) {
+        if let Some(ended) = handle.stop() {
+            self.note_left(shard, ended.leave());
+        }
+    }
+
+    /// Keeps what was known of silent workers of a shard that is left.
+    pub(crate) fn note_left(&self, shard: u32, legacy: Legacy) {
+        lock(&self.left).insert(shard, legacy);
+    }
+
+    /// What was known of silent workers of a shard when this daemon left it, as its owner in `epoch`.
+    pub(crate) fn left(&self, shard: u32, epoch: u64) -> Option<Legacy> {
+        let left = lock(&self.left).get(&shard).cloned();
+        left.filter(|legacy| legacy.epoch == epoch)
+    }
+
     pub(crate) fn standing(&self) -> Standing {
         *lock(&self.standing)
     }
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -49,6 +49,8 @@
     Store,
     /// Which life of the daemon this is.
     Life,
+    /// What the owner in an epoch knew of silent workers when it left the shard.
+    Left { shard: u32, epoch: u64 },
 }
 
 /// An answer.
@@ -71,6 +73,8 @@
     Store { answered_ms_ago: u64 },
     /// The member text of this life.
     Life { member: Arc<str> },
+    /// Ms until what may run on each silent worker has surely lapsed.
+    Left(Vec<(Arc<str>, u64)>),
     /// The daemon does not own the shard now.
     NotOwner,
 }
@@ -179,6 +183,7 @@
                 Answer::NotOwner
             }
         }
+        Question::Left { shard, epoch } => left(node, shard, epoch),
         Question::Life => Answer::Life { member: Arc::clone(&node.member) },
         Question::Store => {
             let since = clock::now().saturating_sub(node.standing().contact.last_answer());
@@ -187,6 +192,16 @@
     }
 }
 
+/// What this daemon knew of silent workers when it left a shard.
+fn left(node: &Node, shard: u32, epoch: u64) -> Answer {
+    let now = clock::now();
+    let Some(legacy) = node.left(shard, epoch) else { return Answer::NotOwner };
+    let remaining_ms =
+        |over: Duration| u64::try_from(over.saturating_sub(now).as_millis()).unwrap_or(u64::MAX);
+    let remaining = legacy.over.into_iter().map(|(worker, over)| (worker, remaining_ms(over)));
+    Answer::Left(remaining.collect())
+}
+
 async fn append(node: &Arc<Node>, shard: u32, records: Vec<(String, String)>) -> Answer {
     let keyed = |(key, value): (String, String)| Keyed { key, value: value.into() };
     let records: Vec<_> = records.into_iter().map(keyed).collect();
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -1,6 +1,7 @@
 //! Owning a shard: claiming it, following its records, carrying out what its scheduler decides.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use crate::membership::TTL;
 use crate::node::{Node, shard_partition};
 use crate::order::Order;
+use crate::rpc::{Answer, Question};
 use crate::watch::{self, Watch};
 
 /// What a look extends leases to; see [`Terms::hold`].
@@ -70,6 +72,7 @@
                 number,
                 unit,
                 shared: Arc::clone(&shared),
+                before: node.holder(number).filter(|before| *before != node.settings.peers),
                 events: events.clone(),
             };
             tokio::spawn(owner.run(receiver))
@@ -118,10 +121,10 @@
         self.task.is_finished()
     }
 
-    /// Ends at once: nothing is ordered or kept after this.
-    pub(crate) fn stop(&self) {
+    /// Ends at once: nothing is ordered or kept after this. The scheduler, if there was one.
+    pub(crate) fn stop(&self) -> Option<Scheduler> {
         self.task.abort();
-        *scheduler(&self.scheduler) = None;
+        scheduler(&self.scheduler).take()
     }
 }
 
@@ -155,6 +158,8 @@
     number: u32,
     unit: Unit,
     shared: Shared,
+    /// Address of the daemon that held the shard before, as far as is known.
+    before: Option<SocketAddr>,
     events: mpsc::UnboundedSender<Event>,
 }
 
@@ -194,6 +199,13 @@
         let mut taken = Scheduler::new(settings, claimed.epoch, now);
         taken.take_over(now, clock::wall_ms(), decode(&records), self.workers());
         *scheduler(&self.shared) = Some(taken);
+        let _asking = AbortOnDrop(tokio::spawn(ask_owner_before(
+            Arc::clone(&self.node),
+            self.number,
+            claimed.epoch - 1,
+            self.before,
+            self.events.clone(),
+        )));
         let follower = tokio::spawn(follow(
             Arc::clone(&self.node),
             self.number,
@@ -205,7 +217,9 @@
         let duties = Duties { claimed, sequence, terms, watches: HashMap::new(), commit: None };
         let _follower = AbortOnDrop(follower);
         self.serve(duties, &mut receiver).await;
-        *scheduler(&self.shared) = None;
+        if let Some(ended) = scheduler(&self.shared).take() {
+            self.node.note_left(self.number, ended.leave());
+        }
         log::info!("event=shard_left shard={}", self.number);
     }
 
@@ -365,6 +379,29 @@
     }
 }
 
+/// Asks the owner before, who may live on, what it knew of silent workers as owner in `epoch`.
+async fn ask_owner_before(
+    node: Arc<Node>,
+    shard: u32,
+    epoch: u64,
+    before: Option<SocketAddr>,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let Some(before) = before else { return };
+    match node.peers.ask(before, &Question::Left { shard, epoch }).await {
+        Ok(Answer::Left(leases)) => {
+            let now = clock::now();
+            let over = |(worker, left_ms)| (worker, now + Duration::from_millis(left_ms));
+            // An owner that has ended needs no events.
+            events.send(Event::HandedOver(leases.into_iter().map(over).collect())).ok();
+        }
+        Ok(_) => log::info!("event=owner_before_left_nothing shard={shard} peer={before}"),
+        Err(error) => {
+            log::info!("event=owner_before_silent shard={shard} peer={before} error=\"{error}\"");
+        }
+    }
+}
+
 /// Appends as owner until the store has answered; whether the shard is still owned.
 pub(crate) async fn append_owned(
     node: &Node,
--- a/crates/crosspath_schedule/src/event.rs
+++ b/crates/crosspath_schedule/src/event.rs
@@ -1,6 +1,6 @@
 //! What the scheduler hears.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +77,8 @@
     Vacate(BTreeSet<Arc<str>>),
     /// Whether orders may be given now.
     MayAct(bool),
+    /// The owner before says when what may run on silent workers has surely lapsed.
+    HandedOver(BTreeMap<Arc<str>, Duration>),
     /// A later owner has claimed the shard.
     Superseded,
     /// Time has passed.
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -23,7 +23,7 @@
 mod runs;
 mod scheduler;
 mod stall;
-mod takeover;
+pub mod takeover;
 mod vacate;
 mod worker;
 
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -38,7 +38,7 @@
         let (id, clock_ms) = (Arc::clone(&entry.id), entry.clock_ms);
         let mut worker = Worker::new(entry);
         // An owner before may have given leases there.
-        worker.leased_until(self.settlement.open_until());
+        worker.inherited_until(self.settlement.open_until());
         self.actions.push(Action::Watch { worker: worker.target(), clock_ms });
         self.workers.insert(id, worker);
     }
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -156,6 +156,7 @@
                 self.place_again |= may_act;
                 self.may_act = may_act;
             }
+            Event::HandedOver(leases) => self.hand_over(leases),
             Event::Superseded => self.superseded = true,
             Event::Tick => {
                 self.look_over = true;
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -4,8 +4,13 @@
 //! task may run. A task that has no run by the answers of those workers is started at once; one that
 //! may be on a worker that does not answer waits until whatever was ordered there must have lapsed.
 //! No owner starts anything without that record, also while the store is away.
+//!
+//! That wait is counted from the takeover, so with an owner after the other none ever ends: lasting
+//! tasks of a dark rack were away for 18 s while entry VMs were restarted in turn. So an owner that
+//! leaves a shard tells the next one, if that one asks, by when what may run on each silent worker has
+//! surely lapsed.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,11 +25,21 @@
 /// For orders of the owner before that were on their way.
 const IN_FLIGHT: Duration = Duration::from_millis(500);
 
+/// What an owner knows of silent workers when it leaves a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Legacy {
+    /// Its epoch: the next owner may rely on the rest only if no other was between them.
+    pub epoch: u64,
+    /// When what may run on each worker has surely lapsed.
+    pub over: BTreeMap<Arc<str>, Duration>,
+}
+
 /// Which inherited tasks may have runs that this owner has not seen.
 #[derive(Debug)]
 pub(crate) struct Settlement {
-    /// Workers that have not answered yet and whose life is not over.
-    unaccounted: BTreeSet<Arc<str>>,
+    /// Workers that have not answered yet and whose life is not over, and when what owners before
+    /// ordered there has surely lapsed.
+    unaccounted: BTreeMap<Arc<str>, Duration>,
     /// When everything unseen has lapsed.
     until: Duration,
     over: bool,
@@ -34,7 +49,7 @@
     pub(crate) fn new(settings: &Settings, now: Duration) -> Self {
         let acting = now + settings.membership_ttl + IN_FLIGHT;
         let until = settings.terms.over(acting, settings.terms.hold);
-        Self { unaccounted: BTreeSet::new(), until, over: false }
+        Self { unaccounted: BTreeMap::new(), until, over: false }
     }
 
     /// When everything that an owner before ordered has surely lapsed; 0 once that is so.
@@ -70,8 +85,11 @@
             }
         }
         let tasks = progress.iter().flat_map(|(_, kept)| kept.tasks.values());
-        let progress_workers =
-            tasks.flat_map(|task| &task.runs).map(|(_, worker)| Arc::clone(worker)).collect();
+        let until = self.settlement.until;
+        let progress_workers = tasks
+            .flat_map(|task| &task.runs)
+            .map(|(_, worker)| (Arc::clone(worker), until))
+            .collect();
         for (id, kept) in progress {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.restore(&kept, now);
@@ -103,7 +121,7 @@
 
     /// A worker has answered, or its life is over: what it does not show is not there.
     pub(crate) fn accounted(&mut self, worker: &Arc<str>) {
-        if !self.settlement.unaccounted.remove(worker) {
+        if self.settlement.unaccounted.remove(worker).is_none() {
             return;
         }
         self.place_again = true;
@@ -112,8 +130,44 @@
         }
     }
 
-    /// Frees everything unseen once it has surely lapsed.
+    /// What this owner knows of silent workers, for the next one. Workers that answer are not among
+    /// them: a look that extends their leases may be on its way.
+    #[must_use]
+    pub fn leave(&self) -> Legacy {
+        let unaccounted = self.settlement.unaccounted.iter();
+        let unlisted = unaccounted.filter(|(id, _)| !self.workers.contains_key(*id));
+        let unlisted = unlisted.map(|(id, until)| (Arc::clone(id), *until));
+        let silent = self.workers.values().filter(|worker| worker.failures > 0);
+        let silent = silent.map(|worker| (Arc::clone(&worker.entry.id), worker.lease_over));
+        let over = unlisted.chain(silent).map(|(id, over)| (id, over + IN_FLIGHT)).collect();
+        Legacy { epoch: self.epoch, over }
+    }
+
+    /// Takes in what the owner before said of silent workers.
+    pub(crate) fn hand_over(&mut self, leases: BTreeMap<Arc<str>, Duration>) {
+        for (id, over) in leases {
+            let Some(until) = self.settlement.unaccounted.get_mut(&id) else { continue };
+            *until = over.min(*until);
+            log::info!("event=lease_handed_over worker={id} over_ms={}", until.as_millis());
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.lease_over = worker.ordered_over.max(*until);
+            }
+        }
+    }
+
+    /// Frees what is unseen on each worker once it has surely lapsed there.
     pub(crate) fn settle(&mut self, now: Duration) {
+        // While a first look at a worker is on its way, it may extend what runs there.
+        let lapsed = |id: &Arc<str>| {
+            let worker = self.workers.get(id);
+            worker.is_none_or(|worker| worker.failures > 0 && now > worker.lease_over)
+        };
+        let unaccounted = self.settlement.unaccounted.iter();
+        let over = unaccounted.filter(|(id, until)| now >= **until && lapsed(id));
+        let over: Vec<_> = over.map(|(id, _)| Arc::clone(id)).collect();
+        for id in over {
+            self.accounted(&id);
+        }
         if !self.settlement.ends(now) {
             return;
         }
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -24,6 +24,8 @@
     pub(crate) rest_until: Duration,
     /// When everything there has surely lapsed without further orders.
     pub(crate) lease_over: Duration,
+    /// The same of what this owner has ordered.
+    pub(crate) ordered_over: Duration,
     /// Reserved by runs.
     pub(crate) used: Room,
     /// Runs that are or may be there.
@@ -55,6 +57,7 @@
             failures: 0,
             rest_until: Duration::ZERO,
             lease_over: Duration::ZERO,
+            ordered_over: Duration::ZERO,
             used: Room::default(),
             runs: BTreeMap::new(),
             ends_seen: 0,
@@ -114,6 +117,12 @@
 
     /// An order that extends or gives leases was sent.
     pub(crate) fn leased_until(&mut self, over: Duration) {
+        self.ordered_over = self.ordered_over.max(over);
+        self.lease_over = self.lease_over.max(over);
+    }
+
+    /// Owners before may have given leases.
+    pub(crate) fn inherited_until(&mut self, over: Duration) {
         self.lease_over = self.lease_over.max(over);
     }
 }
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -86,7 +86,11 @@
 
 impl Bed {
     pub(crate) fn new(epoch: u64) -> Self {
-        let now = ms(10_000);
+        Self::at(epoch, ms(10_000))
+    }
+
+    /// An owner that has claimed the shard at `now`.
+    pub(crate) fn at(epoch: u64, now: Duration) -> Self {
         let scheduler = Scheduler::new(settings(), epoch, now);
         Self { scheduler, now, actions: Vec::new(), keeps: true }
     }
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -260,3 +260,74 @@
     bed.pass(ms(50));
     assert_eq!(bed.starts().len(), 1, "what ran in the life before is gone with it");
 }
+
+/// How long the job's one task waits under a second owner that takes over `later` than the first one's
+/// worker fell silent, if the second hears what the first knew.
+fn wait_under_second_owner(later: std::time::Duration, hears: bool) -> std::time::Duration {
+    let (order, records) = owner_before(&["a", "b"]);
+    let other = if *order.worker == *"a" { "b" } else { "a" };
+    let mut first = Bed::new(2);
+    first.take_over(records.clone(), &["a", "b"]);
+    let worker = order.worker.to_string();
+    first.held(other, Vec::new(), Vec::new());
+    silent(&mut first, &worker);
+    first.pass(later);
+    let legacy = first.scheduler.leave();
+    assert_eq!(legacy.epoch, 2);
+
+    let mut second = Bed::at(3, first.now);
+    // The worker's entry is gone by now.
+    second.take_over(records, &[other]);
+    if hears {
+        second.send(Event::HandedOver(legacy.over));
+    }
+    let began = second.now;
+    second.held(other, Vec::new(), Vec::new());
+    while second.starts().is_empty() {
+        assert!(second.now < began + ms(30_000), "nothing starts");
+        second.pass(ms(100));
+        second.held(other, Vec::new(), Vec::new());
+    }
+    second.now - began
+}
+
+#[test]
+fn an_owner_that_leaves_tells_the_next_how_long_it_has_waited_already() {
+    let alone = wait_under_second_owner(ms(4_000), false);
+    assert!(alone > ms(6_400), "{alone:?}");
+    let told = wait_under_second_owner(ms(4_000), true);
+    assert!(told < alone - ms(3_000), "{told:?} instead of {alone:?}");
+    assert!(told > ms(2_000), "leases last: {told:?}");
+}
+
+#[test]
+fn what_has_lapsed_under_the_owner_before_is_started_at_once() {
+    let told = wait_under_second_owner(ms(6_500), true);
+    assert!(told <= ms(1_200), "{told:?}");
+}
+
+#[test]
+fn an_owner_does_not_speak_for_a_worker_that_answers_it() {
+    let mut first = Bed::with_workers(&["a", "b"]);
+    first.submit(vec![step(1, 2)]);
+    assert_eq!(first.scheduler.leave().over, Default::default());
+}
+
+#[test]
+fn a_look_on_its_way_holds_up_what_the_owner_before_gave_free() {
+    let (order, records) = owner_before(&["a", "b"]);
+    let other = if *order.worker == *"a" { "b" } else { "a" };
+    let mut bed = Bed::new(2);
+    bed.take_over(records, &["a", "b"]);
+    let over = [(order.worker.clone(), bed.now)].into();
+    bed.send(Event::HandedOver(over));
+    bed.held(other, Vec::new(), Vec::new());
+    bed.pass(ms(500));
+    assert_eq!(bed.starts(), Vec::new(), "its first look may extend what runs there");
+    // That look fails, and may have been heard.
+    let (worker, sent) = (order.worker.clone(), bed.now);
+    let error = Error::NoAnswer;
+    bed.send(Event::HoldFailed { worker, sent, extended: true, error });
+    bed.pass(ms(3_000));
+    assert_eq!(bed.starts(), Vec::new(), "it may have been heard");
+}
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -187,6 +187,14 @@
         let mut scheduler = Scheduler::new(settings(), self.epoch, self.now);
         let records = self.records.values().cloned().collect();
         scheduler.take_over(self.now, WALL_MS, records, self.entries());
+        // Some owners end in order, and say what they know of silent workers.
+        if let Some(before) = self.owners.last_mut().filter(|_| self.epoch.is_multiple_of(2)) {
+            before.acts_until = Duration::ZERO;
+            let legacy = before.scheduler.leave();
+            if legacy.epoch + 1 == self.epoch {
+                scheduler.handle(self.now, WALL_MS, Event::HandedOver(legacy.over));
+            }
+        }
         // The owner before acts on until it counts itself out.
         for owner in &mut self.owners {
             owner.acts_until = owner.acts_until.min(self.now + TTL);
