--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -43,6 +43,7 @@
             job.accepted.queue,
             age.as_millis()
         );
+        self.offered.arrived(&job.accepted.spec);
         self.jobs.insert(id, job);
     }
 
