Pools sized by what arriving jobs ask for: tried and dropped

Hypothesis: the work of jobs that arrive shows a rise a job's length before what runs does, and does not grow with a backlog, so pools in their turn are given VMs sooner and take fewer from others. Conclusion: the growth of work overshoots, and that overshoot is what the first seconds of a turn need; dropped.

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -1,18 +1,12 @@
-//! How many VMs a pool wants, from what it runs and what the jobs that arrive ask for.
-//!
-//! What will run when a VM ordered now is there is told by the jobs that arrive: their number, times
-//! what one takes, is the load offered, and its growth is carried forward. A backlog adds what waits,
-//! once; its own growth tells only that the pool lacks VMs already.
+//! How many VMs a pool wants, from what it runs and how fast that grows.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crosspath_schedule::report;
 
-/// Over which arrivals are counted; the growth of the load is that between its halves.
-const WINDOW: Duration = Duration::from_millis(1_600);
-/// Arrivals in a window at which half of the growth is believed: few jobs come by chance.
-const BELIEVED: f64 = 8.0;
+/// Over which growth is measured.
+const WINDOW: Duration = Duration::from_millis(1_200);
 /// How far ahead is forecast: a move takes 1.5 s, hearing of it and of the new worker about 1 s.
 const LEAD: Duration = Duration::from_millis(2_500);
 /// Share of the work of later steps that is wanted already.
@@ -27,16 +21,7 @@
 /// Demand of a pool over the last moments.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
-    /// Jobs that had arrived by some moments.
-    arrivals: VecDeque<(Duration, u64)>,
-    /// Epoch of the pool's owner that counts them.
-    epoch: u64,
-    /// Thousandths of a core that its work takes now, waiting or running, and lasting tasks of it.
-    present: f64,
-    lasting: f64,
-    waiting: f64,
-    /// Work of a job, in thousandths of a core times s.
-    work_of_job: f64,
+    samples: VecDeque<(Duration, f64)>,
     /// VMs over which some step must be spread.
     spread: u32,
     /// VMs that it uses, and thousandths of a core that no worker was found for.
@@ -51,51 +36,27 @@
 impl Demand {
     /// Takes in a report.
     pub(crate) fn sample(&mut self, now: Duration, pool: &report::Pool) {
-        self.present = (pool.running_millis + pool.waiting_millis) as f64
+        let millis = (pool.running_millis + pool.waiting_millis) as f64
             + pool.blocked_millis as f64 * BLOCKED_SHARE;
-        self.lasting = pool.lasting_millis as f64;
-        self.waiting = pool.waiting_millis as f64;
-        self.work_of_job = pool.offered.work_of_job() / 1_000.0;
-        if pool.epoch != self.epoch {
-            self.epoch = pool.epoch;
-            self.arrivals.clear();
-        }
-        self.arrivals.push_back((now, pool.offered.jobs));
+        self.samples.push_back((now, millis));
         self.spread = pool.spread;
         let usable = pool.vms.iter().filter(|vm| vm.usable).count();
         self.usable = u32::try_from(usable).unwrap_or(u32::MAX);
         self.unplaced = pool.unplaced_millis;
         self.unplaced_lasting = pool.unplaced_lasting;
         self.priority = pool.priority;
-        while self.arrivals.front().is_some_and(|(at, _)| *at + WINDOW < now) {
-            self.arrivals.pop_front();
+        while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
+            self.samples.pop_front();
         }
     }
 
-    /// Jobs a second that will arrive when a move ordered now is through.
-    fn arrivals_ahead(&self) -> f64 {
-        let Some((first_at, first)) = self.arrivals.front() else { return 0.0 };
-        let Some((last_at, last)) = self.arrivals.back() else { return 0.0 };
-        let span = last_at.saturating_sub(*first_at);
-        let middle = *first_at + span / 2;
-        let Some((half_at, half)) = self.arrivals.iter().find(|(at, _)| *at >= middle) else {
-            return 0.0;
-        };
-        let rate = |jobs: u64, time: Duration| {
-            if time.is_zero() { 0.0 } else { jobs as f64 / time.as_secs_f64() }
-        };
-        let arrived = last.saturating_sub(*first);
-        let earlier = rate(half.saturating_sub(*first), half_at.saturating_sub(*first_at));
-        let later = rate(last.saturating_sub(*half), last_at.saturating_sub(*half_at));
-        let growth = (later - earlier).max(0.0) / (span.as_secs_f64() / 2.0).max(0.1);
-        let belief = arrived as f64 / (arrived as f64 + BELIEVED);
-        rate(arrived, span) + growth * belief * LEAD.as_secs_f64()
-    }
-
     /// Thousandths of a core that will be wanted when a move ordered now is through.
     pub(crate) fn forecast(&self) -> f64 {
-        let offered = self.arrivals_ahead() * self.work_of_job;
-        self.present.max(self.lasting + self.waiting + offered)
+        let Some((last_at, last)) = self.samples.back() else { return 0.0 };
+        let Some((first_at, first)) = self.samples.front() else { return 0.0 };
+        let span = last_at.saturating_sub(*first_at).as_secs_f64();
+        let growth = if span > 0.0 { ((last - first) / span).max(0.0) } else { 0.0 };
+        last + growth * LEAD.as_secs_f64()
     }
 
     /// VMs that the pool keeps whatever others want.
--- a/crates/crosspath_schedule/src/ends.rs
+++ b/crates/crosspath_schedule/src/ends.rs
@@ -31,13 +31,10 @@
             took.unwrap_or_default().as_millis()
         );
         let Some(step) = self.step_of(task) else { return };
-        let (lasting, estimate_ms) = (step.lasting, step.estimate_ms);
+        let lasting = step.lasting;
         self.save_checkpoint(now, ended);
         match how {
-            How::Done if !lasting => {
-                self.offered.done(took.unwrap_or_default(), estimate_ms);
-                self.task_done(now, id, task);
-            }
+            How::Done if !lasting => self.task_done(now, id, task),
             How::Failed if !lasting => self.task_failed(now, id, task, run),
             How::Failed => {
                 self.blame(now, id, BLAME_FAILED * 0.5);
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -43,7 +43,6 @@
             job.accepted.queue,
             age.as_millis()
         );
-        self.offered.arrived(&job.accepted.spec);
         self.jobs.insert(id, job);
     }
 
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -17,7 +17,6 @@
 mod jobs;
 pub mod lease;
 mod looks;
-pub mod offered;
 mod pace;
 mod place;
 pub mod report;
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::offered::Offered;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -30,16 +29,10 @@
 }
 
 /// A pool as its owner sees it.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pool {
     /// Reserved by what runs, in thousandths of a core.
     pub running_millis: u64,
-    /// Of that, by lasting tasks.
-    pub lasting_millis: u64,
-    /// Epoch of the owner that reports: figures that count up begin anew with it.
-    pub epoch: u64,
-    /// What its jobs ask for.
-    pub offered: Offered,
     /// Wanted by tasks whose turn has come and that have no place.
     pub waiting_millis: u64,
     /// Wanted by tasks for which no worker was found, in thousandths of a core.
@@ -70,21 +63,19 @@
     /// The pool for the fleet's owner.
     #[must_use]
     pub fn report(&self, now: Duration) -> Pool {
-        let mut pool = Pool { epoch: self.epoch, offered: self.offered, ..Pool::default() };
+        let mut pool = Pool::default();
         for worker in self.workers.values().filter(|worker| !self.is_doubtful_life(worker)) {
-            let lasting: Vec<_> = worker
+            let lasting = worker
                 .runs
-                .iter()
-                .filter(|((task, _), _)| self.step_of(*task).is_some_and(|step| step.lasting))
-                .collect();
+                .keys()
+                .filter(|(task, _)| self.step_of(*task).is_some_and(|step| step.lasting));
             pool.running_millis += worker.used.cpu_millis;
-            pool.lasting_millis += lasting.iter().map(|(_, room)| room.cpu_millis).sum::<u64>();
             pool.vms.push(Vm {
                 name: worker.entry.vm.clone(),
                 cpu_millis: worker.entry.capacity.cpu_millis,
                 used_millis: worker.used.cpu_millis,
                 tasks: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
-                lasting: u32::try_from(lasting.len()).unwrap_or(u32::MAX),
+                lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
                 usable: worker.is_usable(now),
                 // An end that is not kept yet would be lost with the worker.
                 known: worker.answers() && worker.ends_seen == worker.ends_acknowledged,
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -13,7 +13,6 @@
 use crate::event::Event;
 use crate::job::Job;
 use crate::lease::Terms;
-use crate::offered::Offered;
 use crate::place::{Key, Tickets};
 use crate::takeover::Settlement;
 use crate::worker::Worker;
@@ -55,7 +54,6 @@
     pub(crate) unplaced_millis: u64,
     /// Lasting tasks among those.
     pub(crate) unplaced_lasting: u32,
-    pub(crate) offered: Offered,
     /// When tasks were last placed.
     placed: Duration,
     /// Whether all workers are to be looked over.
@@ -85,7 +83,6 @@
             place_again: false,
             unplaced_millis: 0,
             unplaced_lasting: 0,
-            offered: Offered::default(),
             placed: Duration::ZERO,
             look_over: false,
             cancelled_early: BTreeSet::new(),
