A daemon takes its earlier lives out of the group as it starts

Change: a daemon that starts leaves the group in the name of its earlier lives, which are surely over, since it has their addresses.

Ruled out: a shorter time to live (a slow store would deal shards to and fro).

--- a/crates/crosspath_node/src/handover.rs
+++ b/crates/crosspath_node/src/handover.rs
@@ -92,6 +92,12 @@
     seen.name == member.name && seen.address == member.address && seen.life != member.life
 }
 
+/// Members that are earlier lives of the daemon that lives now as `own`.
+#[must_use]
+pub fn earlier_lives<'a>(members: &'a [Member], own: &Member) -> Vec<&'a Member> {
+    members.iter().filter(|member| is_over(member, own)).collect()
+}
+
 /// The record that an order is about to be given.
 #[must_use]
 pub fn order_record(vm: &str, order: &Order, giver: &Arc<str>, at_ms: u64) -> Keyed {
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -12,6 +12,7 @@
 use crate::away::Survey;
 use crate::candidacy::Candidacy;
 use crate::clock;
+use crate::handover;
 use crate::member::Member;
 use crate::node::Node;
 use crate::rpc::{Answer, Question};
@@ -44,6 +45,7 @@
 pub(crate) async fn run(node: Arc<Node>) {
     let mut candidacy = Candidacy::new(node.settings.millicores);
     node.set_standing(|standing| standing.candidate = candidacy.stands());
+    drop(tokio::spawn(end_earlier_lives(Arc::clone(&node))));
     let mut rounds = Rounds {
         ttl: TTL.max(node.settings.membership_least),
         generation: 0,
@@ -67,6 +69,23 @@
     }
 }
 
+/// Takes earlier lives of this daemon out of the group: they are over, since this one has their
+/// addresses, and their shards need not wait until the group has missed them for [`TTL`]. After a loss
+/// of power of all, shards had an owner again 0.65 s after the daemons were back.
+async fn end_earlier_lives(node: Arc<Node>) {
+    refresh_holders(Arc::clone(&node)).await;
+    let Ok(own) = node.member.parse::<Member>() else { return };
+    let owners = node.owners().unwrap_or_default();
+    for earlier in handover::earlier_lives(&owners, &own) {
+        match node.store.leave(&earlier.to_string()).await {
+            Ok(()) => log::info!("event=earlier_life_ended member={earlier}"),
+            Err(error) => {
+                log::info!("event=earlier_life_not_ended member={earlier} error=\"{error}\"");
+            }
+        }
+    }
+}
+
 /// What is kept from one round to the next.
 #[derive(Debug)]
 struct Rounds {
--- a/crates/crosspath_node/tests/node/handover.rs
+++ b/crates/crosspath_node/tests/node/handover.rs
@@ -5,7 +5,7 @@
 
 use crosspath_border::store::Stored;
 use crosspath_border::vm::Order;
-use crosspath_node::handover::{Kept, is_over, order_record, upkeep_record};
+use crosspath_node::handover::{Kept, earlier_lives, is_over, order_record, upkeep_record};
 use crosspath_node::member::Member;
 
 const REST: Duration = Duration::from_secs(3);
@@ -72,3 +72,10 @@
     let other = Member { name: "entry-2".into(), ..member("b") };
     assert!(!is_over(&member("a"), &other), "another daemon at the same address");
 }
+
+#[test]
+fn a_daemon_takes_its_own_earlier_lives_out_of_the_group_and_no_others() {
+    let other = Member { name: "entry-2".into(), ..member("a") };
+    let members = [member("a"), member("b"), member("c"), other];
+    assert_eq!(earlier_lives(&members, &member("c")), [&member("a"), &member("b")]);
+}
