--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -16,6 +16,7 @@
 use crosspath_border::store::{Error, Keyed};
 use crosspath_job::record::Record;
 use futures::future::{Either, join_all, select};
+use rand::seq::SliceRandom as _;
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -30,6 +31,14 @@
 const OWNER_PATIENCE: Duration = Duration::from_millis(300);
 /// For an append by the shard's owner while the store is slow: one under way, and the next.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// After which an owner says that records surely are not kept: some tries, and in time for the asking
+/// daemon to tell its caller when to come back.
+const OWNER_REFUSAL: Duration = Duration::from_millis(250);
+/// After which it says that it does not know; before the asking daemon stops waiting.
+const OWNER_DOUBT: Duration = Duration::from_millis(1_000);
+/// Other daemons that are asked to append in one try. Where the store turns away a third of the daemons,
+/// one in 27 tries fails and is repeated; where it turns away all, callers hear of it soon.
+const RELAYS: usize = 2;
 /// Records in one append at most; with a job of 4 KB far below the store's bound on a call.
 const MAX_RECORDS: usize = 128;
 
@@ -135,8 +144,7 @@
     records: Vec<Keyed>,
 ) -> Result<(), bool> {
     let now = clock::now();
-    let until = now + OWNER_TIMEOUT;
-    let patience = Patience { refused_at: until, doubted_until: until };
+    let patience = Patience { refused_at: now + OWNER_REFUSAL, doubted_until: now + OWNER_DOUBT };
     let waiters = records.iter().map(|record| {
         let (pending, waiter) = pending::pair(record.clone(), patience);
         sender(node, shard).send(pending).ok();
@@ -224,8 +232,10 @@
         Ok(()) => return Ok(()),
         Err(error) => error,
     };
-    for peer in node.other_daemons() {
-        match rpc::relay_append(node, peer, shard, records, rpc::TIMEOUT).await {
+    let mut peers = node.other_daemons();
+    let (some, _) = peers.partial_shuffle(&mut rand::rng(), RELAYS);
+    for peer in &*some {
+        match rpc::relay_append(node, *peer, shard, records, rpc::TIMEOUT).await {
             Ok(()) => return Ok(()),
             // What is in doubt once stays so.
             Err(other) if error.is_not_done() => error = other,
