The soak silences open connections to the store and to workers

Left: connections between daemons and from callers do not go through proxies yet, so they are not struck.

--- a/crates/crosspath_soak/src/faults.rs
+++ b/crates/crosspath_soak/src/faults.rs
@@ -17,6 +17,10 @@
 const LONGEST_MS: u64 = 4_000;
 /// Between two faults, in ms.
 const BETWEEN_MS: std::ops::Range<u64> = 150..1_500;
+/// Between two moments at which open connections go silent for good, in ms.
+const BETWEEN_SILENCES_MS: std::ops::Range<u64> = 1_000..5_000;
+/// Told apart from the seed of the other faults, which are drawn as without silences.
+const SILENCES_SEED: u64 = 0x51_1e_4c_e5;
 
 /// One fault.
 #[derive(Debug, Clone, Copy)]
@@ -71,6 +75,30 @@
 
 /// Strikes for a while; faults overlap. Their number.
 pub(crate) async fn strike(site: &Arc<Site>, seed: u64, length: Duration) -> usize {
+    let (others, silences) = tokio::join!(overlap(site, seed, length), silence(site, seed, length));
+    others + silences
+}
+
+/// Open connections to the store or to workers go silent for good, while new ones work.
+async fn silence(site: &Site, seed: u64, length: Duration) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed ^ SILENCES_SEED);
+    let until = tokio::time::Instant::now() + length;
+    let mut number = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(BETWEEN_SILENCES_MS))).await;
+        if tokio::time::Instant::now() >= until {
+            return number;
+        }
+        let to_store = rng.random_range(0..2) == 0;
+        let proxies = if to_store { &site.store_proxies } else { &site.worker_proxies };
+        let struck = proxies.iter().filter(|_| rng.random_range(0..2) == 0);
+        let struck = struck.map(crate::proxy::Proxy::silence_open).count();
+        log::info!("event=fault fault=SilenceOpen to_store={to_store} proxies={struck}");
+        number += 1;
+    }
+}
+
+async fn overlap(site: &Arc<Site>, seed: u64, length: Duration) -> usize {
     let mut rng = StdRng::seed_from_u64(seed);
     let until = tokio::time::Instant::now() + length;
     let mut under_way = Vec::new();
--- a/crates/crosspath_soak/src/proxy.rs
+++ b/crates/crosspath_soak/src/proxy.rs
@@ -1,9 +1,12 @@
 //! A loopback proxy that can harm the connections through it.
 
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures::future::{Either, select};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -34,9 +37,18 @@
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
     harm: Arc<Mutex<Harm>>,
+    connections: Arc<Connections>,
     task: JoinHandle<()>,
 }
 
+/// Connections through a proxy, numbered as they come.
+#[derive(Debug, Default)]
+struct Connections {
+    accepted: AtomicU64,
+    /// Those with a number below this say nothing more, either way; nothing resets them.
+    silent_below: AtomicU64,
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         self.task.abort();
@@ -52,8 +64,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let harm = Arc::<Mutex<Harm>>::default();
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&harm)));
-        Ok(Self { address, harm, task })
+        let connections = Arc::<Connections>::default();
+        let accepting = accept(listener, target, Arc::clone(&harm), Arc::clone(&connections));
+        let task = tokio::spawn(accepting);
+        Ok(Self { address, harm, connections, task })
+    }
+
+    /// Silences all open connections for good; new ones work.
+    pub(crate) fn silence_open(&self) {
+        let accepted = self.connections.accepted.load(Ordering::SeqCst);
+        self.connections.silent_below.store(accepted, Ordering::SeqCst);
     }
 
     /// Harms the connections for a while.
@@ -68,10 +88,33 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, harm: Arc<Mutex<Harm>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    harm: Arc<Mutex<Harm>>,
+    connections: Arc<Connections>,
+) {
     loop {
         let Ok((client, _)) = listener.accept().await else { continue };
-        drop(tokio::spawn(join(client, target, Arc::clone(&harm))));
+        let number = connections.accepted.fetch_add(1, Ordering::SeqCst);
+        let (harm, connections) = (Arc::clone(&harm), Arc::clone(&connections));
+        drop(tokio::spawn(async move {
+            let joined = pin!(join(client, target, harm));
+            let silenced = pin!(connections.silenced(number));
+            if let Either::Right(((), _held)) = select(joined, silenced).await {
+                // Neither side hears of an end.
+                std::future::pending::<()>().await;
+            }
+        }));
+    }
+}
+
+impl Connections {
+    /// Ends once a connection has gone silent.
+    async fn silenced(&self, number: u64) {
+        while number >= self.silent_below.load(Ordering::SeqCst) {
+            tokio::time::sleep(HELD_PAUSE).await;
+        }
     }
 }
 
