--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon's parts.
 
+mod appends;
 mod away;
 mod candidacy;
 mod claim;
