crosspath trace sums a job up: in time or not, its longest wait and why, a line a step

Cause: the story of one job printed a line for each of its tasks, lines of workers before the job used them, and shards by number only. Tests: three stories over saved logs, one of them over a takeover; the test of the whole story is as strict, and expects the end of the job too.

--- a/crates/crosspath/src/args.rs
+++ b/crates/crosspath/src/args.rs
@@ -111,6 +111,9 @@
     /// Print the story of one job, from saved logs of all daemons
     #[bpaf(command)]
     Trace {
+        /// Every line, of each task too, instead of a summary
+        #[bpaf(long)]
+        all: bool,
         /// Identifier of the job
         #[bpaf(positional("JOB"))]
         job: String,
--- a/crates/crosspath/src/commands.rs
+++ b/crates/crosspath/src/commands.rs
@@ -36,7 +36,7 @@
         Command::Wave(command) => wave::run(&api()?, format, command).await,
         Command::Explain { kind, name } => explain::run(&api()?, format, &id(kind, &name)?).await,
         Command::Status => status::run(&api()?, format).await,
-        Command::Trace { job, files } => trace::run(format, &job, &files),
+        Command::Trace { all, job, files } => trace::run(format, &job, &files, all),
         Command::Change { id } => change::run(&api()?, format, &id).await,
     }
 }
--- /dev/null
+++ b/crates/crosspath/src/commands/trace/summary.rs
@@ -0,0 +1,164 @@
+//! A job in some lines: whether it was in time, what it waited for, and how each step went.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::line::Line;
+
+/// Shortest wait of a task, in ms, that is worth a cause: a round of placing and a record of its place
+/// take some 50 ms.
+const NOTABLE_WAIT_MS: u64 = 100;
+
+/// What a task waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Cause {
+    /// Another daemon took the shard over meanwhile.
+    Takeover,
+    /// The log did not take the owner's records meanwhile.
+    Log,
+    /// No worker had room.
+    Room,
+}
+
+/// The longest wait of a task.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Wait {
+    ms: u64,
+    cause: Cause,
+}
+
+/// One step of one time of a job.
+#[derive(Debug, Default, Serialize)]
+struct Step {
+    name: String,
+    placed: u64,
+    done: u64,
+    /// Runs that ended otherwise or were given up.
+    other: u64,
+    longest_run_ms: u64,
+    longest_wait: Option<Wait>,
+}
+
+/// A job in some lines.
+#[derive(Debug, Serialize)]
+pub(crate) struct Summary {
+    verdict: String,
+    steps: Vec<Step>,
+    /// Lines of the job itself and of its shard.
+    lines: Vec<String>,
+}
+
+impl Summary {
+    /// Sums up the lines of a job's story.
+    pub(crate) fn new(story: &[&str]) -> Self {
+        let lines: Vec<_> = story.iter().filter_map(|text| Line::parse(text)).collect();
+        let steps = steps(&lines);
+        let of_tasks = |line: &&Line<'_>| line.value("task").is_some();
+        let of_workers = |line: &&Line<'_>| {
+            line.value("event").is_some_and(|event| event.starts_with("worker_"))
+        };
+        let kept = lines.iter().filter(|line| !of_tasks(line) && !of_workers(line));
+        let verdict = verdict(&lines, &steps);
+        Self { verdict, steps, lines: kept.map(|line| line.text.to_owned()).collect() }
+    }
+
+    /// The summary for people.
+    pub(crate) fn text(&self) -> String {
+        let steps = self.steps.iter().map(Step::text);
+        let lines = self.lines.iter().cloned();
+        let all: Vec<_> = [self.verdict.clone()].into_iter().chain(steps).chain(lines).collect();
+        all.join("\n")
+    }
+}
+
+impl Step {
+    fn text(&self) -> String {
+        let Self { name, placed, done, other, longest_run_ms, .. } = self;
+        let wait = match self.longest_wait {
+            Some(Wait { ms, cause }) if ms >= NOTABLE_WAIT_MS => {
+                format!("longest wait {ms} ms ({})", cause.text())
+            }
+            _ => "no wait".to_owned(),
+        };
+        format!(
+            "step {name}: {placed} runs placed, {done} done, {other} otherwise; {wait}; longest run \
+             {longest_run_ms} ms"
+        )
+    }
+}
+
+impl Cause {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Takeover => "its shard was taken over",
+            Self::Log => "the log did not take records",
+            Self::Room => "no worker with room",
+        }
+    }
+}
+
+/// Time and step of a task's name, `JOB.TIME.STEP.INDEX`.
+fn step_name(task: &str) -> Option<String> {
+    let mut parts = task.split('.').skip(1);
+    Some(format!("{}.{}", parts.next()?, parts.next()?))
+}
+
+fn steps(lines: &[Line<'_>]) -> Vec<Step> {
+    let mut steps: BTreeMap<String, Step> = BTreeMap::new();
+    for line in lines {
+        let Some(name) = line.value("task").and_then(step_name) else { continue };
+        let step = steps.entry(name.clone()).or_default();
+        step.name = name;
+        if line.is("run_placed") {
+            step.placed += 1;
+            let ms = line.number("waited_ms");
+            if step.longest_wait.is_none_or(|longest| ms > longest.ms) {
+                step.longest_wait = Some(Wait { ms, cause: cause(lines, line, ms) });
+            }
+        }
+        if line.is("run_ended") && line.value("how") == Some("Done") {
+            step.done += 1;
+            step.longest_run_ms = step.longest_run_ms.max(line.number("took_ms"));
+        }
+        let ended_otherwise = line.is("run_ended") && line.value("how") != Some("Done");
+        step.other += u64::from(ended_otherwise || line.is("run_over"));
+    }
+    steps.into_values().collect()
+}
+
+/// What a task waited for that was placed by `placed` after `waited_ms`; log lines tell whole seconds.
+fn cause(lines: &[Line<'_>], placed: &Line<'_>, waited_ms: u64) -> Cause {
+    let from = placed.at_s.saturating_sub(waited_ms.div_ceil(1_000));
+    let meanwhile = || lines.iter().filter(|line| (from..=placed.at_s).contains(&line.at_s));
+    if meanwhile().any(|line| line.is("shard_claimed") || line.is("taken_over")) {
+        return Cause::Takeover;
+    }
+    if meanwhile().any(|line| line.is("commit_failed")) {
+        return Cause::Log;
+    }
+    Cause::Room
+}
+
+fn verdict(lines: &[Line<'_>], steps: &[Step]) -> String {
+    let waits = steps.iter().filter_map(|step| Some((step, step.longest_wait?)));
+    let longest = waits.max_by_key(|(_, wait)| wait.ms);
+    let wait = match longest {
+        Some((step, Wait { ms, cause })) if ms >= NOTABLE_WAIT_MS => {
+            format!("; longest wait {ms} ms before step {} ({})", step.name, cause.text())
+        }
+        _ => String::new(),
+    };
+    let Some(end) = lines.iter().rfind(|line| line.is("job_ended")) else {
+        return format!("not ended in these logs{wait}");
+    };
+    let state = end.value("state").unwrap_or("ended").to_lowercase();
+    let (after, objective) = (end.number("after_ms"), end.number("objective_ms"));
+    let late = after.saturating_sub(objective);
+    match (objective, late) {
+        (0, _) => format!("{state} after {after} ms{wait}"),
+        (_, 0) => format!("{state} after {after} ms, in time for {objective} ms{wait}"),
+        _ => format!("{state} after {after} ms, {late} ms late for {objective} ms{wait}"),
+    }
+}
--- a/crates/crosspath/tests/cli/trace.rs
+++ b/crates/crosspath/tests/cli/trace.rs
@@ -3,9 +3,13 @@
 use std::process::{Command, Output};
 
 fn trace(job: &str, files: &[&str]) -> Output {
+    trace_with(&[], job, files)
+}
+
+fn trace_with(flags: &[&str], job: &str, files: &[&str]) -> Output {
     let fixture = |name: &&str| format!("{}/tests/cli/fixtures/{name}", env!("CARGO_MANIFEST_DIR"));
     let mut command = Command::new(env!("CARGO_BIN_EXE_crosspath"));
-    command.env_remove("CROSSPATH_SERVER").args(["trace", job]);
+    command.env_remove("CROSSPATH_SERVER").arg("trace").args(flags).arg(job);
     command.args(files.iter().map(fixture)).output().expect("the tool runs")
 }
 
@@ -18,9 +22,16 @@
 
 #[test]
 fn the_story_of_a_job_is_told_over_all_daemons_in_order() {
-    let output = trace("00000000000000a1", &["entry-a.log", "entry-b.log"]);
-    let told =
-        ["shard_claimed", "submit", "run_placed", "worker_silent", "run_placed", "run_ended"];
+    let output = trace_with(&["--all"], "00000000000000a1", &["entry-a.log", "entry-b.log"]);
+    let told = [
+        "shard_claimed",
+        "submit",
+        "run_placed",
+        "worker_silent",
+        "run_placed",
+        "run_ended",
+        "job_ended",
+    ];
     assert_eq!(events(&output), told, "neither the other job nor the worker that it did not use");
     assert_eq!(output.status.code(), Some(0));
 }
@@ -39,3 +50,29 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("none.log"));
 }
+
+#[test]
+fn a_summary_tells_whether_the_job_was_in_time_and_what_it_waited_for() {
+    let output = trace("00000000000000a1", &["entry-a.log", "entry-b.log"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!(
+        lines[..2],
+        [
+            "completed after 3100 ms, 600 ms late for 2500 ms; longest wait 900 ms before step 0.0 \
+             (no worker with room)",
+            "step 0.0: 2 runs placed, 1 done, 0 otherwise; longest wait 900 ms (no worker with \
+             room); longest run 700 ms",
+        ]
+    );
+    assert_eq!(events(&output), ["shard_claimed", "submit", "job_ended"], "no line of a task");
+}
+
+#[test]
+fn a_wait_over_a_takeover_is_told_as_such() {
+    let output = trace("00000000000000c3", &["entry-c.log"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let verdict = "not ended in these logs; longest wait 1800 ms before step 0.1 (its shard was \
+                   taken over)";
+    assert_eq!(text.lines().next(), Some(verdict));
+}
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -176,7 +176,8 @@
     for number in dealt {
         let unit = units.get(&number);
         if (number == node.fleet_shard() || unit.is_some()) && !owned.contains_key(&number) {
-            log::info!("event=shard_dealt shard={number}");
+            let of = unit.map_or_else(|| "fleet".to_owned(), ToString::to_string);
+            log::info!("event=shard_dealt shard={number} unit={of}");
             owned.insert(number, Handle::start(node, number, unit.cloned()));
         }
     }
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -220,7 +220,7 @@
         if let Some(ended) = scheduler(&self.shared).take() {
             self.node.note_left(self.number, ended.leave());
         }
-        log::info!("event=shard_left shard={}", self.number);
+        log::info!("event=shard_left shard={} unit={}", self.number, self.unit);
     }
 
     async fn newest(&self) -> (Vec<Stored>, u64) {
@@ -228,7 +228,11 @@
             match feed::newest(&self.node, shard_partition(self.number)).await {
                 Ok(found) => return found,
                 Err(error) => {
-                    log::info!("event=shard_unread shard={} error=\"{error}\"", self.number);
+                    log::info!(
+                        "event=shard_unread shard={} unit={} error=\"{error}\"",
+                        self.number,
+                        self.unit
+                    );
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -265,13 +269,13 @@
             let acts = self.node.may_act(now);
             if acts != may_act {
                 may_act = acts;
-                log::info!("event=may_act shard={} may_act={acts}", self.number);
+                log::info!("event=may_act shard={} unit={} may_act={acts}", self.number, self.unit);
                 events.push(Event::MayAct(acts));
             }
             let is_away = self.node.is_store_away(now);
             if is_away != away {
                 away = is_away;
-                log::info!("event=store_away shard={} away={away}", self.number);
+                log::info!("event=store_away shard={} unit={} away={away}", self.number, self.unit);
             }
             let Some(actions) = self.decide(now, &mut events, &mut gathers) else { return };
             for action in actions {
@@ -294,7 +298,7 @@
             scheduler.handle(now, wall_ms, event);
         }
         if scheduler.is_superseded() {
-            log::info!("event=shard_superseded shard={}", self.number);
+            log::info!("event=shard_superseded shard={} unit={}", self.number, self.unit);
             return None;
         }
         let actions = scheduler.decide(now, wall_ms);
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -138,8 +138,9 @@
     pub(crate) fn finish(&mut self, now: Duration, id: JobId, state: State) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         log::info!(
-            "event=job_ended job={id} state={state:?} after_ms={}",
-            now.saturating_sub(job.since).as_millis()
+            "event=job_ended job={id} state={state:?} after_ms={} objective_ms={}",
+            now.saturating_sub(job.since).as_millis(),
+            job.due().saturating_sub(job.since).as_millis()
         );
         job.state = state;
         job.ended = now;
