Daemons whose pools lack workers read the list of workers each 100 ms

Cause: a VM that was ordered to a pool in its turn waits up to 350 ms until the pool's owner reads of its worker.

Change: a daemon of whose pools one has tasks without a worker with room reads the list each 100 ms, else each 350 ms as before. Test: room.rs.

--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::map::Unit;
 use crate::node::{Node, only_partition};
+use crate::shard::Handle;
 use crate::table::Table;
 
 /// For which a read waits at the store. Short enough that a silent cut is noticed soon.
@@ -17,6 +18,9 @@
 /// Between reads of the worker list: some dozens of workers write every 1.5 s, and reading each
 /// record as it comes would cost a call for each.
 const WORKERS_PAUSE: Duration = Duration::from_millis(350);
+/// The same while an owned pool has work and no worker with room: VMs are on their way to it, and wait
+/// for this once they are there.
+const SHORT_PAUSE: Duration = Duration::from_millis(100);
 /// After a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -154,7 +158,8 @@
             }
         }
         if feed.is_started() {
-            tokio::time::sleep(WORKERS_PAUSE).await;
+            let lacks = node.owned().values().any(Handle::lacks_workers);
+            tokio::time::sleep(if lacks { SHORT_PAUSE } else { WORKERS_PAUSE }).await;
         }
     }
 }
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -108,6 +108,11 @@
         scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.waiting(queue))
     }
 
+    /// Whether some task waits for a worker with room.
+    pub(crate) fn lacks_workers(&self) -> bool {
+        scheduler(&self.scheduler).as_ref().is_some_and(Scheduler::lacks_workers)
+    }
+
     pub(crate) fn report(&self, vacate: BTreeSet<Arc<str>>) -> Option<report::Pool> {
         let mut shared = scheduler(&self.scheduler);
         let scheduler = shared.as_mut()?;
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -102,6 +102,12 @@
         self.commits.gathers() || (self.place_again && !self.waiting.is_empty())
     }
 
+    /// Whether some task waits for a worker with room.
+    #[must_use]
+    pub fn lacks_workers(&self) -> bool {
+        self.unplaced_millis > 0 && !self.waiting.is_empty()
+    }
+
     /// State of a job as it is kept; none when it is not known.
     #[must_use]
     pub fn state(&self, job: JobId) -> Option<State> {
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -6,6 +6,7 @@
 mod form;
 mod lasting;
 mod model;
+mod room;
 mod stall;
 mod takeover;
 mod world;
