A refusal of a repeated request does not hide a try that may have had its effect

Found in review: a request that may be repeated was sent again while its first answer was overdue; where the second try was refused (503), the call said that nothing was done, though the first may have been carried out. A caller could have been told that its job was not taken while it was.

Change: a refusal tells the fate of its own try only; while another may have had its effect, or yet have it, the call has no answer. Test: a_refusal_does_not_hide_a_try_that_may_have_had_its_effect fails before, passes after.

--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -262,12 +262,15 @@
     async fn tries(&self, request: &Request<Full<Bytes>>, wait: Duration) -> Result<Answer, Error> {
         let mut tries = FuturesUnordered::new();
         let mut overdue = self.latency().overdue();
-        let mut failed = Vec::new();
+        let mut failed = Failures::default();
         for _ in 0..MOST_TRIES {
             tries.push(self.observed(request.clone(), wait));
             match tokio::time::timeout(wait + overdue, tries.next()).await {
-                Ok(Some(Ok(answer))) => return Ok(answer),
-                Ok(Some(Err(error))) => failed.push(error),
+                Ok(Some(result)) => {
+                    if let Some(answer) = failed.sift(result, !tries.is_empty()) {
+                        return Ok(answer);
+                    }
+                }
                 Ok(None) | Err(_) => {
                     log::info!(
                         "event=answer_overdue server={} after_ms={}",
@@ -283,16 +286,16 @@
             self.renew();
         }
         while let Some(result) = tries.next().await {
-            match result {
-                Ok(answer) => return Ok(answer),
-                Err(error) => failed.push(error),
+            if let Some(answer) = failed.sift(result, !tries.is_empty()) {
+                return Ok(answer);
             }
         }
-        let was_sent = |error: &Error| !matches!(error, Error::NotSent { .. });
         let address = self.address;
-        // One that may have had its effect tells more than those that surely had none.
-        let doubtful = failed.into_iter().find(was_sent);
-        Err(doubtful.unwrap_or(Error::NotSent { address }))
+        if failed.doubtful {
+            NoAnswerSnafu { address }.fail()
+        } else {
+            NotSentSnafu { address }.fail()
+        }
     }
 
     /// An exchange whose time is noted, unless the server was asked to wait.
@@ -338,6 +341,41 @@
     }
 }
 
+/// What became of tries of one request that gave no answer to return.
+#[derive(Debug, Default)]
+struct Failures {
+    /// Whether one of them may have had its effect.
+    doubtful: bool,
+}
+
+impl Failures {
+    /// The answer of a try, if it tells the fate of the request. A refusal tells that of its own try
+    /// only, so it is no answer while another may have had its effect, or yet have it.
+    fn sift(&mut self, result: Result<Answer, Error>, others_under_way: bool) -> Option<Answer> {
+        match result {
+            Ok(answer) if is_refusal(answer.head.status) && (self.doubtful || others_under_way) => {
+                self.doubtful = true;
+                None
+            }
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                self.doubtful |= !matches!(error, Error::NotSent { .. });
+                None
+            }
+        }
+    }
+}
+
+/// Whether a status says that the server has done nothing for now.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::INSUFFICIENT_STORAGE
+    )
+}
+
 fn encode(body: Option<&impl Serialize>) -> Bytes {
     let bytes = body.map(|body| serde_json::to_vec(body).expect("requests have a JSON form"));
     bytes.unwrap_or_default().into()
--- a/crates/crosspath_http/tests/http/repeat.rs
+++ b/crates/crosspath_http/tests/http/repeat.rs
@@ -20,13 +20,23 @@
     requests: AtomicUsize,
     lost: usize,
     takes: Duration,
+    /// Head of the answers that are not lost.
+    head: &'static str,
 }
 
 impl Server {
     async fn start(lost: usize, takes: Duration) -> (Arc<Self>, SocketAddr) {
+        Self::answering(lost, takes, "HTTP/1.1 200 OK").await
+    }
+
+    async fn answering(
+        lost: usize,
+        takes: Duration,
+        head: &'static str,
+    ) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let server = Arc::new(Self { requests: AtomicUsize::new(0), lost, takes });
+        let server = Arc::new(Self { requests: AtomicUsize::new(0), lost, takes, head });
         drop(tokio::spawn(Arc::clone(&server).accept(listener)));
         (server, address)
     }
@@ -48,8 +58,8 @@
             if number < self.lost {
                 std::future::pending::<()>().await;
             }
-            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnull";
-            if stream.write_all(answer).await.is_err() {
+            let answer = format!("{}\r\ncontent-length: 4\r\n\r\nnull", self.head);
+            if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
         }
@@ -109,3 +119,23 @@
     let answer = send(&client, TIMEOUT, Duration::ZERO).await;
     assert!(matches!(answer, Err(Error::NotSent { .. })), "{answer:?}");
 }
+
+/// For calls whose first answer is lost, which are given up in the end.
+const SOON: Duration = Duration::from_secs(2);
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable";
+
+#[tokio::test]
+async fn a_refusal_is_told_where_nothing_else_was_sent() {
+    let (_server, address) = Server::answering(0, Duration::ZERO, REFUSAL).await;
+    let client = Client::new(address, TIMEOUT);
+    let answer = send(&client, TIMEOUT, Duration::ZERO).await.expect("an answer");
+    assert_eq!(answer.head.status, 503);
+}
+
+#[tokio::test]
+async fn a_refusal_does_not_hide_a_try_that_may_have_had_its_effect() {
+    let (_server, address) = Server::answering(1, Duration::ZERO, REFUSAL).await;
+    let client = Client::new(address, TIMEOUT);
+    let answer = send(&client, SOON, Duration::ZERO).await;
+    assert!(matches!(answer, Err(Error::NoAnswer { .. })), "{answer:?}");
+}
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -132,17 +132,12 @@
 }
 
 /// What an append that failed says of its records.
-fn outcome_of(error: Error) -> Outcome {
+pub(crate) fn outcome_of(error: Error) -> Outcome {
     if error.is_not_done() { Outcome::NotKept } else { Outcome::Unknown }
 }
 
-/// Appends what other daemons were asked for, with what this one was asked for. What is not kept may be
-/// known to be so: the error says whether it surely is not.
-pub(crate) async fn append_as_owner(
-    node: &Arc<Node>,
-    shard: u32,
-    records: Vec<Keyed>,
-) -> Result<(), bool> {
+/// Appends what another daemon was asked for, with what this one was asked for; one outcome for all.
+pub(crate) async fn append_as_owner(node: &Arc<Node>, shard: u32, records: Vec<Keyed>) -> Outcome {
     let now = clock::now();
     let patience = Patience { refused_at: now + OWNER_REFUSAL, doubted_until: now + OWNER_DOUBT };
     let waiters = records.iter().map(|record| {
@@ -151,11 +146,8 @@
         waiter.outcome(now)
     });
     let outcomes = join_all(waiters).await;
-    if outcomes.iter().all(|outcome| *outcome == Outcome::Kept) {
-        return Ok(());
-    }
-    // Together they were asked for, so together they are answered.
-    Err(outcomes.iter().all(|outcome| *outcome == Outcome::NotKept))
+    let first = outcomes.first().copied().unwrap_or(Outcome::Kept);
+    if outcomes.iter().all(|outcome| *outcome == first) { first } else { Outcome::Unknown }
 }
 
 /// Appends through the shard's owner, or else directly or through any daemon that the store serves.
--- a/crates/crosspath_node/src/contact.rs
+++ b/crates/crosspath_node/src/contact.rs
@@ -10,7 +10,7 @@
 use crosspath_http::latency::Latency;
 
 /// A call without an answer for so long, and no other answer meanwhile, shows a silent store: one that
-/// is slow takes some 420 ms (incident inc-0822 of cua-cobros).
+/// is slow takes some 420 ms.
 const SILENCE: Duration = Duration::from_millis(800);
 /// Time of an answer from which the store is slow: it takes some 10 ms when it is well.
 const SLOW: Duration = Duration::from_millis(60);
--- a/crates/crosspath_node/src/pending.rs
+++ b/crates/crosspath_node/src/pending.rs
@@ -1,7 +1,7 @@
 //! A record that is to be appended, and the caller that waits for what becomes of it.
 //!
-//! An append may take longer than the caller waits, most of all behind others while the store is slow
-//! (incident inc-cec5 of mgta-crosspath-grown). The caller takes back a record that was not sent yet:
+//! An append may take longer than the caller waits, most of all behind others while the store is slow.
+//! The caller takes back a record that was not sent yet:
 //! it is then never sent, and the refusal is true. What was sent stays in doubt.
 
 use std::sync::Arc;
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -22,6 +22,7 @@
 use crate::appender;
 use crate::clock;
 use crate::node::Node;
+use crate::pending::Outcome;
 
 /// A peer is at most some ms away; one that does not answer within this is asked no longer.
 pub(crate) const TIMEOUT: Duration = Duration::from_millis(500);
@@ -208,11 +209,13 @@
     let outcome = if node.owned().contains_key(&shard) {
         appender::append_as_owner(node, shard, records).await
     } else {
-        node.append(shard, &records).await.map_err(|error| error.is_not_done())
+        let appended = node.append(shard, &records).await;
+        appended.map_or_else(appender::outcome_of, |()| Outcome::Kept)
     };
     match outcome {
-        Ok(()) => Answer::Appended,
-        Err(surely) => Answer::NotAppended { surely },
+        Outcome::Kept => Answer::Appended,
+        Outcome::NotKept => Answer::NotAppended { surely: true },
+        Outcome::Unknown => Answer::NotAppended { surely: false },
     }
 }
 
