Records that wait for a slow store are taken back later, and not appended past their owner

Change: a record may wait unsent for 0.3 of the caller's patience (800 ms at an owner) and is then taken back (Unsent), which nobody appends past the owner; refusals of the store keep their shorter bound.

--- a/crates/crosspath_http/src/latency.rs
+++ b/crates/crosspath_http/src/latency.rs
@@ -40,12 +40,6 @@
         self.deviation += WEIGHT * (distance.abs() - self.deviation);
     }
 
-    /// Moving mean of the time that answers take; 0 before the first.
-    #[must_use]
-    pub fn mean(&self) -> Duration {
-        Duration::from_secs_f64(self.mean.unwrap_or_default().max(0.0))
-    }
-
     /// Time after which an answer is overdue.
     #[must_use]
     pub fn overdue(&self) -> Duration {
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -22,7 +22,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::pending::{self, Outcome, Patience, Pending};
-use crate::rpc::{self, Question};
+use crate::rpc::{self, Failure, Question};
 
 /// Between tries of an append that was refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -31,6 +31,9 @@
 const OWNER_PATIENCE: Duration = Duration::from_millis(300);
 /// For an append by the shard's owner while the store is slow: one under way, and the next.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// After which an owner takes records back that wait for a slow store: an append that takes 0.4 s is
+/// under way, and the one for them would end too late for the callers.
+const OWNER_WAIT: Duration = Duration::from_millis(800);
 /// After which an owner says that records surely are not kept: some tries, and in time for the asking
 /// daemon to tell its caller when to come back.
 const OWNER_REFUSAL: Duration = Duration::from_millis(250);
@@ -139,7 +142,11 @@
 /// Appends what another daemon was asked for, with what this one was asked for; one outcome for all.
 pub(crate) async fn append_as_owner(node: &Arc<Node>, shard: u32, records: Vec<Keyed>) -> Outcome {
     let now = clock::now();
-    let patience = Patience { refused_at: now + OWNER_REFUSAL, doubted_until: now + OWNER_DOUBT };
+    let patience = Patience {
+        waits_until: now + OWNER_WAIT,
+        refused_at: now + OWNER_REFUSAL,
+        doubted_until: now + OWNER_DOUBT,
+    };
     let waiters = records.iter().map(|record| {
         let (pending, waiter) = pending::pair(record.clone(), patience);
         sender(node, shard).send(pending).ok();
@@ -155,16 +162,14 @@
     let owner = node.holder(shard).filter(|_| !node.owned().contains_key(&shard));
     let by_any = async || append_by_any(node, shard, records).await.map(|()| By::Other);
     let Some(owner) = owner else { return by_any().await };
-    let sent = clock::now();
     let by_owner = pin!(rpc::relay_append(node, owner, shard, records, OWNER_TIMEOUT));
     let by_owner = match select(by_owner, pin!(owner_is_silent(node, owner))).await {
-        Either::Left((Ok(()), _)) => {
-            node.store_took(clock::now().saturating_sub(sent));
-            return Ok(By::Owner);
-        }
-        Either::Left((Err(error), _)) => {
+        Either::Left((Ok(()), _)) => return Ok(By::Owner),
+        // Appended by each daemon, they would hold the store up even more.
+        Either::Left((Err(failure @ Failure::Unsent), _)) => return Err(failure.into()),
+        Either::Left((Err(failure), _)) => {
             node.holders_doubted.notify_one();
-            return by_any().await.map_err(|other| worse(error, other));
+            return by_any().await.map_err(|other| worse(failure.into(), other));
         }
         Either::Right(((), by_owner)) => by_owner,
     };
@@ -172,9 +177,11 @@
     match select(by_owner, pin!(by_any())).await {
         Either::Left((Ok(()), _)) => Ok(By::Owner),
         Either::Right((Ok(by), _)) => Ok(by),
-        Either::Left((Err(error), other)) => other.await.map_err(|other| worse(error, other)),
+        Either::Left((Err(failure), other)) => {
+            other.await.map_err(|other| worse(failure.into(), other))
+        }
         Either::Right((Err(error), other)) => {
-            other.await.map(|()| By::Owner).map_err(|other| worse(error, other))
+            other.await.map(|()| By::Owner).map_err(|failure| worse(error, failure.into()))
         }
     }
 }
@@ -229,9 +236,7 @@
     for peer in &*some {
         match rpc::relay_append(node, *peer, shard, records, rpc::TIMEOUT).await {
             Ok(()) => return Ok(()),
-            // What is in doubt once stays so.
-            Err(other) if error.is_not_done() => error = other,
-            Err(_) => {}
+            Err(failure) => error = worse(error, failure.into()),
         }
     }
     Err(error)
--- a/crates/crosspath_node/src/contact.rs
+++ b/crates/crosspath_node/src/contact.rs
@@ -1,19 +1,13 @@
-//! Whether the store answers this daemon, and how fast.
+//! Whether the store answers this daemon.
 //!
 //! A store that is silent leaves each append in doubt, and the caller with an answer that forbids it
 //! to try again. Once the silence is noticed, nothing more is sent that could be in doubt.
-//!
-//! From a store that is slow an answer is waited for longer.
 
 use std::time::Duration;
 
-use crosspath_http::latency::Latency;
-
 /// A call without an answer for so long, and no other answer meanwhile, shows a silent store: one that
 /// is slow takes some 420 ms.
 const SILENCE: Duration = Duration::from_millis(800);
-/// Time of an answer from which the store is slow: it takes some 10 ms when it is well.
-const SLOW: Duration = Duration::from_millis(60);
 
 /// Calls and answers of the store.
 #[derive(Debug, Default, Clone, Copy)]
@@ -22,7 +16,6 @@
     waiting_since: Option<Duration>,
     /// When the store last answered.
     answered: Duration,
-    latency: Latency,
 }
 
 impl Contact {
@@ -37,18 +30,6 @@
         self.answered = now;
     }
 
-    /// The store took so long to answer a call that it answers at once when it is well.
-    pub fn took(&mut self, took: Duration) {
-        self.latency.observe(took);
-    }
-
-    /// Whether the store lately took long to answer, or has not answered for as long.
-    #[must_use]
-    pub fn is_slow(&self, now: Duration) -> bool {
-        let waits = self.waiting_since.is_some_and(|since| now >= since + SLOW);
-        waits || self.latency.mean() >= SLOW
-    }
-
     /// When the store last answered.
     #[must_use]
     pub fn last_answer(&self) -> Duration {
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -24,9 +24,9 @@
 /// Share of it after which a job that surely is not kept is refused, so that the caller can come
 /// back in time. Two or three tries, each of which also goes through other daemons.
 const REFUSAL_PATIENCE: f64 = 0.15;
-/// The same while the store answers slowly: the record may have to wait for one append under way, and
-/// is better served by the next than by coming back.
-const SLOW_REFUSAL_PATIENCE: f64 = 0.3;
+/// Share of it after which a job that was not sent yet is taken back: while the store is slow it waits
+/// for an append under way, and is better served by the next than by coming back.
+const WAIT_PATIENCE: f64 = 0.3;
 /// Between questions to a holder that is not known or is taking over.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
@@ -68,12 +68,11 @@
         if self.node.is_store_silent(clock::now()) { SILENT_RETRY_AFTER_S } else { RETRY_AFTER_S }
     }
 
-    fn patience(&self, within: Duration) -> Patience {
+    fn patience(within: Duration) -> Patience {
         let now = clock::now();
-        let slow = self.node.is_store_slow(now);
-        let refusal = if slow { SLOW_REFUSAL_PATIENCE } else { REFUSAL_PATIENCE };
         Patience {
-            refused_at: now + within.mul_f64(refusal),
+            waits_until: now + within.mul_f64(WAIT_PATIENCE),
+            refused_at: now + within.mul_f64(REFUSAL_PATIENCE),
             doubted_until: now + within.mul_f64(PATIENCE),
         }
     }
@@ -186,7 +185,7 @@
             spec,
         };
         let record = Record::Accepted(job, Arc::new(accepted));
-        let patience = self.patience(within);
+        let patience = Self::patience(within);
         let outcome = appender::append(&self.node, shard, &record, patience).await;
         let took = clock::now().saturating_sub(began);
         log::info!(
@@ -197,7 +196,9 @@
         self.node.metrics.called(Call::Submit, &queue.name, took);
         match outcome {
             Outcome::Kept => Submitted::Accepted,
-            Outcome::NotKept => Submitted::NotTaken { retry_after_s: self.retry_after_s() },
+            Outcome::NotKept | Outcome::Unsent => {
+                Submitted::NotTaken { retry_after_s: self.retry_after_s() }
+            }
             Outcome::Unknown => Submitted::Unknown,
         }
     }
@@ -223,7 +224,7 @@
         };
         let record = Record::Cancelled(job);
         // A cancel is worth as many tries as the caller waits for.
-        let patience = Patience { refused_at: until, doubted_until: until };
+        let patience = Patience { waits_until: until, refused_at: until, doubted_until: until };
         let appends =
             shards.iter().map(|shard| appender::append(&self.node, *shard, &record, patience));
         let outcomes = join_all(appends).await;
@@ -234,7 +235,9 @@
         self.node.metrics.called(Call::Cancel, &queue.name, took);
         match outcome {
             Outcome::Kept => Cancelled::Done,
-            Outcome::NotKept => Cancelled::Unavailable { retry_after_s: self.retry_after_s() },
+            Outcome::NotKept | Outcome::Unsent => {
+                Cancelled::Unavailable { retry_after_s: self.retry_after_s() }
+            }
             Outcome::Unknown => Cancelled::Unknown,
         }
     }
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -108,7 +108,7 @@
         let timeout = if node.is_store_away(sent) { AWAY_TIMEOUT } else { TIMEOUT };
         match tokio::time::timeout(timeout, node.store.join(&join)).await {
             Ok(Ok(membership)) => {
-                node.store_answered_at_once(sent, clock::now());
+                node.store_answers(clock::now());
                 node.set_standing(|standing| standing.until = sent + ttl - MARGIN);
                 let changed = membership.generation != generation;
                 self.generation = membership.generation;
@@ -211,11 +211,10 @@
 }
 
 async fn refresh_holders(node: Arc<Node>) {
-    let sent = clock::now();
-    node.store_asked(sent);
+    node.store_asked(clock::now());
     match node.store.holders().await {
         Ok(holders) => {
-            node.store_answered_at_once(sent, clock::now());
+            node.store_answers(clock::now());
             let known = holders.into_iter().filter_map(|holder| {
                 let member: Result<Member, _> = holder.member.parse();
                 let member = member.inspect_err(|error| {
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -223,37 +223,19 @@
         lock(&self.standing).contact.is_silent(now)
     }
 
-    /// Whether the store answers this daemon slowly.
-    pub(crate) fn is_store_slow(&self, now: Duration) -> bool {
-        lock(&self.standing).contact.is_slow(now)
-    }
-
     /// The store has answered.
     pub(crate) fn store_answers(&self, now: Duration) {
         lock(&self.standing).contact.answered(now);
     }
 
-    /// An append through a shard's owner took so long.
-    pub(crate) fn store_took(&self, took: Duration) {
-        lock(&self.standing).contact.took(took);
-    }
-
-    /// The store has answered a call, sent at `sent`, that it answers at once when it is well.
-    pub(crate) fn store_answered_at_once(&self, sent: Duration, now: Duration) {
-        let mut standing = lock(&self.standing);
-        standing.contact.answered(now);
-        standing.contact.took(now.saturating_sub(sent));
-    }
-
     /// Appends records of callers to a shard; nothing is sent to a silent store.
     pub(crate) async fn append(&self, shard: u32, records: &[Keyed]) -> Result<(), Error> {
         if self.is_store_silent(clock::now()) {
             return Err(Error::NotReached);
         }
-        let sent = clock::now();
-        self.store_asked(sent);
+        self.store_asked(clock::now());
         self.store.append(shard_partition(shard), records, Guard::Free).await?;
-        self.store_answered_at_once(sent, clock::now());
+        self.store_answers(clock::now());
         Ok(())
     }
 
--- a/crates/crosspath_node/src/pending.rs
+++ b/crates/crosspath_node/src/pending.rs
@@ -15,6 +15,8 @@
 /// For how long a record is tried; times of the process's clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Patience {
+    /// While it waits for others to be sent; then it is taken back.
+    pub waits_until: Duration,
     /// While it surely is not kept: the caller is better off being told so.
     pub refused_at: Duration,
     /// While it may be kept: repeating it may yet tell.
@@ -28,6 +30,8 @@
     Kept,
     /// It surely is not, and never will be.
     NotKept,
+    /// The same, since it was taken back before it was sent: the store is slow.
+    Unsent,
     /// That is not known.
     Unknown,
 }
@@ -93,15 +97,15 @@
 impl Waiter {
     /// What becomes of the record, by the end of the caller's patience.
     pub async fn outcome(mut self, now: Duration) -> Outcome {
-        let Patience { refused_at, doubted_until } = self.patience;
-        let first = refused_at.saturating_sub(now);
+        let Patience { waits_until, doubted_until, .. } = self.patience;
+        let first = waits_until.saturating_sub(now);
         if let Ok(told) = timeout(first, &mut self.outcome).await {
             return told.unwrap_or(Outcome::Unknown);
         }
         if !self.taken.swap(true, Ordering::AcqRel) {
-            return Outcome::NotKept;
+            return Outcome::Unsent;
         }
-        let rest = doubted_until.saturating_sub(now.max(refused_at));
+        let rest = doubted_until.saturating_sub(now.max(waits_until));
         match timeout(rest, self.outcome).await {
             Ok(told) => told.unwrap_or(Outcome::Unknown),
             Err(_) => Outcome::Unknown,
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -70,6 +70,8 @@
     Heard,
     /// Records were not appended; whether that is sure.
     NotAppended { surely: bool },
+    /// Records were taken back before they were sent: the store is slow.
+    Unsent,
     /// Ms since the store last answered.
     Store { answered_ms_ago: u64 },
     /// The member text of this life.
@@ -112,6 +114,24 @@
     }
 }
 
+/// Why a peer has not appended.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// It has taken the records back before they were sent: the store is slow, for others too.
+    Unsent,
+    /// It could not, or it is not known whether it has.
+    Failed(Error),
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Unsent => Self::NotReached,
+            Failure::Failed(error) => error,
+        }
+    }
+}
+
 /// Appends through a peer, who may take until `timeout` for it.
 pub(crate) async fn relay_append(
     node: &Node,
@@ -119,16 +139,17 @@
     shard: u32,
     records: &[Keyed],
     timeout: Duration,
-) -> Result<(), Error> {
+) -> Result<(), Failure> {
     let text =
         |record: &Keyed| (record.key.clone(), String::from_utf8_lossy(&record.value).into_owned());
     let records = records.iter().map(text).collect();
     match node.peers.ask_to_append(peer, &Question::Append { shard, records }, timeout).await {
         Ok(Answer::Appended) => Ok(()),
         Ok(Answer::NotAppended { surely: true }) | Err(CallError::NotSent { .. }) => {
-            Err(Error::NotReached)
+            Err(Failure::Failed(Error::NotReached))
         }
-        _ => Err(Error::NoAnswer),
+        Ok(Answer::Unsent) => Err(Failure::Unsent),
+        _ => Err(Failure::Failed(Error::NoAnswer)),
     }
 }
 
@@ -215,6 +236,7 @@
     match outcome {
         Outcome::Kept => Answer::Appended,
         Outcome::NotKept => Answer::NotAppended { surely: true },
+        Outcome::Unsent => Answer::Unsent,
         Outcome::Unknown => Answer::NotAppended { surely: false },
     }
 }
