Nothing is appended past an owner that waits for the store

Change: an owner's "unsent" and "unanswered" end the try; daemons append by themselves only where the owner was refused or does not answer. An answer is overdue after 2 s at most instead of 0.6, so that calls are not repeated at a server that takes this long.

--- a/crates/crosspath_http/src/latency.rs
+++ b/crates/crosspath_http/src/latency.rs
@@ -9,8 +9,9 @@
 const FIRST_OVERDUE: Duration = Duration::from_millis(300);
 /// Never overdue sooner: a daemon on a slow VM takes some 50 ms for an answer that takes 5 else.
 const LEAST_OVERDUE: Duration = Duration::from_millis(150);
-/// Always overdue by then, so that a few tries fit into a call's time-out.
-const MOST_OVERDUE: Duration = Duration::from_millis(600);
+/// Always overdue by then: above the time-outs of calls, since a server that takes this long is only
+/// made slower by repeating what it was asked.
+const MOST_OVERDUE: Duration = Duration::from_millis(2_000);
 /// Weight of the last answer in mean and deviation: a server that turns slow is known as such after
 /// some three answers.
 const WEIGHT: f64 = 0.3;
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -166,7 +166,9 @@
     let by_owner = match select(by_owner, pin!(owner_is_silent(node, owner))).await {
         Either::Left((Ok(()), _)) => return Ok(By::Owner),
         // Appended by each daemon, they would hold the store up even more.
-        Either::Left((Err(failure @ Failure::Unsent), _)) => return Err(failure.into()),
+        Either::Left((Err(failure @ (Failure::Unsent | Failure::Unanswered)), _)) => {
+            return Err(failure.into());
+        }
         Either::Left((Err(failure), _)) => {
             node.holders_doubted.notify_one();
             return by_any().await.map_err(|other| worse(failure.into(), other));
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -119,6 +119,8 @@
 pub(crate) enum Failure {
     /// It has taken the records back before they were sent: the store is slow, for others too.
     Unsent,
+    /// It has sent them, and has no answer yet.
+    Unanswered,
     /// It could not, or it is not known whether it has.
     Failed(Error),
 }
@@ -127,6 +129,7 @@
     fn from(failure: Failure) -> Self {
         match failure {
             Failure::Unsent => Self::NotReached,
+            Failure::Unanswered => Self::NoAnswer,
             Failure::Failed(error) => error,
         }
     }
@@ -149,6 +152,7 @@
             Err(Failure::Failed(Error::NotReached))
         }
         Ok(Answer::Unsent) => Err(Failure::Unsent),
+        Ok(Answer::NotAppended { surely: false }) => Err(Failure::Unanswered),
         _ => Err(Failure::Failed(Error::NoAnswer)),
     }
 }
