An owner speaks for leases as of when it leaves; its side of the log in a file of its own

Found in review: an owner that left a shard gave the end of a silent worker's leases by the last look that was answered or had failed. An order could fail while a look that extended leases was on its way to the same worker, and the next owner, if the worker then fell silent to it, would have started its tasks up to 2 s too early (TWICE).

Change: each worker that the owner has looked at counts as extended until it left; workers that it never saw keep the end that it was told. The wait of a rack that stays dark still ends with one owner after the other (tests: with_an_owner_after_the_other_the_wait_ends_all_the_same, a_worker_that_its_owner_has_looked_at_may_have_heard_that_until_the_owner_left; the two tests of the bound before are replaced by these three, over any number of owners).

--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -23,7 +23,7 @@
 use crate::member::Member;
 use crate::node::{Node, only_partition, shard_partition};
 use crate::rpc::{self, Answer, Question};
-use crate::shard;
+use crate::shard_log;
 
 /// Between rounds. A pool's turn comes within a second, and what it lacks is known a round later: with
 /// 200 ms and a list each 400 ms, the mean worth of 30 days with trouble on 49 VMs was 0.573, with these
@@ -326,7 +326,7 @@
         self.sequence += 1;
         let guard = Guard::Owner { epoch: self.claimed.epoch, sequence: self.sequence };
         let partition = shard_partition(self.node.fleet_shard());
-        shard::append_owned(&self.node, partition, &records, guard).await
+        shard_log::append_owned(&self.node, partition, &records, guard).await
     }
 
     async fn tell_waves(&mut self, completed: &[u64]) {
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -26,6 +26,7 @@
 mod rpc;
 pub mod settings;
 mod shard;
+mod shard_log;
 mod table;
 mod watch;
 
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -79,7 +79,7 @@
     /// Rung when a holder did not answer as one.
     pub(crate) holders_doubted: Notify,
     owned: Mutex<BTreeMap<u32, Handle>>,
-    /// What was known of silent workers of shards when they were left.
+    /// What was known of leases in shards when they were left.
     left: Mutex<HashMap<u32, Legacy>>,
     standing: Mutex<Standing>,
 }
@@ -194,16 +194,16 @@
     /// This daemon leaves a shard: nothing of it is ordered or kept after this.
     pub(crate) fn leave_shard(&self, shard: u32, handle: &Handle) {
         if let Some(ended) = handle.stop() {
-            self.note_left(shard, ended.leave());
+            self.note_left(shard, ended.leave(clock::now()));
         }
     }
 
-    /// Keeps what was known of silent workers of a shard that is left.
+    /// Keeps what was known of leases in a shard that is left.
     pub(crate) fn note_left(&self, shard: u32, legacy: Legacy) {
         lock(&self.left).insert(shard, legacy);
     }
 
-    /// What was known of silent workers of a shard when this daemon left it, as its owner in `epoch`.
+    /// What was known of leases in a shard when this daemon left it, as its owner in `epoch`.
     pub(crate) fn left(&self, shard: u32, epoch: u64) -> Option<Legacy> {
         let left = lock(&self.left).get(&shard).cloned();
         left.filter(|legacy| legacy.epoch == epoch)
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -50,7 +50,7 @@
     Store,
     /// Which life of the daemon this is.
     Life,
-    /// What the owner in an epoch knew of silent workers when it left the shard.
+    /// What the owner in an epoch knew of leases when it left the shard.
     Left { shard: u32, epoch: u64 },
 }
 
@@ -76,7 +76,7 @@
     Store { answered_ms_ago: u64 },
     /// The member text of this life.
     Life { member: Arc<str> },
-    /// Ms until what may run on each silent worker has surely lapsed.
+    /// Ms until what may run on each worker has surely lapsed.
     Left(Vec<(Arc<str>, u64)>),
     /// The daemon does not own the shard now.
     NotOwner,
@@ -218,7 +218,7 @@
     }
 }
 
-/// What this daemon knew of silent workers when it left a shard.
+/// What this daemon knew of leases when it left a shard.
 fn left(node: &Node, shard: u32, epoch: u64) -> Answer {
     let now = clock::now();
     let Some(legacy) = node.left(shard, epoch) else { return Answer::NotOwner };
--- /dev/null
+++ b/crates/crosspath_node/src/shard_log.rs
@@ -0,0 +1,126 @@
+//! An owner's side of the log: its records, those of others, and what the owner before knows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::store::{Error, Guard, Keyed, Partition, Stored};
+use crosspath_job::record::Record;
+use crosspath_schedule::Event;
+use tokio::sync::mpsc;
+
+use crate::clock;
+use crate::feed::Feed;
+use crate::node::{Node, shard_partition};
+use crate::rpc::{Answer, Question};
+
+/// For which a read of the shard waits for a record.
+const LONG_WAIT: Duration = Duration::from_millis(1_500);
+/// After records were read: what comes meanwhile, the own commits too, is read by one call. Daemons
+/// that append for callers tell the owner so, and this is only for when they cannot.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
+/// After a call of the store that failed.
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a record means that anyone may write; none for those of owners.
+pub(crate) fn asked_for(record: Record) -> Option<Event> {
+    match record {
+        Record::Accepted(job, accepted) => Some(Event::Accepted(job, accepted)),
+        Record::Cancelled(job) => Some(Event::Cancelled(job)),
+        Record::Claim(_) | Record::Progress(..) | Record::Dropped(_) => None,
+    }
+}
+
+pub(crate) fn decode(records: &[Stored]) -> Vec<Record> {
+    let decoded = records.iter().filter_map(|stored| {
+        let record = Record::decode(&stored.key, &stored.value);
+        record.inspect_err(|error| log::warn!("event=record_unreadable error=\"{error}\"")).ok()
+    });
+    decoded.collect()
+}
+
+/// Appends as owner until the store has answered; whether the shard is still owned.
+pub(crate) async fn append_owned(
+    node: &Node,
+    partition: Partition,
+    records: &[Keyed],
+    guard: Guard,
+) -> bool {
+    loop {
+        match node.store.append(partition, records, guard).await {
+            Ok(_) => {
+                node.store_answers(clock::now());
+                return true;
+            }
+            Err(error @ (Error::Fenced { .. } | Error::Sequence { .. })) => {
+                log::info!("event=commit_refused partition={partition} error=\"{error}\"");
+                return false;
+            }
+            Err(error) => {
+                log::info!("event=commit_failed partition={partition} error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Passes on what others append to the shard; ends when a later owner claims it.
+pub(crate) async fn follow(
+    node: Arc<Node>,
+    number: u32,
+    from: u64,
+    epoch: u64,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let mut feed = Feed::from(shard_partition(number), from);
+    loop {
+        let records = match feed.read(&node, LONG_WAIT).await {
+            Ok(records) => records,
+            Err(error) => {
+                log::info!("event=shard_unread shard={number} error=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        let heard = !records.is_empty();
+        for record in decode(&records) {
+            if let Record::Claim(claim) = &record
+                && claim.epoch > epoch
+            {
+                log::info!("event=shard_claimed_elsewhere shard={number} by={}", claim.owner);
+                events.send(Event::Superseded).ok();
+                return;
+            }
+            let Some(event) = asked_for(record) else { continue };
+            if events.send(event).is_err() {
+                return;
+            }
+        }
+        if heard {
+            tokio::time::sleep(FOLLOW_PAUSE).await;
+        }
+    }
+}
+
+/// Asks the owner before, who may live on, what it knew of leases as owner in `epoch`.
+pub(crate) async fn ask_owner_before(
+    node: Arc<Node>,
+    shard: u32,
+    epoch: u64,
+    before: Option<SocketAddr>,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let Some(before) = before else { return };
+    match node.peers.ask(before, &Question::Left { shard, epoch }).await {
+        Ok(Answer::Left(leases)) => {
+            let now = clock::now();
+            let over = |(worker, left_ms)| (worker, now + Duration::from_millis(left_ms));
+            // An owner that has ended needs no events.
+            events.send(Event::HandedOver(leases.into_iter().map(over).collect())).ok();
+        }
+        Ok(_) => log::info!("event=owner_before_left_nothing shard={shard} peer={before}"),
+        Err(error) => {
+            log::info!("event=owner_before_silent shard={shard} peer={before} error=\"{error}\"");
+        }
+    }
+}
--- a/crates/crosspath_schedule/src/event.rs
+++ b/crates/crosspath_schedule/src/event.rs
@@ -77,7 +77,7 @@
     Vacate(BTreeSet<Arc<str>>),
     /// Whether orders may be given now.
     MayAct(bool),
-    /// The owner before says when what may run on silent workers has surely lapsed.
+    /// The owner before says when what may run on workers has surely lapsed.
     HandedOver(BTreeMap<Arc<str>, Duration>),
     /// A later owner has claimed the shard.
     Superseded,
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -7,8 +7,8 @@
 //!
 //! That wait is counted from the takeover, so with an owner after the other none ever ends: lasting
 //! tasks of a dark rack were away for 18 s while entry VMs were restarted in turn. So an owner that
-//! leaves a shard tells the next one, if that one asks, by when what may run on each silent worker has
-//! surely lapsed.
+//! leaves a shard tells the next one, if that one asks, by when what may run on each worker has surely
+//! lapsed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -25,7 +25,7 @@
 /// For orders of the owner before that were on their way.
 const IN_FLIGHT: Duration = Duration::from_millis(500);
 
-/// What an owner knows of silent workers when it leaves a shard.
+/// What an owner knows of leases when it leaves a shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Legacy {
     /// Its epoch: the next owner may rely on the rest only if no other was between them.
@@ -130,20 +130,23 @@
         }
     }
 
-    /// What this owner knows of silent workers, for the next one. Workers that answer are not among
-    /// them: a look that extends their leases may be on its way.
+    /// What this owner knows of leases, for the next one. A worker that it looked at may have heard a
+    /// look that extended them until just now, also where its last answer is older.
     #[must_use]
-    pub fn leave(&self) -> Legacy {
+    pub fn leave(&self, now: Duration) -> Legacy {
         let unaccounted = self.settlement.unaccounted.iter();
-        let unlisted = unaccounted.filter(|(id, _)| !self.workers.contains_key(*id));
-        let unlisted = unlisted.map(|(id, until)| (Arc::clone(id), *until));
-        let silent = self.workers.values().filter(|worker| worker.failures > 0);
-        let silent = silent.map(|worker| (Arc::clone(&worker.entry.id), worker.lease_over));
-        let over = unlisted.chain(silent).map(|(id, over)| (id, over + IN_FLIGHT)).collect();
-        Legacy { epoch: self.epoch, over }
+        // Nothing was ordered there by this owner.
+        let unseen = unaccounted.filter(|(id, _)| !self.workers.contains_key(*id));
+        let unseen = unseen.map(|(id, until)| (Arc::clone(id), *until));
+        let terms = self.settings.terms;
+        let extended = terms.over(now + IN_FLIGHT, terms.hold);
+        let looked_at = self.workers.values();
+        let looked_at =
+            looked_at.map(|worker| (Arc::clone(&worker.entry.id), worker.lease_over.max(extended)));
+        Legacy { epoch: self.epoch, over: unseen.chain(looked_at).collect() }
     }
 
-    /// Takes in what the owner before said of silent workers.
+    /// Takes in what the owner before said of leases on workers that have not answered yet.
     pub(crate) fn hand_over(&mut self, leases: BTreeMap<Arc<str>, Duration>) {
         for (id, over) in leases {
             let Some(until) = self.settlement.unaccounted.get_mut(&id) else { continue };
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -261,56 +261,57 @@
     assert_eq!(bed.starts().len(), 1, "what ran in the life before is gone with it");
 }
 
-/// How long the job's one task waits under a second owner that takes over `later` than the first one's
-/// worker fell silent, if the second hears what the first knew.
-fn wait_under_second_owner(later: std::time::Duration, hears: bool) -> std::time::Duration {
+/// How long the job's one task waits under the last of some owners, of which each takes over `between`
+/// after the one before, while the task's worker is silent and, from the first of them on, not listed.
+fn wait_under_last_owner(between: &[u64], hears: bool) -> std::time::Duration {
     let (order, records) = owner_before(&["a", "b"]);
     let other = if *order.worker == *"a" { "b" } else { "a" };
-    let mut first = Bed::new(2);
-    first.take_over(records.clone(), &["a", "b"]);
-    let worker = order.worker.to_string();
-    first.held(other, Vec::new(), Vec::new());
-    silent(&mut first, &worker);
-    first.pass(later);
-    let legacy = first.scheduler.leave();
-    assert_eq!(legacy.epoch, 2);
-
-    let mut second = Bed::at(3, first.now);
-    // The worker's entry is gone by now.
-    second.take_over(records, &[other]);
-    if hears {
-        second.send(Event::HandedOver(legacy.over));
+    let mut owner = Bed::new(2);
+    owner.take_over(records.clone(), &["a", "b"]);
+    owner.held(other, Vec::new(), Vec::new());
+    silent(&mut owner, &order.worker);
+    for (epoch, pause) in (3..).zip(between) {
+        owner.pass(ms(*pause));
+        let legacy = owner.scheduler.leave(owner.now);
+        assert_eq!(legacy.epoch + 1, epoch);
+        let mut next = Bed::at(epoch, owner.now);
+        next.take_over(records.clone(), &[other]);
+        if hears {
+            next.send(Event::HandedOver(legacy.over));
+        }
+        next.held(other, Vec::new(), Vec::new());
+        owner = next;
     }
-    let began = second.now;
-    second.held(other, Vec::new(), Vec::new());
-    while second.starts().is_empty() {
-        assert!(second.now < began + ms(30_000), "nothing starts");
-        second.pass(ms(100));
-        second.held(other, Vec::new(), Vec::new());
+    let began = owner.now;
+    while owner.starts().is_empty() {
+        assert!(owner.now < began + ms(30_000), "nothing starts");
+        owner.pass(ms(100));
+        owner.held(other, Vec::new(), Vec::new());
     }
-    second.now - began
+    owner.now - began
 }
 
 #[test]
 fn an_owner_that_leaves_tells_the_next_how_long_it_has_waited_already() {
-    let alone = wait_under_second_owner(ms(4_000), false);
+    let alone = wait_under_last_owner(&[1_000, 4_000], false);
     assert!(alone > ms(6_400), "{alone:?}");
-    let told = wait_under_second_owner(ms(4_000), true);
-    assert!(told < alone - ms(3_000), "{told:?} instead of {alone:?}");
-    assert!(told > ms(2_000), "leases last: {told:?}");
+    let told = wait_under_last_owner(&[1_000, 4_000], true);
+    assert!(told < alone - ms(4_000), "{told:?} instead of {alone:?}");
+    assert!(told > ms(1_000), "leases last: {told:?}");
 }
 
 #[test]
-fn what_has_lapsed_under_the_owner_before_is_started_at_once() {
-    let told = wait_under_second_owner(ms(6_500), true);
-    assert!(told <= ms(1_200), "{told:?}");
+fn with_an_owner_after_the_other_the_wait_ends_all_the_same() {
+    let told = wait_under_last_owner(&[1_000, 2_000, 2_000, 2_000], true);
+    assert!(told <= ms(600), "{told:?}");
 }
 
 #[test]
-fn an_owner_does_not_speak_for_a_worker_that_answers_it() {
-    let mut first = Bed::with_workers(&["a", "b"]);
-    first.submit(vec![step(1, 2)]);
-    assert_eq!(first.scheduler.leave().over, Default::default());
+fn a_worker_that_its_owner_has_looked_at_may_have_heard_that_until_the_owner_left() {
+    let mut first = Bed::with_workers(&["a"]);
+    first.pass(ms(3_000));
+    let over = first.scheduler.leave(first.now).over;
+    assert!(over["a"] >= first.now + ms(5_000), "{over:?}");
 }
 
 #[test]
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -190,7 +190,7 @@
         // Some owners end in order, and say what they know of silent workers.
         if let Some(before) = self.owners.last_mut().filter(|_| self.epoch.is_multiple_of(2)) {
             before.acts_until = Duration::ZERO;
-            let legacy = before.scheduler.leave();
+            let legacy = before.scheduler.leave(self.now);
             if legacy.epoch + 1 == self.epoch {
                 scheduler.handle(self.now, WALL_MS, Event::HandedOver(legacy.over));
             }
