The first map is cut by a count of VMs, not by a call that failed

Cause: all daemons listed the VMs in the moments after their start; the platform refused most lists, and a refused list counted as the workers that nobody had read yet: zero. One slice a pool was written, for good. Ruled out: that the list is empty so early (it holds all VMs once it is answered).

Now the daemon that holds the fleet's shard counts alone, asks again at pauses that grow, and writes once the list of VMs and the list of workers agree, or one of them alone after 5 s; a count that fails is an error with a type. Daemons that wait for the map read it at pauses up to 1 s instead of each 150 ms. The fleet's owner lists nothing before there are slices, reads 8,000 VMs a second at most, and lets other tasks run between the plans of two slices.

Tests: a list that refuses ten times gave 1 slice where 300 VMs want 3 (failed on the code before); a list that always refuses is asked 15 times at most in 2 s. Two daemons' tests got a list of VMs: without any VM there is no map now.

--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -31,6 +31,9 @@
 const ROUND: Duration = Duration::from_millis(100);
 /// Between readings of the list of VMs without a change under way.
 const LIST_INTERVAL: Duration = Duration::from_millis(200);
+/// VMs read a second at most. The platform takes 64 pages of some hundred VMs a second from all daemons:
+/// with 7,000 VMs each 200 ms it would refuse every second list, and the fleet would be planned blindly.
+const LISTED_PER_S: u32 = 8_000;
 /// For which the new owner waits to hear whether an owner before lives on: peers answer within some ms.
 const LIFE_PATIENCE: Duration = Duration::from_millis(100);
 
@@ -102,6 +105,12 @@
     handover::is_over(&member, &seen).then_some(member)
 }
 
+/// Between readings of a list of so many VMs.
+fn list_interval(vms: usize) -> Duration {
+    LIST_INTERVAL
+        .max(Duration::from_secs(1) * u32::try_from(vms).unwrap_or(u32::MAX) / LISTED_PER_S)
+}
+
 /// A slice of the fleet, with a planner of its own.
 #[derive(Debug)]
 struct Slice {
@@ -143,7 +152,7 @@
         if self.vms.is_empty() || !self.node.may_act(now) {
             return true;
         }
-        let (orders, completed) = self.plan(now);
+        let (orders, completed) = self.plan(now).await;
         if !self.give(orders).await {
             return false;
         }
@@ -176,8 +185,10 @@
 
     /// Refreshes what is known of VMs and waves, and what of it each slice sees.
     async fn look(&mut self) {
+        let (Some(table), map) = (self.node.table(), self.node.map()) else { return };
+        let Some(count) = map.slices() else { return };
         let now = clock::now();
-        if now >= self.listed + LIST_INTERVAL {
+        if now >= self.listed + list_interval(self.vms.len()) {
             match self.fleet.list().await {
                 Ok(vms) => {
                     self.listed = now;
@@ -187,8 +198,6 @@
             }
         }
         self.waves = self.open_waves();
-        let (Some(table), map) = (self.node.table(), self.node.map()) else { return };
-        let Some(count) = map.slices() else { return };
         while self.slices.len() < count as usize {
             let rests = self.rests.iter().map(|(vm, rest)| (Arc::clone(vm), rest.until));
             let maintained = self.kept.maintained.clone();
@@ -248,7 +257,7 @@
     }
 
     /// Plans each slice, the budget of waves being common to all.
-    fn plan(&mut self, now: Duration) -> (Vec<(Arc<str>, Order)>, Vec<u64>) {
+    async fn plan(&mut self, now: Duration) -> (Vec<(Arc<str>, Order)>, Vec<u64>) {
         let mut orders = Vec::new();
         let mut completed: Vec<u64> = self.waves.iter().map(|(wave, _)| wave.number).collect();
         for at in 0..self.slices.len() {
@@ -258,6 +267,8 @@
             let plan = slice.planner.plan(now, &slice.view);
             orders.extend(plan.orders);
             completed.retain(|wave| plan.completed.contains(wave));
+            // Joins, looks and answers to peers go between two slices.
+            tokio::task::yield_now().await;
         }
         // Without a planner for every VM nothing is known to be completed.
         if self.slices.is_empty() {
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -8,6 +8,7 @@
 mod appender;
 pub mod away;
 pub mod candidacy;
+pub mod census;
 pub mod claim;
 mod clock;
 pub mod contact;
--- a/crates/crosspath_node/src/map.rs
+++ b/crates/crosspath_node/src/map.rs
@@ -17,7 +17,10 @@
 use crosspath_border::store::{Error, Guard, Keyed, Stored, Topic};
 use crosspath_job::JobId;
 use siphasher::sip::SipHasher13;
+use snafu::Snafu;
 
+use crate::census::{Census, Count, Unknown};
+use crate::clock;
 use crate::feed;
 use crate::node::{Node, only_partition};
 
@@ -29,6 +32,8 @@
 const LEAST_VMS: usize = 32;
 /// After a call of the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause of a daemon that waits for another to write: hundreds read the map meanwhile.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// Share of brief jobs that a slice gets, against [`LENT_WEIGHT`].
 const WEIGHT: u64 = 7;
 /// The same where lasting tasks of another pool hold VMs: of 70 VMs of a slice about 30, as on the
@@ -218,19 +223,49 @@
 
 /// Keeps the map, and adds pools that it lacks.
 pub(crate) async fn follow(node: Arc<Node>) {
+    let mut census = None;
+    let mut pause = RETRY_PAUSE;
     loop {
         let missing = missing_pools(&node);
         if missing.is_empty() {
+            pause = RETRY_PAUSE;
             node.changed.notified().await;
             continue;
         }
-        if let Err(error) = extend(&node, &missing).await {
-            log::info!("event=map_not_extended error=\"{error}\"");
-            tokio::time::sleep(RETRY_PAUSE).await;
+        match extend(&node, &missing, &mut census).await {
+            Ok(()) => continue,
+            Err(ExtendError::Store { source }) => {
+                log::info!("event=map_not_extended error=\"{source}\"");
+                pause = RETRY_PAUSE;
+            }
+            Err(ExtendError::Uncounted { source }) => pause = source.again_in,
+            Err(ExtendError::NotOurs) => pause = (pause * 2).min(LONGEST_PAUSE),
+            Err(error @ ExtendError::NoShardLeft { .. }) => {
+                log::error!("event=map_not_extended error=\"{error}\"");
+                pause = LONGEST_PAUSE;
+            }
         }
+        tokio::time::sleep(pause).await;
     }
 }
 
+/// The map lacks pools still.
+#[derive(Debug, Snafu)]
+enum ExtendError {
+    /// The store could not be read, or did not take the records.
+    #[snafu(transparent)]
+    Store { source: Error },
+    /// The number of slices goes by a number of VMs that is not known.
+    #[snafu(transparent)]
+    Uncounted { source: Unknown },
+    /// Another daemon is to write the records.
+    #[snafu(display("another daemon is to extend the map"))]
+    NotOurs,
+    /// There are fewer shards than slices.
+    #[snafu(display("no shard is left for {pools} pools; give the topics more partitions"))]
+    NoShardLeft { pools: usize },
+}
+
 fn missing_pools(node: &Node) -> BTreeSet<Arc<str>> {
     let Some(table) = node.table() else { return BTreeSet::new() };
     let serving = table.config.pools.iter().filter(|pool| !pool.spare);
@@ -239,25 +274,30 @@
 }
 
 /// Reads the map, and appends what is missing if nobody else has in between.
-async fn extend(node: &Node, pools: &BTreeSet<Arc<str>>) -> Result<(), Error> {
+async fn extend(
+    node: &Node,
+    pools: &BTreeSet<Arc<str>>,
+    census: &mut Option<Census>,
+) -> Result<(), ExtendError> {
     let partition = only_partition(Topic::ShardMap);
     let (records, end) = feed::newest(node, partition).await?;
     let mut map = Map::default();
     records.iter().for_each(|record| map.take(record));
     node.set_map(map.clone());
-    let vms = if map.slices().is_none() { count_vms(node).await } else { 0 };
-    let records = map.missing(pools, vms, node.settings.millicores, node.fleet_shard());
-    if records.is_empty() {
-        if pools.iter().any(|pool| !map.has(pool)) {
-            log::error!("event=no_shard_left pools={}", pools.len());
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
+    if pools.iter().all(|pool| map.has(pool)) {
         return Ok(());
     }
     // The size of slices goes by the VMs that will own them.
     if !node.standing().candidate {
-        tokio::time::sleep(RETRY_PAUSE).await;
-        return Ok(());
+        return Err(ExtendError::NotOurs);
+    }
+    let vms = match map.slices() {
+        Some(_) => 0,
+        None => count_vms(node, census).await?.vms,
+    };
+    let records = map.missing(pools, vms, node.settings.millicores, node.fleet_shard());
+    if records.is_empty() {
+        return Err(ExtendError::NoShardLeft { pools: pools.len() });
     }
     node.store.append(partition, &records, Guard::At(end)).await?;
     log::info!("event=map_extended records={} vms={vms}", records.len());
@@ -268,13 +308,25 @@
     Ok(())
 }
 
-/// VMs of the deployment, by the platform's list or else by the workers that tell of themselves.
-async fn count_vms(node: &Node) -> usize {
+/// VMs of the deployment. Only the daemon that holds the fleet's shard counts: all start within the
+/// same moments, and with a list from each the platform refuses most of them.
+async fn count_vms(node: &Node, census: &mut Option<Census>) -> Result<Count, ExtendError> {
+    if !node.owned().contains_key(&node.fleet_shard()) {
+        return Err(ExtendError::NotOurs);
+    }
+    let census = census.get_or_insert_with(|| Census::new(clock::now()));
     if let Some(fleet) = &node.fleet {
-        match fleet.list().await {
-            Ok(vms) => return vms.len(),
-            Err(error) => log::info!("event=vms_unread error=\"{error}\""),
-        }
+        census.listed(fleet.list().await.map(|vms| vms.len()));
     }
-    node.directory().entries.len()
+    let workers = worker_vms(node);
+    let count = census.count(clock::now(), workers, rand::random())?;
+    log::info!("event=vms_counted vms={} source={:?} workers={workers:?}", count.vms, count.source);
+    Ok(count)
+}
+
+/// VMs whose workers tell of themselves, once that list was read.
+fn worker_vms(node: &Node) -> Option<usize> {
+    let directory = node.directory();
+    let vms: BTreeSet<_> = directory.entries.values().map(|entry| &entry.vm).collect();
+    directory.loaded.then_some(vms.len())
 }
--- /dev/null
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -0,0 +1,319 @@
+//! Daemons on one log in memory, without workers.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use crosspath_border::entry::{Handler, Submitted};
+use crosspath_border::operator::{Change, Config, DEFAULT_BODY_BYTES, Pool, Queue, WaveState};
+use crosspath_border::store::{
+    Appended, DecodeError, Error, Guard, Holder, Join, Keyed, Membership, NewestPage, Page,
+    Partition, Store, Stored, Topic,
+};
+use crosspath_border::vm::{self, Authority, Fleet, Order, State, Verdict, Vm};
+use crosspath_border::worker::{self, Clocked, Held, Hold, Runner, Start, Started, Target};
+use crosspath_fakes::memory_store::MemoryStore;
+use crosspath_http::server::{Limits, Stage};
+use crosspath_job::record::Policy;
+use crosspath_job::spec::{Room, Spec, Step};
+use crosspath_job::{JobId, TaskId};
+use crosspath_node::settings::Costs;
+use crosspath_node::{Ports, Settings};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+pub(crate) const SHARDS: u32 = 4;
+/// For which callers wait.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Between looks whether the daemons are there.
+const PAUSE: Duration = Duration::from_millis(50);
+/// By which each daemon has read who owns what.
+pub(crate) const SETTLED: Duration = Duration::from_millis(2_000);
+
+/// The log as one daemon reaches it.
+#[derive(Debug)]
+pub(crate) struct Path {
+    log: Arc<MemoryStore>,
+    /// Appends for callers that this daemon has made.
+    appends: AtomicUsize,
+    /// Whether the log refuses those.
+    refuses: AtomicBool,
+}
+
+#[async_trait]
+impl Store for Path {
+    async fn append(
+        &self,
+        partition: Partition,
+        records: &[Keyed],
+        guard: Guard,
+    ) -> Result<Appended, Error> {
+        if matches!(guard, Guard::Free) {
+            if self.refuses.load(Ordering::SeqCst) {
+                return Err(Error::Refused { status: 503 });
+            }
+            self.appends.fetch_add(1, Ordering::SeqCst);
+        }
+        self.log.append(partition, records, guard).await
+    }
+
+    async fn read(&self, partition: Partition, from: u64, wait: Duration) -> Result<Page, Error> {
+        let page = self.log.read(partition, from, wait).await?;
+        if page.records.is_empty() {
+            tokio::time::sleep(wait.min(PAUSE)).await;
+        }
+        Ok(page)
+    }
+
+    async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<NewestPage, Error> {
+        self.log.newest(partition, after).await
+    }
+
+    async fn join(&self, join: &Join) -> Result<Membership, Error> {
+        self.log.join(join).await
+    }
+
+    async fn leave(&self, member: &str) -> Result<(), Error> {
+        self.log.leave(member).await
+    }
+
+    async fn holders(&self) -> Result<Vec<Holder>, Error> {
+        self.log.holders().await
+    }
+
+    fn change(&self, _: &Stored) -> Result<Change, DecodeError> {
+        let pools = vec![Pool { name: "counter".into(), spare: false }];
+        let queues = vec![queue()];
+        Ok(Change::Config(Config { version: 1, queues, pools, body_bytes: DEFAULT_BODY_BYTES }))
+    }
+
+    fn worker(&self, record: &Stored) -> Result<worker::Entry, DecodeError> {
+        self.log.worker(record)
+    }
+
+    fn wave_status(&self, wave: u64, state: WaveState) -> Keyed {
+        self.log.wave_status(wave, state)
+    }
+
+    fn wave_state(&self, record: &Stored) -> Result<(u64, WaveState), DecodeError> {
+        self.log.wave_state(record)
+    }
+}
+
+/// Workers of which there are none.
+#[derive(Debug)]
+struct NoWorkers;
+
+#[async_trait]
+impl Runner for NoWorkers {
+    async fn start(&self, _: &Target, _: &Start) -> Result<Clocked<Started>, worker::Error> {
+        Err(worker::Error::NotReached)
+    }
+
+    async fn stop(
+        &self,
+        _: &Target,
+        _: TaskId,
+        _: u64,
+        _: u64,
+    ) -> Result<Clocked<()>, worker::Error> {
+        Err(worker::Error::NotReached)
+    }
+
+    async fn hold(&self, _: &Target, _: &Hold) -> Result<Held, worker::Error> {
+        Err(worker::Error::NotReached)
+    }
+
+    async fn pace(
+        &self,
+        _: &Target,
+        _: TaskId,
+        _: u64,
+        _: u32,
+        _: u64,
+    ) -> Result<Clocked<()>, worker::Error> {
+        Err(worker::Error::NotReached)
+    }
+
+    fn forget(&self, _: &Target) {}
+}
+
+fn queue() -> Queue {
+    let policy = Policy { priority: 0, max_attempts: 3, stretch: 1.6, target_ms: 600 };
+    Queue {
+        name: "payments".into(),
+        host: "pay.example".into(),
+        prefix: "/jobs/".into(),
+        pool: "counter".into(),
+        policy,
+        advice: None,
+    }
+}
+
+fn spec() -> Spec {
+    let room = Room { cpu_millis: 1_000, mem_mb: 100, gpus: 0 };
+    let step = Step { tasks: 1, room, estimate_ms: 800, ..Step::default() };
+    Spec { text: "text".into(), steps: vec![step], repeat: None }
+}
+
+type Serving = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// What daemons answer callers with, by the address that callers would use.
+static HANDLERS: LazyLock<Mutex<HashMap<SocketAddr, Arc<dyn Handler>>>> =
+    LazyLock::new(Mutex::default);
+
+fn keep_handler(
+    listener: TcpListener,
+    _: Limits,
+    _: watch::Receiver<Stage>,
+    handler: Arc<dyn Handler>,
+) -> Serving {
+    let address = listener.local_addr().expect("an address");
+    HANDLERS.lock().expect("no test has failed").insert(address, handler);
+    Box::pin(std::future::pending())
+}
+
+fn serve_nobody(
+    _: TcpListener,
+    _: Limits,
+    _: watch::Receiver<Stage>,
+    _: Arc<dyn Handler>,
+) -> Serving {
+    Box::pin(std::future::pending())
+}
+
+pub(crate) struct Daemon {
+    path: Arc<Path>,
+    handler: Arc<dyn Handler>,
+}
+
+impl Daemon {
+    pub(crate) async fn start(name: &str, log: &Arc<MemoryStore>) -> Self {
+        Self::start_with(name, log, Some(Arc::new(Crowded::calm(30)))).await
+    }
+
+    /// With a list of VMs.
+    pub(crate) async fn start_with(
+        name: &str,
+        log: &Arc<MemoryStore>,
+        fleet: Option<Arc<dyn Fleet>>,
+    ) -> Self {
+        let listeners: Vec<_> =
+            (0..4).map(|_| StdListener::bind("127.0.0.1:0").expect("a free port")).collect();
+        let addresses: Vec<SocketAddr> =
+            listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect();
+        drop(listeners);
+        let settings = Settings {
+            name: name.into(),
+            data_centre: "a".into(),
+            millicores: 250,
+            callers: addresses[0],
+            readiness: addresses[1],
+            peers: addresses[2],
+            metrics: addresses[3],
+            log: addresses[0],
+            vms: None,
+            vm_orders_per_s: 64.0,
+            advice: None,
+            shards: SHARDS,
+            longest_hold: Duration::from_secs(6),
+            membership_least: Duration::from_secs(1),
+            vm_order: Duration::from_secs(3),
+            keep_ended: Duration::from_secs(120),
+            stop_grace: Duration::from_secs(6),
+            costs: Costs::default(),
+        };
+        let path = Arc::new(Path {
+            log: Arc::clone(log),
+            appends: AtomicUsize::new(0),
+            refuses: AtomicBool::new(false),
+        });
+        let ports = Ports {
+            store: Arc::clone(&path) as Arc<dyn Store>,
+            runner: Arc::new(NoWorkers),
+            fleet,
+            advisor: None,
+            serve_callers: keep_handler,
+            serve_readiness: serve_nobody,
+        };
+        drop(tokio::spawn(crosspath_node::run(settings, ports)));
+        loop {
+            tokio::time::sleep(PAUSE).await;
+            let handler = HANDLERS.lock().expect("no test has failed").get(&addresses[0]).cloned();
+            if let Some(handler) = handler.filter(|handler| handler.is_ready()) {
+                return Self { path, handler };
+            }
+        }
+    }
+
+    pub(crate) async fn submit(&self, job: u64) -> Submitted {
+        self.handler.submit(&queue(), JobId(job), spec(), PATIENCE).await
+    }
+
+    pub(crate) fn appends(&self) -> usize {
+        self.path.appends.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn refuse(&self) {
+        self.path.refuses.store(true, Ordering::SeqCst);
+    }
+}
+
+/// A log that holds a configuration of one pool.
+pub(crate) async fn log_of_one_pool() -> Arc<MemoryStore> {
+    let log = Arc::new(MemoryStore::new(SHARDS));
+    let config = Keyed { key: "config".into(), value: "1".into() };
+    let operators = Partition { topic: Topic::Operators, number: 0 };
+    log.append(operators, &[config], Guard::Free).await.expect("a log");
+    log
+}
+
+/// A list of VMs that refuses the first calls.
+#[derive(Debug)]
+pub(crate) struct Crowded {
+    refuses: usize,
+    vms: usize,
+    calls: AtomicUsize,
+}
+
+impl Crowded {
+    /// A list of `vms` VMs that refuses the first `refuses` calls.
+    pub(crate) fn new(refuses: usize, vms: usize) -> Self {
+        Self { refuses, vms, calls: AtomicUsize::new(0) }
+    }
+
+    /// A list of `vms` VMs that answers.
+    pub(crate) fn calm(vms: usize) -> Self {
+        Self::new(0, vms)
+    }
+
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+}
+
+#[async_trait]
+impl Fleet for Crowded {
+    async fn list(&self) -> Result<Vec<Vm>, vm::Error> {
+        let vm = |number: usize| Vm {
+            name: format!("vm-{number}").into(),
+            pool: "counter".into(),
+            state: State::Up,
+            labels: Vec::new(),
+            capacity: Room { cpu_millis: 32_000, mem_mb: 1, gpus: 0 },
+            worker: None,
+        };
+        if self.calls.fetch_add(1, Ordering::SeqCst) < self.refuses {
+            return Err(vm::Error::Refused);
+        }
+        Ok((0..self.vms).map(vm).collect())
+    }
+
+    async fn order(&self, _: &str, _: &Order, _: &Authority) -> Result<Verdict, vm::Error> {
+        Err(vm::Error::Refused)
+    }
+}
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -3,7 +3,9 @@
 mod appends;
 mod away;
 mod candidacy;
+mod census;
 mod claim;
+mod common;
 mod contact;
 mod handover;
 mod map;
