A round of the fleet's planner looks at each VM some times, not at all VMs for each

Cause: choosing one move rebuilt what awaits upkeep and scanned all VMs, and a VM's report was found by a scan of its pool's; a wave's VMs were a list searched for each VM. The cost of a round grew with the square of a slice (25 ms a move at 3,000 VMs on half a core), and joins, looks and answers waited behind it on the one thread.

VMs of other slices under way are counted once a slice instead of once a pair.

--- a/crates/crosspath_border/src/operator.rs
+++ b/crates/crosspath_border/src/operator.rs
@@ -1,5 +1,6 @@
 //! What operators write: the configuration and waves of upkeep.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crosspath_job::record::{Advice, Policy};
@@ -54,7 +55,7 @@
     /// Its number.
     pub number: u64,
     /// The VMs.
-    pub vms: Vec<Arc<str>>,
+    pub vms: BTreeSet<Arc<str>>,
     /// Time that it may take, in ms from when it was written.
     pub deadline_ms: u64,
     /// VMs in upkeep at one time.
--- /dev/null
+++ b/crates/crosspath_fleet/src/index.rs
@@ -0,0 +1,112 @@
+//! What a round of the planner looks up for each VM, indexed once a round.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crosspath_border::operator::Wave;
+use crosspath_border::vm::Vm;
+use crosspath_schedule::report;
+
+use crate::planner::View;
+
+/// A view with its indices. Without them each look-up scanned all VMs, and a round at 3,000 VMs in one
+/// slice took seconds of an entry VM of half a core.
+#[derive(Debug)]
+pub(crate) struct Index<'a> {
+    pub(crate) view: &'a View,
+    listed: HashMap<&'a str, &'a Vm>,
+    /// What pools' owners say of VMs, by pool and VM.
+    reported: HashMap<(&'a str, &'a str), &'a report::Vm>,
+    /// VMs of each wave that stay and have not had their upkeep.
+    left: BTreeMap<u64, Vec<&'a Vm>>,
+    awaits_upkeep: BTreeSet<&'a str>,
+    /// Pools of those.
+    to_be_emptied: BTreeSet<&'a str>,
+    /// VMs looked at in this round so far.
+    steps: Cell<u64>,
+}
+
+impl<'a> Index<'a> {
+    /// Indexes a view; `maintained` holds the VMs that have had their upkeep, by wave.
+    pub(crate) fn new(view: &'a View, maintained: &BTreeMap<u64, BTreeSet<Arc<str>>>) -> Self {
+        let mut reported = HashMap::new();
+        for (pool, report) in &view.pools {
+            reported.extend(report.vms.iter().map(|vm| ((&**pool, &*vm.name), vm)));
+        }
+        let left_of = |wave: &Wave| -> Vec<&Vm> {
+            let had = maintained.get(&wave.number);
+            let is_left = |vm: &&Vm| {
+                wave.vms.contains(&vm.name) && had.is_none_or(|had| !had.contains(&vm.name))
+            };
+            view.vms.iter().filter(is_left).collect()
+        };
+        let left: BTreeMap<_, _> =
+            view.waves.iter().map(|(wave, _)| (wave.number, left_of(wave))).collect();
+        let awaiting = || left.values().flatten();
+        Self {
+            view,
+            listed: view.vms.iter().map(|vm| (&*vm.name, vm)).collect(),
+            reported,
+            awaits_upkeep: awaiting().map(|vm| &*vm.name).collect(),
+            to_be_emptied: awaiting().map(|vm| &*vm.pool).collect(),
+            left,
+            // Each wave looks at all VMs, and each index holds them once.
+            steps: Cell::new(((view.waves.len() + 2) * view.vms.len()) as u64),
+        }
+    }
+
+    fn step(&self, count: usize) {
+        self.steps.set(self.steps.get() + count as u64);
+    }
+
+    /// VMs looked at so far: what the round costs, counted.
+    pub(crate) fn steps(&self) -> u64 {
+        self.steps.get()
+    }
+
+    /// All VMs as listed.
+    pub(crate) fn vms(&self) -> &'a [Vm] {
+        self.step(self.view.vms.len());
+        &self.view.vms
+    }
+
+    /// A VM as listed.
+    pub(crate) fn listed(&self, name: &str) -> Option<&'a Vm> {
+        self.step(1);
+        self.listed.get(name).copied()
+    }
+
+    /// The pool's owner's word on a VM.
+    pub(crate) fn reported(&self, vm: &Vm) -> Option<&'a report::Vm> {
+        self.step(1);
+        self.reported.get(&(&*vm.pool, &*vm.name)).copied()
+    }
+
+    /// VMs of a wave that stay and have not had their upkeep.
+    pub(crate) fn left(&self, wave: &Wave) -> &[&'a Vm] {
+        let left: &[_] = self.left.get(&wave.number).map_or(&[], Vec::as_slice);
+        self.step(left.len());
+        left
+    }
+
+    /// Whether some wave still wants the VM.
+    pub(crate) fn awaits_upkeep(&self, vm: &Vm) -> bool {
+        self.awaits_upkeep.contains(&*vm.name)
+    }
+
+    /// Whether some wave still wants a VM of the pool.
+    pub(crate) fn is_to_be_emptied(&self, pool: &str) -> bool {
+        self.to_be_emptied.contains(pool)
+    }
+
+    /// Whether a VM is off.
+    pub(crate) fn is_off(&self, vm: &Vm) -> bool {
+        self.view.is_off(vm)
+    }
+
+    /// Whether nothing runs on a VM of a serving pool, as its owner reports.
+    pub(crate) fn is_vacant(&self, vm: &Vm) -> bool {
+        self.reported(vm).is_some_and(report::Vm::is_vacant)
+    }
+}
--- a/crates/crosspath_fleet/src/lib.rs
+++ b/crates/crosspath_fleet/src/lib.rs
@@ -8,6 +8,8 @@
 //! Nothing here does I/O or reads a clock; `now` is the time since the process started.
 
 mod demand;
+mod donor;
+mod index;
 mod intent;
 mod moves;
 mod planner;
--- a/crates/crosspath_fleet/src/planner.rs
+++ b/crates/crosspath_fleet/src/planner.rs
@@ -9,8 +9,8 @@
 use crosspath_schedule::report;
 
 use crate::demand::Demand;
+use crate::index::Index;
 use crate::intent::{Intent, Stage};
-use crate::wave::reported;
 
 /// An order without an answer is given again after this; it is the same order.
 const ORDER_AGAIN: Duration = Duration::from_millis(1_200);
@@ -60,7 +60,7 @@
     /// The pool whose VMs are off.
     pub spare: Option<Arc<str>>,
     /// Waves and when they were first seen.
-    pub waves: Vec<(Wave, Duration)>,
+    pub waves: Vec<(Arc<Wave>, Duration)>,
     /// Slices of the fleet that have a planner each; 0 counts as 1.
     pub slices: u32,
     /// VMs of each wave in other slices that are, or may be, in their upkeep.
@@ -83,6 +83,8 @@
     pub orders: Vec<(Arc<str>, Order)>,
     /// Waves of which no VM is left.
     pub completed: Vec<u64>,
+    /// VMs that the round looked at, each as often as it did.
+    pub steps: u64,
 }
 
 /// How an order ended.
@@ -144,16 +146,17 @@
 
     /// One round.
     pub fn plan(&mut self, now: Duration, view: &View) -> Plan {
-        self.settle(now, view);
+        let index = Index::new(view, &self.maintained);
+        self.settle(now, &index);
         self.sample(now, view);
         let most = self.orders_in_round(now, view);
         // What pools lack comes before upkeep, which can wait for as long as its wave has time.
-        let lacking = self.choose_moves(now, view, most);
-        self.choose_upkeep(now, view, lacking);
+        let lacking = self.choose_moves(now, &index, most);
+        self.choose_upkeep(now, &index, lacking);
         self.planned = now;
-        let orders = self.due_orders(now, view);
-        let completed = self.completed(view);
-        Plan { vacate: self.vacate(&view.vms), orders, completed }
+        let orders = self.due_orders(now, &index);
+        let completed = completed(&index);
+        Plan { vacate: self.vacate(index.vms()), orders, completed, steps: index.steps() }
     }
 
     /// Orders that may be given in a round, by the time since the last one.
@@ -204,15 +207,15 @@
     }
 
     /// Ends plans that are through, and those that take too long.
-    fn settle(&mut self, now: Duration, view: &View) {
-        let listed: BTreeMap<_, _> = view.vms.iter().map(|vm| (&vm.name, vm)).collect();
+    fn settle(&mut self, now: Duration, index: &Index<'_>) {
+        let view = index.view;
         self.intents.retain(|name, intent| {
-            let Some(vm) = listed.get(name) else { return view.vms.is_empty() };
+            let Some(vm) = index.listed(name) else { return view.vms.is_empty() };
             match intent.stage {
                 Stage::Vacating => {
                     // A lasting task came before the pool's owner knew; moving it costs more.
                     let disturbs = intent.moves_to().is_some()
-                        && reported(vm, view).is_some_and(|reported| reported.lasting > 0);
+                        && index.reported(vm).is_some_and(|reported| reported.lasting > 0);
                     !disturbs && now < intent.since + VACATE_PATIENCE + intent.emptying
                 }
                 Stage::Ordered { .. } => true,
@@ -240,20 +243,20 @@
     }
 
     /// Orders for VMs that are vacant.
-    fn due_orders(&mut self, now: Duration, view: &View) -> Vec<(Arc<str>, Order)> {
+    fn due_orders(&mut self, now: Duration, index: &Index<'_>) -> Vec<(Arc<str>, Order)> {
         let mut orders = Vec::new();
-        let vacant = vacant(view);
-        let off = off(view);
-        let left =
-            |(wave, _): &(Wave, Duration)| (wave.number, self.upkeep_orders_left(now, wave, view));
+        let view = index.view;
+        let left = |(wave, _): &(Arc<Wave>, Duration)| {
+            (wave.number, self.upkeep_orders_left(now, wave, view))
+        };
         let mut upkeep_left: BTreeMap<_, _> = view.waves.iter().map(left).collect();
         for (name, intent) in &mut self.intents {
             let due = match intent.stage {
                 // Chosen in an earlier round, so that the pool's owner knew when it reported; a VM
                 // that is off has no owner.
-                Stage::Vacating => {
-                    off.contains(name) || (intent.since < now && vacant.contains(name))
-                }
+                Stage::Vacating => index.listed(name).is_some_and(|vm| {
+                    index.is_off(vm) || (intent.since < now && index.is_vacant(vm))
+                }),
                 Stage::Ordered { at } => now >= at + ORDER_AGAIN,
                 Stage::Done { .. } => false,
             };
@@ -273,21 +276,11 @@
     }
 }
 
-/// VMs that are off.
-fn off(view: &View) -> BTreeSet<Arc<str>> {
-    let off = view.vms.iter().filter(|vm| view.is_off(vm));
-    off.map(|vm| Arc::clone(&vm.name)).collect()
-}
-
-/// VMs of serving pools on which nothing runs, as their owners report.
-fn vacant(view: &View) -> BTreeSet<Arc<str>> {
-    let mut found = BTreeSet::new();
-    for (name, pool) in &view.pools {
-        let empty = pool.vms.iter().filter(|vm| vm.is_vacant());
-        let there = |vm: &&report::Vm| {
-            view.vms.iter().any(|listed| listed.name == vm.name && listed.pool == *name)
-        };
-        found.extend(empty.filter(there).map(|vm| Arc::clone(&vm.name)));
+/// Waves of which no VM is left.
+fn completed(index: &Index<'_>) -> Vec<u64> {
+    if index.view.vms.is_empty() {
+        return Vec::new();
     }
-    found
+    let over = index.view.waves.iter().filter(|(wave, _)| index.left(wave).is_empty());
+    over.map(|(wave, _)| wave.number).collect()
 }
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -1,12 +1,13 @@
 //! Which VM has its upkeep next.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_border::operator::Wave;
 use crosspath_border::vm::{Order, State, Vm};
-use crosspath_schedule::report;
 
+use crate::index::Index;
 use crate::intent::Intent;
 use crate::planner::{Planner, View};
 
@@ -23,31 +24,27 @@
 const KEEP: f64 = 1.1;
 
 impl Planner {
-    /// VMs of a wave that stay and have not had their upkeep.
-    pub(crate) fn left<'a>(&self, wave: &Wave, view: &'a View) -> Vec<&'a Vm> {
-        let had = self.maintained.get(&wave.number);
-        let is_left =
-            |vm: &&Vm| wave.vms.contains(&vm.name) && had.is_none_or(|had| !had.contains(&vm.name));
-        view.vms.iter().filter(is_left).collect()
-    }
-
     /// Plans upkeep, while pools lack `lacking` VMs.
-    pub(crate) fn choose_upkeep(&mut self, now: Duration, view: &View, lacking: u32) {
-        let off = view.vms.iter().filter(|vm| view.is_off(vm) && self.is_free(now, vm)).count();
+    pub(crate) fn choose_upkeep(&mut self, now: Duration, index: &Index<'_>, lacking: u32) {
+        let view = index.view;
+        let mut staying = self.staying(index);
+        let off = index.vms().iter().filter(|vm| view.is_off(vm) && self.is_free(now, vm)).count();
         let mut off_to_spare = off.saturating_sub(lacking as usize * OFF_PER_LACKING);
         for (wave, started) in &view.waves {
             let end = *started + Duration::from_millis(wave.deadline_ms);
-            let mut slots = self.slots(now, wave, view);
-            let hurries = self.hurries(now, wave, end, view);
-            for vm in self.candidates(now, wave, view) {
-                let emptying = time_to_empty(vm, view);
-                let is_ready = is_ready(vm, view);
+            let mut slots = self.slots(now, wave, index);
+            let hurries = hurries(now, wave, end, index);
+            for vm in self.candidates(now, wave, index) {
+                let emptying = time_to_empty(vm, index);
+                let is_ready = is_ready(vm, index);
                 if !slots.has_one(is_ready, emptying) {
                     continue;
                 }
                 let urgent = hurries || now + emptying + ROUND > end;
                 let is_off = view.is_off(vm);
-                let spared = if is_off { off_to_spare > 0 } else { self.can_spare(vm, view) };
+                let kept = staying.get(&vm.pool).copied().unwrap_or(0);
+                let kept = kept.saturating_sub(vm.capacity.cpu_millis);
+                let spared = if is_off { off_to_spare > 0 } else { self.suffices(&vm.pool, kept) };
                 if !urgent && !spared {
                     continue;
                 }
@@ -59,19 +56,21 @@
                 let order = Order::Maintain { wave: wave.number };
                 self.intents.insert(Arc::clone(&vm.name), Intent::new(order, now, emptying));
                 slots.take(is_ready, emptying);
+                staying.insert(Arc::clone(&vm.pool), kept);
                 off_to_spare = off_to_spare.saturating_sub(usize::from(is_off));
             }
         }
     }
 
     /// VMs of a wave that may yet be chosen.
-    fn slots(&self, now: Duration, wave: &Wave, view: &View) -> Slots {
+    fn slots(&self, now: Duration, wave: &Wave, index: &Index<'_>) -> Slots {
+        let view = index.view;
         let chosen = |vm: &&Vm| {
             let intent = self.intents.get(&vm.name);
             intent.is_some_and(|intent| intent.is_emptying_for(wave.number))
         };
-        let chosen: Vec<_> = view.vms.iter().filter(chosen).collect();
-        let ready = chosen.iter().filter(|vm| is_ready(vm, view)).count();
+        let chosen: Vec<_> = index.vms().iter().filter(chosen).collect();
+        let ready = chosen.iter().filter(|vm| is_ready(vm, index)).count();
         let orders = self.upkeep_orders_left(now, wave, view);
         let empty = orders.saturating_sub(chosen.len());
         Slots { ready: orders.saturating_sub(ready), empty, long: empty.div_ceil(2) }
@@ -84,20 +83,13 @@
         (wave.maximum.max(1) as usize).saturating_sub(under_way)
     }
 
-    /// Whether a wave has no time left to wait for quiet pools.
-    fn hurries(&self, now: Duration, wave: &Wave, end: Duration, view: &View) -> bool {
-        let share = (wave.maximum / view.slices.max(1)).max(1);
-        let rounds = self.left(wave, view).len().div_ceil(share as usize);
-        now + ROUND * u32::try_from(rounds).unwrap_or(u32::MAX) > end
-    }
-
     /// VMs of a wave that can be taken out now, in the order in which they are wanted out.
-    fn candidates<'a>(&self, now: Duration, wave: &Wave, view: &'a View) -> Vec<&'a Vm> {
-        let mut found = self.left(wave, view);
+    fn candidates<'a>(&self, now: Duration, wave: &Wave, index: &Index<'a>) -> Vec<&'a Vm> {
+        let mut found = index.left(wave).to_vec();
         found.retain(|vm| self.is_free(now, vm));
-        found.sort_by_key(|vm| {
-            let quick = !is_long(time_to_empty(vm, view));
-            (quick, burden(vm, view), Arc::clone(&vm.name))
+        found.sort_by_cached_key(|vm| {
+            let quick = !is_long(time_to_empty(vm, index));
+            (quick, burden(vm, index), Arc::clone(&vm.name))
         });
         found
     }
@@ -115,25 +107,20 @@
         busy.count()
     }
 
-    /// Whether the VM's pool keeps enough without it.
-    pub(crate) fn can_spare(&self, vm: &Vm, view: &View) -> bool {
-        let Some(demand) = self.demands.get(&vm.pool) else { return false };
-        let staying = view.vms.iter().filter(|other| {
-            other.pool == vm.pool
-                && other.name != vm.name
-                && other.state == State::Up
-                && !self.intents.contains_key(&other.name)
-        });
-        let capacity: u64 = staying.map(|other| other.capacity.cpu_millis).sum();
-        capacity as f64 >= demand.forecast() * KEEP
+    /// Processor time of each pool's VMs that are up and stay, in thousandths of a core.
+    fn staying(&self, index: &Index<'_>) -> BTreeMap<Arc<str>, u64> {
+        let mut staying: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        let stays = |vm: &&Vm| vm.state == State::Up && !self.intents.contains_key(&vm.name);
+        for vm in index.vms().iter().filter(stays) {
+            *staying.entry(Arc::clone(&vm.pool)).or_default() += vm.capacity.cpu_millis;
+        }
+        staying
     }
 
-    pub(crate) fn completed(&self, view: &View) -> Vec<u64> {
-        if view.vms.is_empty() {
-            return Vec::new();
-        }
-        let over = view.waves.iter().filter(|(wave, _)| self.left(wave, view).is_empty());
-        over.map(|(wave, _)| wave.number).collect()
+    /// Whether a pool has enough with `cpu_millis` thousandths of a core.
+    fn suffices(&self, pool: &Arc<str>, cpu_millis: u64) -> bool {
+        let demand = self.demands.get(pool);
+        demand.is_some_and(|demand| cpu_millis as f64 >= demand.forecast() * KEEP)
     }
 }
 
@@ -168,19 +155,21 @@
     }
 }
 
-/// The pool's owner's word on a VM.
-pub(crate) fn reported<'a>(vm: &Vm, view: &'a View) -> Option<&'a report::Vm> {
-    view.pools.get(&vm.pool)?.vms.iter().find(|reported| reported.name == vm.name)
+/// Whether a wave has no time left to wait for quiet pools.
+fn hurries(now: Duration, wave: &Wave, end: Duration, index: &Index<'_>) -> bool {
+    let share = (wave.maximum / index.view.slices.max(1)).max(1);
+    let rounds = index.left(wave).len().div_ceil(share as usize);
+    now + ROUND * u32::try_from(rounds).unwrap_or(u32::MAX) > end
 }
 
 /// How long it takes to move the lasting tasks of a VM elsewhere, one by one.
-fn time_to_empty(vm: &Vm, view: &View) -> Duration {
-    LASTING_MOVE * reported(vm, view).map_or(0, |vm| vm.lasting)
+fn time_to_empty(vm: &Vm, index: &Index<'_>) -> Duration {
+    LASTING_MOVE * index.reported(vm).map_or(0, |vm| vm.lasting)
 }
 
 /// Whether a VM needs no emptying: its upkeep costs its pool 2 s of an idle VM.
-fn is_ready(vm: &Vm, view: &View) -> bool {
-    view.is_off(vm) || reported(vm, view).is_some_and(report::Vm::is_vacant)
+fn is_ready(vm: &Vm, index: &Index<'_>) -> bool {
+    index.is_off(vm) || index.is_vacant(vm)
 }
 
 /// Whether emptying a VM takes as long as a whole round of upkeep.
@@ -189,9 +178,9 @@
 }
 
 /// Order in which VMs are taken out: idle ones first, those with lasting tasks last.
-fn burden(vm: &Vm, view: &View) -> (u32, u64) {
-    if view.is_off(vm) {
+fn burden(vm: &Vm, index: &Index<'_>) -> (u32, u64) {
+    if index.is_off(vm) {
         return (0, 0);
     }
-    reported(vm, view).map_or((u32::MAX, 0), |vm| (1 + vm.lasting, vm.used_millis))
+    index.reported(vm).map_or((u32::MAX, 0), |vm| (1 + vm.lasting, vm.used_millis))
 }
--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -50,6 +50,8 @@
     pub(crate) orders: Vec<(Duration, Arc<str>, Order)>,
     /// Whether orders get no answer.
     pub(crate) mute: bool,
+    /// VMs that the last round looked at.
+    pub(crate) steps: u64,
 }
 
 impl Bed {
@@ -72,13 +74,26 @@
             down_until: BTreeMap::new(),
             orders: Vec::new(),
             mute: false,
+            steps: 0,
         }
     }
 
+    /// The platform takes so many orders a second.
+    pub(crate) fn orders_per_s(&mut self, orders_per_s: f64) {
+        let settings = Settings { orders_per_s, ..settings() };
+        self.planner = Planner::new(settings, BTreeMap::new(), BTreeMap::new());
+    }
+
+    /// VMs that were ordered to a pool.
+    pub(crate) fn planned_moves_to(&self, pool: &str) -> usize {
+        let to = |order: &Order| matches!(order, Order::Move { pool: to } if &**to == pool);
+        self.orders.iter().filter(|(_, _, order)| to(order)).count()
+    }
+
     pub(crate) fn wave(&mut self, vms: &[&str], maximum: u32) {
         let vms = vms.iter().map(|vm| (*vm).into()).collect();
         let wave = Wave { number: 1, vms, deadline_ms: 27_000, maximum };
-        self.view.waves = vec![(wave, self.now)];
+        self.view.waves = vec![(Arc::new(wave), self.now)];
     }
 
     fn report(&self, pool: &Arc<str>) -> report::Pool {
@@ -124,6 +139,7 @@
         let pools: Vec<_> = self.view.serving.clone();
         self.view.pools = pools.iter().map(|pool| (Arc::clone(pool), self.report(pool))).collect();
         let plan = self.planner.plan(self.now, &self.view);
+        self.steps = plan.steps;
         for (name, order) in plan.orders {
             assert_eq!(self.tasks.get(&name).copied().unwrap_or(0), 0, "{name} is not vacant");
             let vm = self.view.vms.iter_mut().find(|vm| vm.name == name).expect("a listed VM");
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod moves;
+mod size;
 mod wave;
--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -131,7 +131,7 @@
                 wave.deadline_ms,
                 wave.maximum
             );
-            node.waves().entry(wave.number).or_insert((wave, clock::now()));
+            node.waves().entry(wave.number).or_insert((Arc::new(wave), clock::now()));
         }
         Ok(Change::Other) => {}
         Err(error) => log::warn!("event=operator_record_unreadable error=\"{error}\""),
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -118,6 +118,25 @@
     view: View,
 }
 
+impl Slice {
+    /// VMs of each wave that are, or may be, in their upkeep.
+    fn under_way(&self, now: Duration, waves: &[Arc<Wave>]) -> BTreeMap<u64, usize> {
+        let count = |wave: &Arc<Wave>| self.planner.under_way(now, wave, &self.view);
+        waves.iter().map(|wave| (wave.number, count(wave))).collect()
+    }
+}
+
+/// VMs of each wave that are under way in other slices than the one `at` a place.
+fn besides(under_way: &[BTreeMap<u64, usize>], at: usize) -> BTreeMap<u64, usize> {
+    let mut total = BTreeMap::new();
+    for (_, others) in under_way.iter().enumerate().filter(|(other, _)| *other != at) {
+        for (wave, count) in others {
+            *total.entry(*wave).or_default() += count;
+        }
+    }
+    total
+}
+
 #[derive(Debug)]
 struct Owner {
     node: Arc<Node>,
@@ -133,7 +152,7 @@
     /// All VMs as listed.
     vms: Vec<Vm>,
     /// Waves that are not completed, and when they were first seen.
-    waves: Vec<(Wave, Duration)>,
+    waves: Vec<(Arc<Wave>, Duration)>,
     listed: Duration,
     /// What was last written of each wave.
     told: BTreeMap<u64, WaveState>,
@@ -219,7 +238,7 @@
         }
     }
 
-    fn open_waves(&self) -> Vec<(Wave, Duration)> {
+    fn open_waves(&self) -> Vec<(Arc<Wave>, Duration)> {
         let waves = self.node.waves();
         let open = waves
             .values()
@@ -260,11 +279,14 @@
     async fn plan(&mut self, now: Duration) -> (Vec<(Arc<str>, Order)>, Vec<u64>) {
         let mut orders = Vec::new();
         let mut completed: Vec<u64> = self.waves.iter().map(|(wave, _)| wave.number).collect();
+        let waves: Vec<_> = self.waves.iter().map(|(wave, _)| Arc::clone(wave)).collect();
+        let mut under_way: Vec<_> =
+            self.slices.iter().map(|slice| slice.under_way(now, &waves)).collect();
         for at in 0..self.slices.len() {
-            let elsewhere = self.under_way_besides(now, at);
             let slice = &mut self.slices[at];
-            slice.view.elsewhere = elsewhere;
+            slice.view.elsewhere = besides(&under_way, at);
             let plan = slice.planner.plan(now, &slice.view);
+            under_way[at] = slice.under_way(now, &waves);
             orders.extend(plan.orders);
             completed.retain(|wave| plan.completed.contains(wave));
             // Joins, looks and answers to peers go between two slices.
@@ -277,15 +299,6 @@
         (orders, completed)
     }
 
-    /// VMs of each wave that are, or may be, in their upkeep in other slices.
-    fn under_way_besides(&self, now: Duration, own: usize) -> BTreeMap<u64, usize> {
-        let count = |wave: &Wave| {
-            let others = self.slices.iter().enumerate().filter(|(at, _)| *at != own);
-            others.map(|(_, slice)| slice.planner.under_way(now, wave, &slice.view)).sum()
-        };
-        self.waves.iter().map(|(wave, _)| (wave.number, count(wave))).collect()
-    }
-
     /// Gives orders; whether none told of a later owner.
     async fn give(&mut self, orders: Vec<(Arc<str>, Order)>) -> bool {
         if orders.is_empty() {
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -72,7 +72,7 @@
     pub(crate) changed: Notify,
     table: Mutex<Option<Arc<Table>>>,
     directory: Mutex<Directory>,
-    waves: Mutex<BTreeMap<u64, (Wave, Duration)>>,
+    waves: Mutex<BTreeMap<u64, (Arc<Wave>, Duration)>>,
     map: Mutex<Arc<Map>>,
     /// Who holds which shard; none before that was read.
     holders: Mutex<Option<HashMap<u32, Member>>>,
@@ -147,7 +147,7 @@
         lock(&self.directory)
     }
 
-    pub(crate) fn waves(&self) -> MutexGuard<'_, BTreeMap<u64, (Wave, Duration)>> {
+    pub(crate) fn waves(&self) -> MutexGuard<'_, BTreeMap<u64, (Arc<Wave>, Duration)>> {
         lock(&self.waves)
     }
 
