Callers of a store that is known to be down are refused after one try by all ways

What had failed by all ways for 300 ms fails for the next caller too.

Callers come back after 1 s, or 2 s once the store has been down for 1 s. A store that takes anything, or answers a read, is not down.

Tests: one try is enough while the store is down, unless it left a doubt; two daemons and a log that refuses everything. The first needs a new argument, so it was not seen to fail on the code before; the second passes on it too.

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -61,6 +61,7 @@
     if node.is_store_silent(clock::now()) {
         let records = [record];
         let appended = append_somehow(node, shard, &records).await;
+        node.append_ended(clock::now(), appended.as_ref().err());
         return match appended {
             Ok(by) => {
                 by.tell_owner(node, shard, &records);
@@ -99,7 +100,9 @@
             continue;
         }
         let records: Vec<Keyed> = batch.iter().map(|pending| pending.record.clone()).collect();
-        match append_somehow(&node, shard, &records).await {
+        let appended = append_somehow(&node, shard, &records).await;
+        node.append_ended(clock::now(), appended.as_ref().err());
+        match appended {
             Ok(by) => {
                 by.tell_owner(&node, shard, &records);
                 for pending in batch.drain(..) {
@@ -114,19 +117,21 @@
                 for pending in &mut batch {
                     pending.failed(!error.is_not_done());
                 }
-                batch = give_up(batch);
+                batch = give_up(&node, batch);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 }
 
-/// Answers those that are not tried again; the others.
-fn give_up(batch: Vec<Pending>) -> Vec<Pending> {
+/// Answers those that are not tried again; the others. While the store is down one try by all ways is
+/// enough: a caller that waits through more only comes back later.
+fn give_up(node: &Node, batch: Vec<Pending>) -> Vec<Pending> {
     let now = clock::now();
+    let is_down = node.store_down_for(now).is_some();
     let mut kept = Vec::new();
     for pending in batch {
-        match pending.verdict(now) {
+        match pending.verdict(now, is_down) {
             Some(outcome) => pending.settle(outcome),
             None => kept.push(pending),
         }
--- a/crates/crosspath_node/src/contact.rs
+++ b/crates/crosspath_node/src/contact.rs
@@ -9,9 +9,15 @@
 /// is slow takes some 420 ms.
 const SILENCE: Duration = Duration::from_millis(800);
 
+/// Appends that the store has refused by all ways for so long, with no answer meanwhile, show a store that
+/// is down: a restart of an owner or a queue of appends takes less.
+const REFUSAL: Duration = Duration::from_millis(300);
+
 /// Calls and answers of the store.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Contact {
+    /// Since when appends were refused by all ways.
+    refused_since: Option<Duration>,
     /// When the oldest call was sent of those since the last answer.
     waiting_since: Option<Duration>,
     /// When the store last answered.
@@ -27,9 +33,27 @@
     /// The store has answered some call.
     pub fn answered(&mut self, now: Duration) {
         self.waiting_since = None;
+        self.refused_since = None;
         self.answered = now;
     }
 
+    /// The store has refused an append, here and through other daemons.
+    pub fn refused(&mut self, now: Duration) {
+        self.refused_since.get_or_insert(now);
+    }
+
+    /// An append was kept, by whatever way.
+    pub fn kept(&mut self) {
+        self.refused_since = None;
+    }
+
+    /// How long the store has surely been down: it refuses what is sent, by whatever way.
+    #[must_use]
+    pub fn down_for(&self, now: Duration) -> Option<Duration> {
+        let refused = now.saturating_sub(self.refused_since?);
+        (refused >= REFUSAL).then_some(refused)
+    }
+
     /// When the store last answered.
     #[must_use]
     pub fn last_answer(&self) -> Duration {
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -31,9 +31,12 @@
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
 const RETRY_AFTER_S: u32 = 1;
-/// The same while the store is silent: outages take some seconds, and callers try a few times only.
+/// The same while the store is silent or has been down for [`LONG_DOWN`]: outages take some seconds, and callers try a few times only.
 const SILENT_RETRY_AFTER_S: u32 = 2;
 
+/// A store that has been down for so long is taken for away; what is down for less may be back within a
+/// second.
+const LONG_DOWN: Duration = Duration::from_secs(1);
 /// For which a cancel looks for its job's shard before it goes to all where the job may be.
 const FIND_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -65,7 +68,9 @@
 
     /// When a caller whose record was not kept is to come back.
     fn retry_after_s(&self) -> u32 {
-        if self.node.is_store_silent(clock::now()) { SILENT_RETRY_AFTER_S } else { RETRY_AFTER_S }
+        let now = clock::now();
+        let down = self.node.store_down_for(now).is_some_and(|down| down >= LONG_DOWN);
+        if down || self.node.is_store_silent(now) { SILENT_RETRY_AFTER_S } else { RETRY_AFTER_S }
     }
 
     fn patience(within: Duration) -> Patience {
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -228,6 +228,21 @@
         lock(&self.standing).contact.answered(now);
     }
 
+    /// How an append by all ways ended.
+    pub(crate) fn append_ended(&self, now: Duration, failure: Option<&Error>) {
+        let contact = &mut lock(&self.standing).contact;
+        match failure {
+            None => contact.kept(),
+            Some(error) if error.is_not_done() => contact.refused(now),
+            Some(_) => {}
+        }
+    }
+
+    /// How long the store has surely been down for all that this daemon reaches.
+    pub(crate) fn store_down_for(&self, now: Duration) -> Option<Duration> {
+        lock(&self.standing).contact.down_for(now)
+    }
+
     /// Appends records of callers to a shard; nothing is sent to a silent store.
     pub(crate) async fn append(&self, shard: u32, records: &[Keyed]) -> Result<(), Error> {
         if self.is_store_silent(clock::now()) {
--- a/crates/crosspath_node/src/pending.rs
+++ b/crates/crosspath_node/src/pending.rs
@@ -77,9 +77,13 @@
         self.doubtful |= doubtful;
     }
 
-    /// What it ends with when it is not tried again; none while it is worth more tries.
+    /// What it ends with when it is not tried again; none while it is worth more tries, of which there
+    /// are none for a record that surely is not kept while the store `is_down`.
     #[must_use]
-    pub fn verdict(&self, now: Duration) -> Option<Outcome> {
+    pub fn verdict(&self, now: Duration, is_down: bool) -> Option<Outcome> {
+        if is_down && !self.doubtful {
+            return Some(Outcome::NotKept);
+        }
         let (until, outcome) = if self.doubtful {
             (self.patience.doubted_until, Outcome::Unknown)
         } else {
--- a/crates/crosspath_node/tests/node/appends.rs
+++ b/crates/crosspath_node/tests/node/appends.rs
@@ -43,3 +43,24 @@
         assert!(matches!(answer, Submitted::NotTaken { .. }), "{answer:?}");
     }
 }
+
+#[tokio::test]
+async fn a_log_known_to_be_down_is_asked_once_for_each_caller() {
+    let (owner, other) = owner_and_other().await;
+    for daemon in [&owner, &other] {
+        daemon.take_log_down(true);
+    }
+    for job in 40..42 {
+        let answer = other.submit(job).await;
+        assert!(matches!(answer, Submitted::NotTaken { .. }), "{answer:?}");
+    }
+    let before = owner.refused() + other.refused();
+    let answer = other.submit(50).await;
+    assert!(matches!(answer, Submitted::NotTaken { .. }), "{answer:?}");
+    let tries = owner.refused() + other.refused() - before;
+    assert!(tries <= 4, "{tries} tries for a caller who was to be refused at once");
+    for daemon in [&owner, &other] {
+        daemon.take_log_down(false);
+    }
+    assert_eq!(other.submit(50).await, Submitted::Accepted, "the log is back");
+}
--- a/crates/crosspath_node/tests/node/contact.rs
+++ b/crates/crosspath_node/tests/node/contact.rs
@@ -32,3 +32,17 @@
     contact.answered(ms(2_100));
     assert!(!contact.is_silent(ms(2_100)));
 }
+
+#[test]
+fn a_store_that_refuses_for_some_time_is_down_until_it_takes_something() {
+    let mut contact = Contact::default();
+    contact.refused(ms(1_000));
+    assert_eq!(contact.down_for(ms(1_299)), None, "an owner may be on its way");
+    contact.refused(ms(1_300));
+    assert_eq!(contact.down_for(ms(1_300)), Some(ms(300)));
+    contact.kept();
+    assert_eq!(contact.down_for(ms(1_400)), None);
+    contact.refused(ms(2_000));
+    contact.answered(ms(2_100));
+    assert_eq!(contact.down_for(ms(9_000)), None, "what is read shows that it is up");
+}
