A VM rests after a takeover only until its last order is old for any clock

A new owner of the fleet left VMs alone for 3 s from its takeover, however old their last order was, and free at once those whose order was 5.5 s old: one whose order is 4.5 s old needs 1 s. The bound is the same at its edge as before. Test: failed before (3 s).

--- a/crates/crosspath_node/src/handover.rs
+++ b/crates/crosspath_node/src/handover.rs
@@ -69,20 +69,23 @@
         }
     }
 
-    /// VMs whose last order may be younger than `rest`.
+    /// VMs whose last order may be younger than `rest`, each until it surely is not.
     #[must_use]
     pub fn rests(&self, now: Duration, wall_ms: u64, rest: Duration) -> BTreeMap<Arc<str>, Rest> {
-        let young_ms = u64::try_from((rest + CLOCK_DIFFERENCE).as_millis()).unwrap_or(u64::MAX);
-        let is_young = |order: &Option<LastOrder>| {
-            order.as_ref().is_none_or(|order| wall_ms < order.at_ms.saturating_add(young_ms))
+        let longest = rest + CLOCK_DIFFERENCE;
+        let left = |order: &Option<LastOrder>| {
+            let Some(order) = order else { return rest };
+            let age = Duration::from_millis(wall_ms.saturating_sub(order.at_ms));
+            rest.min(longest.saturating_sub(age))
         };
-        let young = self.ordered.iter().filter(|(_, order)| is_young(order));
-        let rest = |order: &Option<LastOrder>| {
+        let resting = |(vm, order): (&Arc<str>, &Option<LastOrder>)| {
+            let left = left(order);
             let moved = order.as_ref().filter(|order| !order.upkeep);
             let giver = moved.and_then(|order| order.giver.parse().ok());
-            Rest { until: now + rest, giver }
+            let rest = Rest { until: now + left, giver };
+            (!left.is_zero()).then(|| (Arc::clone(vm), rest))
         };
-        young.map(|(vm, order)| (Arc::clone(vm), rest(order))).collect()
+        self.ordered.iter().filter_map(resting).collect()
     }
 }
 
--- a/crates/crosspath_node/tests/node/handover.rs
+++ b/crates/crosspath_node/tests/node/handover.rs
@@ -43,6 +43,19 @@
     assert!(kept(&to_counter()).rests(NOW, GIVEN_MS + 5_600, REST).is_empty());
 }
 
+/// It rested for 3 s from the takeover however old its order was.
+#[test]
+fn a_vm_rests_until_its_order_is_old_for_any_clock() {
+    let rests = kept(&to_counter()).rests(NOW, GIVEN_MS + 4_500, REST);
+    assert_eq!(rests.get("vm-1").expect("a rest").until, NOW + Duration::from_millis(1_000));
+}
+
+#[test]
+fn an_order_of_a_clock_ahead_of_ours_rests_no_longer_than_any() {
+    let rests = kept(&to_counter()).rests(NOW, GIVEN_MS - 4_000, REST);
+    assert_eq!(rests.get("vm-1").expect("a rest").until, NOW + REST);
+}
+
 #[test]
 fn nothing_lifts_the_rest_after_upkeep_which_counts_against_its_wave() {
     let rests = kept(&Order::Maintain { wave: 1 }).rests(NOW, GIVEN_MS, REST);
