--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler by its events and actions.
 
+mod cancelled;
 mod common;
 mod doubt;
 mod failing;
