Lasting work is not carried forward

Cause: lasting jobs come at once, before callers do, and were carried forward as a rise: pools wanted 80 to 98 VMs for work that fills 17 to 22, 336 moves brought them in and 220 went off again within 4 s. Owners of pools now report lasting work apart.

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -28,7 +28,10 @@
 /// Demand of a pool over the last moments.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
+    /// Brief work in thousandths of a core, and when it was told of.
     samples: VecDeque<(Duration, f64)>,
+    /// Lasting work, in thousandths of a core: it comes in a step and stays.
+    lasting: f64,
     /// VMs over which some step must be spread.
     spread: u32,
     /// VMs that it uses, and thousandths of a core that no worker was found for.
@@ -43,8 +46,9 @@
 impl Demand {
     /// Takes in a report.
     pub(crate) fn sample(&mut self, now: Duration, pool: &report::Pool) {
-        let millis = (pool.running_millis + pool.waiting_millis) as f64
-            + pool.blocked_millis as f64 * BLOCKED_SHARE;
+        let brief = (pool.running_millis + pool.waiting_millis).saturating_sub(pool.lasting_millis);
+        let millis = brief as f64 + pool.blocked_millis as f64 * BLOCKED_SHARE;
+        self.lasting = pool.lasting_millis as f64;
         self.samples.push_back((now, millis));
         self.spread = pool.spread;
         let usable = pool.vms.iter().filter(|vm| vm.usable).count();
@@ -60,6 +64,11 @@
     /// Thousandths of a core that will be wanted when a move ordered now is through, at VMs of `vm_millis`
     /// each.
     pub(crate) fn forecast(&self, vm_millis: u64) -> f64 {
+        self.lasting + self.brief_forecast(vm_millis)
+    }
+
+    /// The same of brief work.
+    fn brief_forecast(&self, vm_millis: u64) -> f64 {
         let Some((last_at, last)) = self.samples.back() else { return 0.0 };
         let Some((first_at, first)) = self.samples.front() else { return 0.0 };
         let span = last_at.saturating_sub(*first_at).as_secs_f64();
@@ -86,9 +95,10 @@
     /// VMs of `vm_millis` each that are wanted, one more while VMs of the pool are `being_emptied`:
     /// tasks that must be spread need a place to move to.
     pub(crate) fn vms(&self, vm_millis: u64, being_emptied: bool) -> u32 {
-        let forecast = self.forecast(vm_millis) / vm_millis.max(1) as f64;
-        let headroom = (forecast * HEADROOM).min(forecast.sqrt() * HEADROOM_OF_ROOT);
-        let wanted = forecast + headroom + RESERVE;
+        let vms = |millis: f64| millis / vm_millis.max(1) as f64;
+        let brief = vms(self.brief_forecast(vm_millis));
+        let headroom = (brief * HEADROOM).min(brief.sqrt() * HEADROOM_OF_ROOT);
+        let wanted = vms(self.lasting) + brief + headroom + RESERVE;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "some VMs")]
         let wanted = wanted.ceil() as u32;
         let spread = self.spread + u32::from(being_emptied);
--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -46,6 +46,8 @@
     pub(crate) lasting: BTreeMap<Arc<str>, u32>,
     /// Demand of pools beyond what runs, in thousandths of a core.
     pub(crate) waiting: BTreeMap<Arc<str>, u64>,
+    /// Part of that which is of lasting tasks.
+    pub(crate) lasting_millis: BTreeMap<Arc<str>, u64>,
     down_until: BTreeMap<Arc<str>, Duration>,
     pub(crate) orders: Vec<(Duration, Arc<str>, Order)>,
     /// Whether orders get no answer.
@@ -71,6 +73,7 @@
             tasks: BTreeMap::new(),
             lasting: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            lasting_millis: BTreeMap::new(),
             down_until: BTreeMap::new(),
             orders: Vec::new(),
             mute: false,
@@ -115,6 +118,7 @@
         report::Pool {
             running_millis: vms.iter().map(|vm| vm.used_millis).sum(),
             waiting_millis: self.waiting.get(pool).copied().unwrap_or(0),
+            lasting_millis: self.lasting_millis.get(pool).copied().unwrap_or(0),
             vms,
             ..report::Pool::default()
         }
--- a/crates/crosspath_fleet/tests/fleet/moves.rs
+++ b/crates/crosspath_fleet/tests/fleet/moves.rs
@@ -142,3 +142,21 @@
     let brought = bed.orders.iter().filter(|(_, vm, _)| vm.starts_with('s')).count();
     assert_eq!(direct, 6, "of eight VMs the pool keeps two; {brought} were brought in beside");
 }
+
+/// Lasting work of 12 VMs comes at once. Carried forward as if it went on to come, it brought 30 more VMs than
+/// it fills, and each went off again.
+#[test]
+fn lasting_work_that_comes_in_a_step_is_not_taken_for_a_rise() {
+    let mut vms: Vec<_> = (0..4).map(|n| vm(&format!("c{n:03}"), "counter")).collect();
+    vms.extend((0..60).map(|n| vm(&format!("s{n:03}"), "spare")));
+    let mut bed = Bed::new(vms);
+    for _ in 0..20 {
+        bed.round();
+    }
+    bed.waiting.insert("counter".into(), 12 * 32_000);
+    bed.lasting_millis.insert("counter".into(), 12 * 32_000);
+    for _ in 0..4 {
+        bed.round();
+    }
+    assert_eq!(bed.pool_size("counter"), 13);
+}
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Whether it is a lasting task.
+    pub(crate) fn lasts(&self) -> bool {
+        !self.brief
+    }
+
     /// Whether its job cannot end in time any more; such tasks go after all that can.
     fn is_late(&self, now: Duration) -> bool {
         self.brief && Duration::from_millis(self.latest_ms) < now
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -35,6 +35,9 @@
     pub running_millis: u64,
     /// Wanted by tasks whose turn has come and that have no place.
     pub waiting_millis: u64,
+    /// Part of `running_millis` and `waiting_millis` that is of lasting tasks.
+    #[serde(default)]
+    pub lasting_millis: u64,
     /// Wanted by tasks for which no worker was found, in thousandths of a core.
     pub unplaced_millis: u64,
     /// Lasting tasks among those.
@@ -65,17 +68,17 @@
     pub fn report(&self, now: Duration) -> Pool {
         let mut pool = Pool::default();
         for worker in self.workers.values().filter(|worker| !self.is_doubtful_life(worker)) {
-            let lasting = worker
-                .runs
-                .keys()
-                .filter(|(task, _)| self.step_of(*task).is_some_and(|step| step.lasting));
+            let lasts = |task| self.step_of(task).is_some_and(|step| step.lasting);
+            let lasting = worker.runs.iter().filter(|((task, _), _)| lasts(*task));
+            let lasting: Vec<u64> = lasting.map(|(_, room)| room.cpu_millis).collect();
+            pool.lasting_millis += lasting.iter().sum::<u64>();
             pool.running_millis += worker.used.cpu_millis;
             pool.vms.push(Vm {
                 name: worker.entry.vm.clone(),
                 cpu_millis: worker.entry.capacity.cpu_millis,
                 used_millis: worker.used.cpu_millis,
                 tasks: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
-                lasting: u32::try_from(lasting.count()).unwrap_or(u32::MAX),
+                lasting: u32::try_from(lasting.len()).unwrap_or(u32::MAX),
                 usable: worker.is_usable(now),
                 // An end that is not kept yet would be lost with the worker.
                 known: worker.answers() && worker.ends_seen == worker.ends_acknowledged,
@@ -84,6 +87,7 @@
         for key in &self.waiting {
             let cpu = key.room.cpu_millis;
             pool.waiting_millis += cpu;
+            pool.lasting_millis += if key.lasts() { cpu } else { 0 };
             pool.largest_millis = pool.largest_millis.max(cpu);
         }
         pool.blocked_millis = self.blocked_millis();
