A rise of a small pool is no chance

Cause: the root of two VMs' work is 0.7 of it, so the first jobs of a turn in a small pool were taken for chance: 12 VMs instead of 15 after a rise from two to five. Chance is now 0.12 of the work at most; pools of 70 VMs and more as before. Test: failed before.

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -12,6 +12,9 @@
 /// Growth by so many times the root of the work, in VMs, is chance and is not carried forward. Carried forward
 /// twofold, it made 432 moves in 20 s for work that strays by 5 of 100 VMs; this makes 187.
 const CHANCE_OF_ROOT: f64 = 1.0;
+/// The same as a share of the work at most: two VMs' worth that becomes four is no chance. Without it the first
+/// jobs of a turn brought a pool of two VMs three fewer.
+const CHANCE: f64 = 0.12;
 /// Share of the work of later steps that is wanted already.
 const BLOCKED_SHARE: f64 = 0.2;
 /// Share of the forecast that is held beside it at most: room for uneven tasks and for what the forecast
@@ -75,7 +78,8 @@
         let Some((first_at, first)) = self.samples.front() else { return 0.0 };
         let span = last_at.saturating_sub(*first_at).as_secs_f64();
         let vm_millis = vm_millis.max(1) as f64;
-        let by_chance = CHANCE_OF_ROOT * (first / vm_millis).sqrt() * vm_millis;
+        let by_root = CHANCE_OF_ROOT * (first / vm_millis).sqrt() * vm_millis;
+        let by_chance = by_root.min(first * CHANCE);
         let grown = (last - first - by_chance).max(0.0);
         let growth = if span > 0.0 { grown / span } else { 0.0 };
         last + growth * LEAD.as_secs_f64()
--- a/crates/crosspath_fleet/tests/fleet/moves.rs
+++ b/crates/crosspath_fleet/tests/fleet/moves.rs
@@ -160,3 +160,21 @@
     }
     assert_eq!(bed.pool_size("counter"), 13);
 }
+
+/// The first jobs of a turn in a pool of two VMs: the rise is carried forward as it is, whatever its root.
+#[test]
+fn a_rise_of_a_small_pool_is_no_chance() {
+    let mut vms: Vec<_> = (0..3).map(|n| vm(&format!("c{n:03}"), "counter")).collect();
+    vms.extend((0..60).map(|n| vm(&format!("s{n:03}"), "spare")));
+    let mut bed = Bed::new(vms);
+    bed.orders_per_s(1_000.0);
+    bed.waiting.insert("counter".into(), 2 * 32_000);
+    for _ in 0..20 {
+        bed.round();
+    }
+    bed.waiting.insert("counter".into(), 5 * 32_000);
+    for _ in 0..2 {
+        bed.round();
+    }
+    assert_eq!(bed.pool_size("counter"), 15);
+}
