Only VMs that have long been idle go straight to a pool that wants some

Cause: in a small pool an idle VM is chance and is wanted again within a second; taking it at once left the pool short. A VM that has been idle for as long as a move pays goes off in the same round anyway, so giving it away costs nobody anything.

--- a/crates/crosspath_fleet/src/donor.rs
+++ b/crates/crosspath_fleet/src/donor.rs
@@ -15,7 +15,7 @@
 /// next VM is then found by the pools, not by all VMs.
 #[derive(Debug, Default)]
 pub(crate) struct Donors<'a> {
-    /// VMs of serving pools on which nothing runs, the best last.
+    /// VMs of serving pools that have been idle for long, the best last.
     idle: BTreeMap<Arc<str>, Vec<(Rank, &'a Vm)>>,
     /// VMs that are off, the best last.
     off: Vec<(Rank, &'a Vm)>,
@@ -24,8 +24,12 @@
 }
 
 impl<'a> Donors<'a> {
-    /// Ranks VMs that are free to be moved.
-    pub(crate) fn new(index: &Index<'a>, free: impl Iterator<Item = &'a Vm>) -> Self {
+    /// Ranks VMs that are free to be moved; `is_long_idle` tells of those that go off if they are not given away.
+    pub(crate) fn new(
+        index: &Index<'a>,
+        free: impl Iterator<Item = &'a Vm>,
+        is_long_idle: impl Fn(&Vm) -> bool,
+    ) -> Self {
         let mut donors = Self::default();
         for vm in free {
             // A VM that is idle while it awaits its upkeep can have it at once.
@@ -37,8 +41,8 @@
             let Some(reported) = index.reported(vm) else { continue };
             if reported.usable && reported.lasting == 0 {
                 let rank = (awaits, reported.used_millis, Arc::clone(&vm.name));
-                let vacant = reported.is_vacant();
-                let pools = if vacant { &mut donors.idle } else { &mut donors.serving };
+                let idle = reported.is_vacant() && is_long_idle(vm);
+                let pools = if idle { &mut donors.idle } else { &mut donors.serving };
                 pools.entry(Arc::clone(&vm.pool)).or_default().push((rank, vm));
             }
         }
@@ -50,9 +54,9 @@
         donors
     }
 
-    /// Takes an idle VM of the pools that have VMs `over` what they want, else one that is off, else,
-    /// where `lacks_much`, the least used of those pools. An idle VM goes off soon, and to bring another
-    /// in instead would be two moves where one will do.
+    /// Takes a VM that has long been idle of the pools that have VMs `over` what they want, else one that is
+    /// off, else, where `lacks_much`, the least used of those pools. A VM that is idle for so long goes off
+    /// now, and to bring another in instead would be two moves where one will do.
     pub(crate) fn take(&mut self, over: &BTreeSet<&Arc<str>>, lacks_much: bool) -> Option<&'a Vm> {
         if let Some(vm) = pop_best(&mut self.idle, over) {
             return Some(vm);
--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -54,7 +54,7 @@
         lacking
     }
 
-    /// Gives VMs to the pools that lack most: idle ones of pools that have more than they want, else
+    /// Gives VMs to the pools that lack most: long idle ones of pools that have more than they want, else
     /// those that are off, else nearly idle ones.
     fn give_to_needy(
         &mut self,
@@ -67,7 +67,9 @@
             return;
         }
         let movable = |vm: &&Vm| self.is_free(now, vm) && !self.immovable.contains(&vm.name);
-        let mut donors = Donors::new(index, index.vms().iter().filter(movable));
+        let is_long_idle = |vm: &Vm| self.is_long_idle(now, &vm.name);
+        let free = index.vms().iter().filter(movable);
+        let mut donors = Donors::new(index, free, is_long_idle);
         for _ in 0..most {
             let neediest = balances.iter().max_by_key(|(_, balance)| balance.lacks());
             let Some((pool, balance)) = neediest else { break };
