--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -31,7 +31,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// A caller that was refused comes back after this: about the time of a takeover.
 const RETRY_AFTER_S: u32 = 1;
-/// The same while the store is silent or has been down for [`LONG_DOWN`]: outages take some seconds, and callers try a few times only.
+/// The same while the store is silent or has been down for [`LONG_DOWN`]: outages take some seconds, and
+/// callers try a few times only.
 const SILENT_RETRY_AFTER_S: u32 = 2;
 
 /// A store that has been down for so long is taken for away; what is down for less may be back within a
