A new owner moves no lasting task while another may be ending by the owner before

A run whose stop is under way is listed as running until it is through, up to 0.9 s, so the new owner took it for at work. Ruled out: orders for VMs (the tasks were ended singly), the rounds on pool sizes (no VM order is near).

A run of another owner now counts as at work 1.5 s after this owner adopted it. Test: failed before.

--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -9,16 +9,13 @@
 
 use crate::action::Action;
 use crate::job::{Phase, Run};
+use crate::runs::STOPPED_WITHIN;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
 /// For which a late entry of a life that has ended is known as such. Writes are late by some seconds.
 const ENDED_LIFE_MEMORY: Duration = Duration::from_secs(60);
 
-/// A stop that was answered has ended its run by then: stops take up to 0.9 s. A run that is shown later was
-/// started late, after it, and would go on for as long as its worker's lease is extended.
-const STOPPED_WITHIN: Duration = Duration::from_millis(1_500);
-
 impl Scheduler {
     pub(crate) fn worker_seen(&mut self, entry: Entry) {
         if self.ended_lives.contains_key(&entry.id) {
--- a/crates/crosspath_schedule/src/runs.rs
+++ b/crates/crosspath_schedule/src/runs.rs
@@ -15,7 +15,18 @@
 /// Between two stops for a run whose stop got no answer.
 const STOP_AGAIN: Duration = Duration::from_millis(400);
 
+/// A stop that a worker has taken has ended its run by then: stops take up to 0.9 s. A run that is shown after
+/// that was not stopped, or was started after its stop.
+pub(crate) const STOPPED_WITHIN: Duration = Duration::from_millis(1_500);
+
 impl Scheduler {
+    /// Whether a run may be ending by a stop of an owner before: it is shown as running until the stop is
+    /// through. A worker that has answered this owner takes no further stop of one before.
+    pub(crate) fn may_be_stopped_by_another(&self, now: Duration, run: &Run) -> bool {
+        let adopted = run.number < self.epoch * RUNS_PER_EPOCH;
+        adopted && now < run.answered + STOPPED_WITHIN
+    }
+
     /// Next number for a run of a task.
     pub(crate) fn next_run(epoch: u64, task: &Task) -> u64 {
         (task.last_run + 1).max(epoch * RUNS_PER_EPOCH + 1)
--- a/crates/crosspath_schedule/src/vacate.rs
+++ b/crates/crosspath_schedule/src/vacate.rs
@@ -45,19 +45,20 @@
         }
         if step.lasting {
             let limit = step.may_miss.unwrap_or(1);
-            return self.others_away(job, id) < limit && self.has_room_elsewhere(now, id);
+            return self.others_away(now, job, id) < limit && self.has_room_elsewhere(now, id);
         }
         let movable = step.checkpoints && run.percent < MOVE_BELOW && run.checkpoint.is_some();
         movable && !is_made_late_by_move(now, job, id, run.percent)
     }
 
     /// Other tasks of the step that are not at work, as far as is known.
-    fn others_away(&self, job: &Job, id: TaskId) -> u32 {
+    fn others_away(&self, now: Duration, job: &Job, id: TaskId) -> u32 {
         let step = &job.instances[id.time as usize].steps[id.step as usize];
         let at_work = |run: &Run| {
             let worker = self.workers.get(&run.worker);
             let sound = worker.is_some_and(Worker::answers);
-            sound && run.phase == Phase::Running && run.percent >= AT_WORK
+            let works = run.phase == Phase::Running && run.percent >= AT_WORK;
+            sound && works && !self.may_be_stopped_by_another(now, run)
         };
         let others = (0..).zip(&step.tasks).filter(|(index, _)| *index != id.index);
         let away = others.filter(|(_, task)| !task.runs.iter().any(at_work));
--- a/crates/crosspath_schedule/tests/schedule/lasting.rs
+++ b/crates/crosspath_schedule/tests/schedule/lasting.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 
 use crosspath_border::worker::{Error, How, Running};
+use crosspath_job::record::Record;
 use crosspath_job::spec::Step;
 use crosspath_schedule::Event;
 
-use crate::common::{Bed, Ordered, ended, ms, running, step};
+use crate::common::{Bed, JOB, Ordered, accepted, ended, kept, ms, running, step};
 
 const WORKERS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -58,6 +59,24 @@
     assert_eq!(bed.stops(), Vec::new());
 }
 
+/// The owner before has ordered a stop and lost the shard: the run is shown as at work until its stop is through.
+#[test]
+fn a_new_owner_moves_none_while_one_may_be_stopped_by_the_owner_before() {
+    let (before, starts) = bed();
+    let step = Step { lasting: true, may_miss: Some(1), per_worker: 1, ..step(3, 2) };
+    let mut records = vec![Record::Accepted(JOB, accepted(vec![step]))];
+    records.extend(kept(&before.actions));
+    let mut bed = Bed::new(2);
+    bed.take_over(records, &WORKERS);
+    show(&mut bed, &starts);
+    vacate(&mut bed, &[&starts[0], &starts[1]]);
+    bed.pass(ms(900));
+    assert_eq!(bed.stops(), Vec::new());
+    show(&mut bed, &starts);
+    bed.pass(ms(700));
+    assert_eq!(bed.stops().len(), 1, "no stop was under way");
+}
+
 #[test]
 fn none_is_moved_without_a_place_to_go() {
     let (mut bed, starts) = bed();
