--- a/crates/crosspath_node/src/census.rs
+++ b/crates/crosspath_node/src/census.rs
@@ -50,16 +50,18 @@
 #[derive(Debug)]
 pub struct Census {
     began: Duration,
+    /// Whether there is a list of VMs; else the list of workers is the one source.
+    lists_vms: bool,
     /// What the last list held that was read whole.
     listed: Option<usize>,
     pause: Duration,
 }
 
 impl Census {
-    /// A count that begins at `now`.
+    /// A count that begins at `now`; `lists_vms` says whether the platform has a list of VMs.
     #[must_use]
-    pub fn new(now: Duration) -> Self {
-        Self { began: now, listed: None, pause: FIRST_PAUSE }
+    pub fn new(now: Duration, lists_vms: bool) -> Self {
+        Self { began: now, lists_vms, listed: None, pause: FIRST_PAUSE }
     }
 
     /// Takes in how a reading of the list of VMs ended: the number of VMs in it.
@@ -91,7 +93,7 @@
         {
             return Ok(Count { vms, source: Source::Both });
         }
-        let alone = now >= self.began + ALONE_AFTER;
+        let alone = !self.lists_vms || now >= self.began + ALONE_AFTER;
         let unknown = Unknown { again_in: self.pause.mul_f64(0.5 + 0.5 * jitter) };
         if !alone {
             return Err(unknown);
--- a/crates/crosspath_node/src/map.rs
+++ b/crates/crosspath_node/src/map.rs
@@ -314,7 +314,7 @@
     if !node.owned().contains_key(&node.fleet_shard()) {
         return Err(ExtendError::NotOurs);
     }
-    let census = census.get_or_insert_with(|| Census::new(clock::now()));
+    let census = census.get_or_insert_with(|| Census::new(clock::now(), node.fleet.is_some()));
     if let Some(fleet) = &node.fleet {
         census.listed(fleet.list().await.map(|vms| vms.len()));
     }
--- a/crates/crosspath_node/tests/node/census.rs
+++ b/crates/crosspath_node/tests/node/census.rs
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_refusal_is_no_number() {
-    let mut census = Census::new(START);
+    let mut census = Census::new(START, true);
     census.listed(Err(Error::Refused));
     assert!(census.count(after(1_000), Some(0), 0.0).is_err());
     assert!(census.count(after(60_000), None, 0.0).is_err());
@@ -71,7 +71,7 @@
 
 #[test]
 fn two_sources_that_agree_count_at_once() {
-    let mut census = Census::new(START);
+    let mut census = Census::new(START, true);
     census.listed(Ok(1_100));
     let count = census.count(after(10), Some(924), 0.0);
     assert_eq!(count, Ok(Count { vms: 1_100, source: Source::Both }));
@@ -79,7 +79,7 @@
 
 #[test]
 fn a_list_that_misses_workers_waits_and_then_the_larger_number_counts() {
-    let mut census = Census::new(START);
+    let mut census = Census::new(START, true);
     census.listed(Ok(40));
     assert!(census.count(after(4_900), Some(48), 0.0).is_err());
     let count = census.count(after(5_000), Some(48), 0.0);
@@ -88,7 +88,7 @@
 
 #[test]
 fn workers_count_alone_where_the_list_stays_away() {
-    let mut census = Census::new(START);
+    let mut census = Census::new(START, true);
     census.listed(Err(Error::NoAnswer));
     assert!(census.count(after(4_900), Some(924), 0.0).is_err());
     let count = census.count(after(5_000), Some(924), 0.0);
@@ -97,7 +97,7 @@
 
 #[test]
 fn tries_come_further_and_further_apart() {
-    let mut census = Census::new(START);
+    let mut census = Census::new(START, true);
     let mut pauses = Vec::new();
     for _ in 0..5 {
         census.listed(Err(Error::Refused));
@@ -106,3 +106,13 @@
     }
     assert_eq!(pauses, [200, 400, 800, 800, 800]);
 }
+
+/// A deployment whose VMs are not managed served nobody for its first 5 s.
+#[test]
+fn where_there_is_no_list_of_vms_workers_count_at_once() {
+    let census = Census::new(START, false);
+    assert!(census.count(after(0), None, 0.0).is_err());
+    assert!(census.count(after(0), Some(0), 0.0).is_err());
+    let count = census.count(after(0), Some(24), 0.0);
+    assert_eq!(count, Ok(Count { vms: 24, source: Source::Workers }));
+}
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -158,12 +158,17 @@
         }
     }
     let jobs = audit.jobs();
+    let accepted = jobs.iter().filter(|(_, told)| told.accepted).count();
+    // Where nothing is taken no other promise is tried.
+    if accepted == 0 {
+        audit.violation(format!("none of {} jobs was accepted", jobs.len()));
+    }
     let violations = audit.violations();
     let logs = (!violations.is_empty()).then(|| folder.keep());
     Ok(Report {
         faults,
         jobs: jobs.len(),
-        accepted: jobs.iter().filter(|(_, told)| told.accepted).count(),
+        accepted,
         completed,
         starts: audit.starts(),
         violations,
