A line on each run that is lost with its worker

Sight for the incident of workers that crash under tasks: which run was lost, how long it is known to have run, beside how many others. With it a task that crashes its workers (the same task again and again, known for 0 ms) can be told from bystanders (spread like the runs, known for as long as they ran).

--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crosspath_border::worker::{Entry, Error, Held, Running};
+use crosspath_job::TaskId;
 use crosspath_job::spec::Step;
 
 use crate::action::Action;
@@ -94,10 +95,25 @@
         let Some(worker) = self.workers.get(id) else { return };
         let runs: Vec<_> = worker.runs.keys().copied().collect();
         for (task, run) in runs {
+            self.tell_lost(id, task, run, runs_beside(&self.workers[id]));
             self.drop_and_queue(now, id, task, run, why);
         }
     }
 
+    /// A line on a run that is lost with its worker: how long it is known to have run, and beside how many others.
+    /// A task that crashes its workers shows in many of them, and as new in each.
+    fn tell_lost(&self, worker: &str, id: TaskId, number: u64, beside: usize) {
+        let Some(run) = self.run(id, number) else { return };
+        if run.phase == Phase::Planned {
+            return;
+        }
+        log::info!(
+            "event=run_lost task={id} run={number} worker={worker} phase={:?} known_ms={} beside={beside}",
+            run.phase,
+            run.looked.saturating_sub(run.sent).as_millis()
+        );
+    }
+
     /// Frees what ran on silent workers once their leases have surely ended.
     pub(crate) fn release_lapsed(&mut self, now: Duration) {
         let lapsed = |worker: &&Worker| worker.failures > 0 && now > worker.lease_over;
@@ -274,3 +290,8 @@
         }
     }
 }
+
+/// Runs beside each of a worker's runs.
+fn runs_beside(worker: &Worker) -> usize {
+    worker.runs.len().saturating_sub(1)
+}
