--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -8,6 +8,7 @@
 mod form;
 mod lasting;
 mod limits;
+mod losses;
 mod model;
 mod room;
 mod stall;
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crosspath_border::worker::{Ended, Entry, Error, Held, How, Running, Started};
+use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record};
 use crosspath_job::{JobId, TaskId};
 use crosspath_schedule::{Action, Event, Scheduler};
@@ -140,8 +141,26 @@
     jobs: u64,
     noted: BTreeSet<TaskId>,
     pub(crate) starts: u64,
+    /// Whether some jobs crash the workers that start them.
+    deadly: bool,
+    /// Lives that were lost under tasks, and starts after the third loss.
+    losses: BTreeMap<TaskId, Losses>,
 }
 
+/// What a task has done to its workers.
+#[derive(Debug, Default)]
+struct Losses {
+    lives: u32,
+    starts_after: u32,
+}
+
+/// Which jobs crash their workers, in a world with such jobs.
+const DEADLY_EVERY: u64 = 7;
+/// From the start of a deadly task to the end of its worker.
+const DEADLY_AFTER: Duration = ms_const(10);
+/// Starts after the third loss that break the promise.
+const TOO_MANY_AFTER: u32 = 3;
+
 impl World {
     pub(crate) fn new(seed: u64, faults: Faults) -> Self {
         let mut world = Self {
@@ -159,6 +178,8 @@
             jobs: 0,
             noted: BTreeSet::new(),
             starts: 0,
+            deadly: false,
+            losses: BTreeMap::new(),
         };
         for n in 0..5 {
             world.add_worker(&format!("vm-{n}"));
@@ -167,6 +188,15 @@
         world
     }
 
+    /// A world in which some jobs crash the workers that start them.
+    pub(crate) fn deadly(seed: u64, faults: Faults) -> Self {
+        Self { deadly: true, ..Self::new(seed, faults) }
+    }
+
+    fn is_deadly(&self, job: JobId) -> bool {
+        self.deadly && job.0.is_multiple_of(DEADLY_EVERY)
+    }
+
     fn chance(&mut self, percent: u32) -> bool {
         self.rng.random_range(0..100) < percent
     }
@@ -262,11 +292,18 @@
     fn crash(&mut self) {
         let at = self.rng.random_range(0..self.workers.len());
         let id = Arc::clone(self.workers.keys().nth(at).expect("a worker"));
-        let Some(gone) = self.workers.remove(&id) else { return };
+        self.crash_worker(&id);
+    }
+
+    fn crash_worker(&mut self, id: &Arc<str>) {
+        let Some(gone) = self.workers.remove(id) else { return };
+        for task in gone.runs.keys() {
+            self.losses.entry(*task).or_default().lives += 1;
+        }
         self.add_worker(&gone.entry.vm);
         let born = self.entries().into_iter().find(|entry| entry.vm == gone.entry.vm);
         for owner in 0..self.owners.len() {
-            self.tell(owner, Event::WorkerGone(Arc::clone(&id)));
+            self.tell(owner, Event::WorkerGone(Arc::clone(id)));
             self.tell(owner, Event::WorkerSeen(born.clone().expect("a worker")));
         }
         self.ended.push(gone.entry);
@@ -280,9 +317,16 @@
         }
     }
 
-    /// Time passes on workers: runs end, leases lapse.
+    /// Time passes on workers: runs end, leases lapse, deadly tasks crash their workers.
     fn pass(&mut self) {
         let now = self.now;
+        let is_fatal =
+            |(task, run): (&TaskId, &SimRun)| self.is_deadly(task.job) && now >= run.ends;
+        let crashed = self.workers.iter().filter(|(_, worker)| worker.runs.iter().any(is_fatal));
+        let crashed: Vec<_> = crashed.map(|(id, _)| Arc::clone(id)).collect();
+        for id in crashed {
+            self.crash_worker(&id);
+        }
         let mut ends = Vec::new();
         for worker in self.workers.values() {
             let lapsed = now > worker.deadline;
@@ -445,8 +489,15 @@
             );
         }
         assert!(!self.noted.contains(&task), "{task} run {run} begins after a kept end");
-        let takes = self.rng.random_range(50..1_500);
-        let ends = self.now + ms(takes);
+        let takes = ms(self.rng.random_range(50..1_500));
+        let deadly = self.is_deadly(task.job);
+        let ends = self.now + if deadly { DEADLY_AFTER } else { takes };
+        let losses = self.losses.entry(task).or_default();
+        losses.starts_after += u32::from(losses.lives >= TOO_MANY_AFTER);
+        assert!(
+            !deadly || losses.starts_after < TOO_MANY_AFTER,
+            "{task} run {run} begins on {id} after {losses:?}"
+        );
         let worker = self.workers.get_mut(id).expect("a worker");
         worker.runs.insert(task, SimRun { number: run, ends });
         self.starts += 1;
@@ -504,13 +555,24 @@
         for number in 1..=self.jobs {
             let state = current.state(JobId(number));
             assert!(
-                state.is_some_and(crosspath_job::progress::State::is_final),
+                state.is_some_and(State::is_final),
                 "job {number} is {state:?} after all faults have ended"
             );
         }
     }
 }
 
+impl World {
+    /// After all has settled: jobs that crash their workers have failed, and no others have.
+    pub(crate) fn check_deadly(&self) {
+        let current = &self.owners[self.current].scheduler;
+        for job in (1..=self.jobs).map(JobId) {
+            let expected = if self.is_deadly(job) { State::Failed } else { State::Completed };
+            assert_eq!(current.state(job), Some(expected), "job {job}, {:?}", self.faults);
+        }
+    }
+}
+
 #[derive(Debug)]
 enum Reply {
     Started(Started),
