A task that crashes the workers that start it is given up after three

Cause: a run that is lost with its worker went back to the queue with nothing noted. A worker that crashes lists no end, so max_attempts never counted it, and the queue sent it to the fullest worker next, beside as many bystanders as fitted.

Ruled out: losses forgotten at takeovers as the sole cause (one owner restarts without end too); workers that crash of themselves (not needed: 10 ms after the same starts, on 31 workers).

Now each run that a worker's end takes along counts for its task, in the task's record, so that takeovers, new lives of the owner and copies keep it. One loss: tasks lost together part ways. Two: the task runs alone. Three: its job has failed. A run that looks have shown for 3 s clears its task; a planned end, a worker that answers again and a start that met another life count for nothing.

The test of owners kept a dead life's name and let it answer again; it now gives each life a name of its own, and fails on the old code as before.

--- a/crates/crosspath_job/src/progress.rs
+++ b/crates/crosspath_job/src/progress.rs
@@ -41,6 +41,9 @@
     /// number counts once.
     #[serde(rename = "f", skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<u64>,
+    /// Number and worker of each run that was lost with its worker, in order.
+    #[serde(rename = "l", skip_serializing_if = "Vec::is_empty")]
+    pub lost: Vec<(u64, Arc<str>)>,
     /// Number and worker of each run that is or may be; written before a run is started, so that
     /// a new owner knows where to look for it.
     #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
--- a/crates/crosspath_schedule/src/answers.rs
+++ b/crates/crosspath_schedule/src/answers.rs
@@ -33,6 +33,9 @@
                 "event=start_refused task={task} run={number} worker={id} answer={answer:?}"
             );
         }
+        if !matches!(answer, Ok(Started::Yes) | Err(Error::NoAnswer)) {
+            self.acquit(now, task, number);
+        }
         match answer {
             Ok(Started::Yes) => {
                 if let Some(run) = self.run_mut(task, number) {
@@ -74,7 +77,10 @@
                 self.rest(id, now + REST_AFTER_SILENCE);
                 self.drop_and_queue(now, id, task, number, "not_reached");
             }
-            Err(Error::OtherLife) => self.end_life(now, id, "other_life"),
+            Err(Error::OtherLife) => {
+                self.drop_and_queue(now, id, task, number, "other_life");
+                self.end_life(now, id, "other_life");
+            }
             Err(Error::NoAnswer) => self.start_unanswered(now, id, task, number),
         }
     }
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -69,6 +69,8 @@
     pub runs: Vec<Run>,
     /// Number and worker of runs that an owner before may have started and no answer has ruled out.
     pub unseen: Vec<(u64, Arc<str>)>,
+    /// Number and worker of each run that was lost with its worker; cleared by a run that proves itself.
+    pub lost: Vec<(u64, Arc<str>)>,
     /// Workers where it failed.
     pub failed_on: Vec<Arc<str>>,
     /// Not placed before.
@@ -178,7 +180,8 @@
             };
             task.done = kept.done;
             task.failed_runs.clone_from(&kept.failed_runs);
-            let runs = kept.runs.iter().map(|(run, _)| *run);
+            task.lost.clone_from(&kept.lost);
+            let runs = kept.runs.iter().chain(&kept.lost).map(|(run, _)| *run);
             task.last_run = runs.chain(kept.failed_runs.iter().copied()).max().unwrap_or_default();
             task.checkpoint.clone_from(&kept.checkpoint);
             task.unseen.clone_from(&kept.runs);
@@ -207,19 +210,16 @@
     pub fn progress(&self, wall_ms: u64) -> Progress {
         let mut tasks = BTreeMap::new();
         if !self.state.is_final() {
-            for (time, instance) in self.instances.iter().enumerate() {
-                for (number, step) in instance.steps.iter().enumerate() {
-                    for (index, task) in step.tasks.iter().enumerate() {
-                        let kept = TaskProgress {
-                            done: task.done,
-                            failed_runs: task.failed_runs.clone(),
-                            runs: task.placements(),
-                            checkpoint: task.checkpoint.clone().filter(|_| !task.done),
-                        };
-                        if kept != TaskProgress::default() {
-                            tasks.insert(format!("{time}.{number}.{index}"), kept);
-                        }
-                    }
+            for (TaskId { time, step, index, .. }, task) in self.tasks() {
+                let kept = TaskProgress {
+                    done: task.done,
+                    failed_runs: task.failed_runs.clone(),
+                    lost: task.lost.clone(),
+                    runs: task.placements(),
+                    checkpoint: task.checkpoint.clone().filter(|_| !task.done),
+                };
+                if kept != TaskProgress::default() {
+                    tasks.insert(format!("{time}.{step}.{index}"), kept);
                 }
             }
         }
@@ -240,6 +240,16 @@
         instance.steps.get_mut(id.step as usize)?.tasks.get_mut(id.index as usize)
     }
 
+    /// All tasks.
+    pub fn tasks(&self) -> impl Iterator<Item = (TaskId, &Task)> {
+        (0..).zip(&self.instances).flat_map(move |(time, instance)| {
+            (0..).zip(&instance.steps).flat_map(move |(step, tasks)| {
+                let id = move |index| TaskId { job: self.id, time, step, index };
+                (0..).zip(&tasks.tasks).map(move |(index, task)| (id(index), task))
+            })
+        })
+    }
+
     /// Whether every task has ended successfully.
     #[must_use]
     pub fn is_done(&self) -> bool {
@@ -249,17 +259,8 @@
     /// Identifiers of all tasks that have a run.
     #[must_use]
     pub fn running(&self) -> Vec<(TaskId, u64, Arc<str>)> {
-        let mut found = Vec::new();
-        for (time, instance) in (0..).zip(&self.instances) {
-            for (step, tasks) in (0..).zip(&instance.steps) {
-                for (index, task) in (0..).zip(&tasks.tasks) {
-                    let id = TaskId { job: self.id, time, step, index };
-                    let runs = task.runs.iter();
-                    found.extend(runs.map(|run| (id, run.number, Arc::clone(&run.worker))));
-                }
-            }
-        }
-        found
+        let runs = self.tasks().flat_map(|(id, task)| task.runs.iter().map(move |run| (id, run)));
+        runs.map(|(id, run)| (id, run.number, Arc::clone(&run.worker))).collect()
     }
 }
 
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -143,7 +143,7 @@
         }
         task.freed = now;
         let key = Key::of(job, id);
-        self.waiting.insert(key);
+        self.waiting.replace(key);
         self.place_again = true;
     }
 
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lease;
 mod limits;
 mod looks;
+mod losses;
 mod pace;
 mod place;
 pub mod report;
--- a/crates/crosspath_schedule/src/limits.rs
+++ b/crates/crosspath_schedule/src/limits.rs
@@ -180,16 +180,12 @@
 /// Tasks that an owner before may have started and that no worker has shown yet, once for each run.
 fn unseen(job: &Job) -> Vec<TaskId> {
     let mut found = Vec::new();
-    for (time, instance) in (0..).zip(&job.instances) {
-        for (step, tasks) in (0..).zip(&instance.steps) {
-            for (index, task) in (0..).zip(&tasks.tasks) {
-                let is_seen = |number: u64| {
-                    task.runs.iter().any(|run| run.number == number && run.phase != Phase::Planned)
-                };
-                let unseen = task.unseen.iter().filter(|(number, _)| !is_seen(*number));
-                found.extend(unseen.map(|_| TaskId { job: job.id, time, step, index }));
-            }
-        }
+    for (id, task) in job.tasks() {
+        let is_seen = |number: u64| {
+            task.runs.iter().any(|run| run.number == number && run.phase != Phase::Planned)
+        };
+        let unseen = task.unseen.iter().filter(|(number, _)| !is_seen(*number));
+        found.extend(unseen.map(|_| id));
     }
     found
 }
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use crosspath_border::worker::{Entry, Error, Held, Running};
-use crosspath_job::TaskId;
 use crosspath_job::spec::Step;
 
 use crate::action::Action;
 use crate::job::{Phase, Run};
+use crate::losses::Fate;
 use crate::runs::STOPPED_WITHIN;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
@@ -18,9 +18,10 @@
 const ENDED_LIFE_MEMORY: Duration = Duration::from_secs(60);
 
 impl Scheduler {
-    pub(crate) fn worker_seen(&mut self, entry: Entry) {
+    pub(crate) fn worker_seen(&mut self, now: Duration, entry: Entry) {
         if self.ended_lives.contains_key(&entry.id) {
-            self.accounted(&entry.id);
+            self.accounted(now, &entry.id, Fate::Over);
+            self.judge_lost_on(now, &entry.id);
             return;
         }
         self.place_again = true;
@@ -87,33 +88,20 @@
         log::info!("event=worker_over worker={id} why={why} runs={}", worker.runs.len());
         self.actions.push(Action::Unwatch { worker: worker.target() });
         self.release_all(now, id, why);
+        self.accounted(now, id, Fate::Over);
         self.workers.remove(id);
-        self.accounted(id);
+        self.judge_lost_on(now, id);
     }
 
     pub(crate) fn release_all(&mut self, now: Duration, id: &Arc<str>, why: &str) {
         let Some(worker) = self.workers.get(id) else { return };
         let runs: Vec<_> = worker.runs.keys().copied().collect();
         for (task, run) in runs {
-            self.tell_lost(id, task, run, runs_beside(&self.workers[id]));
+            self.lose_run(now, id, task, run);
             self.drop_and_queue(now, id, task, run, why);
         }
     }
 
-    /// A line on a run that is lost with its worker: how long it is known to have run, and beside how many others.
-    /// A task that crashes its workers shows in many of them, and as new in each.
-    fn tell_lost(&self, worker: &str, id: TaskId, number: u64, beside: usize) {
-        let Some(run) = self.run(id, number) else { return };
-        if run.phase == Phase::Planned {
-            return;
-        }
-        log::info!(
-            "event=run_lost task={id} run={number} worker={worker} phase={:?} known_ms={} beside={beside}",
-            run.phase,
-            run.looked.saturating_sub(run.sent).as_millis()
-        );
-    }
-
     /// Frees what ran on silent workers once their leases have surely ended.
     pub(crate) fn release_lapsed(&mut self, now: Duration) {
         let lapsed = |worker: &&Worker| worker.failures > 0 && now > worker.lease_over;
@@ -176,12 +164,16 @@
             self.place_again = true;
         }
         self.place_again |= !worker.synced;
+        let was_lost = worker.failures > 0 || !worker.synced;
         worker.failures = 0;
         worker.synced = true;
         worker.answered_sent = worker.answered_sent.max(sent);
         if extended {
             worker.leased_until(terms.over(sent, terms.hold));
         }
+        if was_lost {
+            self.acquit_all_on(now, id);
+        }
         for ended in &held.ended {
             self.ended(now, id, ended);
         }
@@ -189,7 +181,7 @@
             self.is_running(now, id, running);
         }
         self.reconcile(now, id, sent, &held.running);
-        self.accounted(id);
+        self.accounted(now, id, Fate::Answers);
         self.end_lives_before(now, id, sent);
     }
 
@@ -215,6 +207,7 @@
                 run.phase = Phase::Running;
                 self.stop_run(now, id, number);
             }
+            self.prove(now, worker, id, number);
             return;
         }
         self.found(now, worker, row);
@@ -231,8 +224,11 @@
             free && !job.state.is_final()
         });
         let room = self.step_of(id).map(Step::reserved).unwrap_or_default();
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        let losses = task.map_or(0, |task| task.lost.len());
         let Some(known) = self.workers.get_mut(worker) else { return };
         known.reserve(id, number, room);
+        known.suspect(id, number, losses);
         if !wanted {
             log::info!("event=run_unwanted task={id} run={number} worker={worker}");
             let worker = known.target();
@@ -290,8 +286,3 @@
         }
     }
 }
-
-/// Runs beside each of a worker's runs.
-fn runs_beside(worker: &Worker) -> usize {
-    worker.runs.len().saturating_sub(1)
-}
--- /dev/null
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -0,0 +1,237 @@
+//! Runs that were lost with their workers.
+//!
+//! A task may crash each worker that starts it, and a worker that crashes lists no end. So a run that a worker's
+//! end took along counts for its task, in the task's record: what is known of it outlives its owner.
+//!
+//! Most tasks that were lost are bystanders: up to 18 run beside the guilty one. What a count means therefore
+//! depends on what ran beside the task, and that is arranged:
+//!
+//! - after one loss a task goes where the fewest others under suspicion are, and to the emptiest of those, so
+//!   that the tasks lost with one worker part ways;
+//! - after two it runs alone: nothing else there has just been started, and nothing else is started there until
+//!   the run has proved itself, see [`PROVEN`];
+//! - a third loss comes after that, so the task is guilty, and its job has failed.
+//!
+//! A run that has proved itself clears its task, so that lasting tasks are not failed by what their workers
+//! suffer in a day. A silent worker that is still listed may only be cut off: what was there counts as lost
+//! until it answers again, and alone fails no job.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_job::TaskId;
+use crosspath_job::progress::State;
+
+use crate::job::Phase;
+use crate::place::Key;
+use crate::scheduler::Scheduler;
+use crate::worker::Worker;
+
+/// Losses from which a task runs alone.
+const ALONE_FROM: usize = 2;
+/// Losses from which a task's job has failed. A task that crashes its workers costs three lives, where it cost
+/// a life each 3.3 s for as long as its job was there.
+const GIVEN_UP_FROM: usize = 3;
+/// A run that looks have shown for so long did not crash its worker by its start. Longer than the longest brief
+/// tasks seen take on sound workers (2.1 s), and than three looks.
+const PROVEN: Duration = Duration::from_secs(3);
+/// Share of a pool's workers at most on which tasks run alone, or that are kept free for them.
+const ALONE_SHARE: f64 = 0.25;
+
+/// What came of a worker on which runs were unseen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It answers: what it does not show is not there.
+    Answers,
+    /// Its life is over, or all leases there are.
+    Over,
+}
+
+/// Whether a task with so many losses runs alone.
+pub(crate) fn runs_alone(losses: usize) -> bool {
+    losses >= ALONE_FROM
+}
+
+impl Scheduler {
+    /// Whether a run is known to have gone on for so long that it does not crash its worker by its start.
+    fn is_proven(&self, id: TaskId, number: u64) -> bool {
+        let run = self.run(id, number);
+        run.is_some_and(|run| run.looked.saturating_sub(run.sent) >= PROVEN)
+    }
+
+    /// A run that a look has shown: once it has proved itself, its task is cleared.
+    pub(crate) fn prove(&mut self, now: Duration, worker: &str, id: TaskId, number: u64) {
+        if !self.is_proven(id, number) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            self.place_again |= worker.suspects.remove(&(id, number)).is_some();
+        }
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
+            return;
+        };
+        if !task.lost.is_empty() {
+            log::info!("event=task_cleared task={id} run={number} losses={}", task.lost.len());
+            task.lost.clear();
+            self.commits.touch(now, id.job);
+        }
+    }
+
+    /// A worker's end, or the end of its leases, takes a run along.
+    pub(crate) fn lose_run(&mut self, now: Duration, worker: &Arc<str>, id: TaskId, number: u64) {
+        let Some(run) = self.run(id, number) else { return };
+        let known = run.looked.saturating_sub(run.sent);
+        let never_sent = run.phase == Phase::Planned;
+        let planned_end = self.workers.get(worker).is_some_and(|worker| worker.entry.draining);
+        if never_sent || planned_end || known >= PROVEN {
+            return;
+        }
+        let beside = self.workers.get(worker).map_or(0, |worker| worker.runs.len());
+        log::info!(
+            "event=run_lost task={id} run={number} worker={worker} phase={:?} known_ms={} beside={}",
+            run.phase,
+            known.as_millis(),
+            beside.saturating_sub(1)
+        );
+        self.count_loss(now, worker, id, number);
+    }
+
+    /// Runs of owners before that no answer has shown, and that a worker's end took along.
+    pub(crate) fn lose_unseen(&mut self, now: Duration, worker: &Arc<str>) {
+        if self.workers.get(worker).is_some_and(|worker| worker.entry.draining) {
+            return;
+        }
+        let mut lost = Vec::new();
+        for job in self.jobs.values().filter(|job| job.inherited && !job.state.is_final()) {
+            for (id, task) in job.tasks() {
+                let unseen = task.unseen.iter().filter(|(_, other)| other == worker);
+                let unseen = unseen.filter(|(number, _)| self.run(id, *number).is_none());
+                lost.extend(unseen.map(|(number, _)| (id, *number)));
+            }
+        }
+        for (id, number) in lost {
+            log::info!("event=run_lost task={id} run={number} worker={worker} phase=Unseen");
+            self.count_loss(now, worker, id, number);
+        }
+    }
+
+    fn count_loss(&mut self, now: Duration, worker: &Arc<str>, id: TaskId, number: u64) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        let known = task.lost.iter().any(|(lost, _)| *lost == number);
+        if task.done || known {
+            return;
+        }
+        task.lost.push((number, Arc::clone(worker)));
+        task.last_run = task.last_run.max(number);
+        self.commits.touch(now, id.job);
+        self.requeue(id);
+    }
+
+    /// An answer shows that a start had no effect, whatever became of the worker.
+    pub(crate) fn acquit(&mut self, now: Duration, id: TaskId, number: u64) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
+            return;
+        };
+        let before = task.lost.len();
+        task.lost.retain(|(lost, _)| *lost != number);
+        if task.lost.len() < before {
+            self.commits.touch(now, id.job);
+            self.requeue(id);
+        }
+    }
+
+    /// A worker answers that was taken for lost.
+    pub(crate) fn acquit_all_on(&mut self, now: Duration, worker: &str) {
+        for id in self.tasks_lost_on(worker) {
+            let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
+                continue;
+            };
+            task.lost.retain(|(_, other)| **other != *worker);
+            self.commits.touch(now, id.job);
+            self.requeue(id);
+        }
+    }
+
+    /// Its key tells whether a waiting task is to run alone.
+    fn requeue(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let key = Key::of(job, id);
+        if self.waiting.contains(&key) {
+            self.waiting.replace(key);
+        }
+    }
+
+    fn tasks_lost_on(&self, worker: &str) -> Vec<TaskId> {
+        let running = self.jobs.values().filter(|job| !job.state.is_final());
+        let tasks = running.flat_map(crate::job::Job::tasks);
+        let lost = tasks.filter(|(_, task)| task.lost.iter().any(|(_, other)| **other == *worker));
+        lost.map(|(id, _)| id).collect()
+    }
+
+    /// Gives up the tasks under which too many workers were lost, one of them being `worker`.
+    pub(crate) fn judge_lost_on(&mut self, now: Duration, worker: &str) {
+        for id in self.tasks_lost_on(worker) {
+            self.judge(now, id);
+        }
+    }
+
+    fn judge(&mut self, now: Duration, id: TaskId) {
+        let Some(job) = self.jobs.get(&id.job).filter(|job| !job.state.is_final()) else { return };
+        let Some(task) = job.task(id).filter(|task| !task.done) else { return };
+        // A worker that is still listed may be back.
+        let over = task.lost.iter().filter(|(_, worker)| !self.workers.contains_key(worker));
+        let losses = over.count();
+        if losses >= GIVEN_UP_FROM {
+            log::warn!("event=task_given_up task={id} losses={losses} workers={:?}", task.lost);
+            self.finish(now, id.job, State::Failed);
+        }
+    }
+
+    /// Notes which workers take nothing but tasks that run alone: as many as such tasks wait for.
+    pub(crate) fn keep_free(&mut self, now: Duration) {
+        self.kept_free.clear();
+        let alone = self.waiting.iter().filter(|key| key.alone).map(|key| key.task);
+        let alone: Vec<_> = alone.collect();
+        self.waits_alone = !alone.is_empty();
+        if alone.is_empty() {
+            return;
+        }
+        let most = (self.workers.len() as f64 * ALONE_SHARE).ceil();
+        let taken = self.workers.values().filter(|worker| worker.isolates()).count();
+        let mut left = most - taken as f64;
+        for id in alone {
+            if left < 1.0 {
+                return;
+            }
+            let Some(worker) = self.soonest_free(now, id) else { continue };
+            self.kept_free.insert(worker);
+            left -= 1.0;
+        }
+    }
+
+    /// The worker where the fewest runs have to end before a task can run alone there.
+    fn soonest_free(&self, now: Duration, id: TaskId) -> Option<Arc<str>> {
+        let step = self.step_of(id)?;
+        let room = step.reserved();
+        let others = self.workers.values().filter(|worker| {
+            room.fits(&worker.entry.capacity) && self.takes(now, worker, id, step)
+        });
+        let best = others.min_by_key(|worker| (self.unproven(worker), worker.runs.len()));
+        best.map(|worker| Arc::clone(&worker.entry.id))
+    }
+
+    /// Runs there that have not proved themselves.
+    fn unproven(&self, worker: &Worker) -> usize {
+        worker.runs.keys().filter(|(task, run)| !self.is_proven(*task, *run)).count()
+    }
+
+    /// Whether a task that runs alone may start on a worker now.
+    pub(crate) fn is_free_for_one(&self, worker: &Worker) -> bool {
+        self.unproven(worker) == 0
+    }
+}
+
+/// Workers that take nothing but tasks that run alone.
+pub(crate) type KeptFree = BTreeSet<Arc<str>>;
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -10,7 +10,8 @@
 use crosspath_job::spec::{Room, Step};
 
 use crate::action::Action;
-use crate::job::{Job, Phase, Run};
+use crate::job::{Job, Phase, Run, Task};
+use crate::losses;
 use crate::scheduler::Scheduler;
 use crate::worker::{BLAME_LIMIT, Worker};
 
@@ -25,6 +26,9 @@
 /// Tasks in a row that fit nowhere after which a round of placing ends.
 const MAX_REFUSED: usize = 96;
 
+/// Cost of a worker for each task there that may crash it: more than being full, less than a place far from the data.
+const SUSPECT_WEIGHT: f64 = 5.0;
+
 /// Order of a waiting task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Key {
@@ -39,6 +43,8 @@
     /// Whether any worker with room will do.
     anywhere: bool,
     gang: bool,
+    /// Whether it runs alone, for what it may have done to workers before.
+    pub(crate) alone: bool,
 }
 
 impl Ord for Key {
@@ -57,6 +63,7 @@
 impl Key {
     pub(crate) fn of(job: &Job, task: TaskId) -> Self {
         let step = &job.accepted.spec.steps[task.step as usize];
+        let losses = job.task(task).map_or(0, |task| task.lost.len());
         let rest = job.chains_ms[task.step as usize];
         let due_ms = u64::try_from(job.due().as_millis()).unwrap_or(u64::MAX);
         Self {
@@ -67,6 +74,8 @@
             room: step.reserved(),
             anywhere: step.requires.is_none() && step.per_worker == 0,
             gang: step.gang,
+            // Members of a gang run side by side or not at all.
+            alone: !step.gang && losses::runs_alone(losses),
         }
     }
 
@@ -90,6 +99,8 @@
     HeldBack,
     /// No worker has room for it.
     NoRoom,
+    /// It runs alone, and on all workers something else has just been started.
+    NotAlone,
 }
 
 /// Requests for room that nothing could satisfy in this pass.
@@ -113,6 +124,7 @@
     pub(crate) fn place(&mut self, now: Duration) {
         self.weigh_blame(now);
         self.count_used(now);
+        self.keep_free(now);
         let (late, timely): (Vec<_>, Vec<_>) =
             self.waiting.iter().copied().partition(|key| key.is_late(now));
         let mut misfits = Misfits::default();
@@ -135,6 +147,10 @@
                     continue;
                 }
                 Placing::HeldBack => continue,
+                Placing::NotAlone => {
+                    self.unplaced_millis += key.room.cpu_millis;
+                    continue;
+                }
                 Placing::NoRoom => {}
             }
             if key.anywhere {
@@ -165,7 +181,7 @@
         if self.may_be_unseen(id) || !self.has_advice(now, id) {
             return Placing::Settled;
         }
-        if misfits.cover(&key.room) {
+        if !key.alone && misfits.cover(&key.room) {
             return Placing::NoRoom;
         }
         let room = self.step_of(id).map(|step| step.room).unwrap_or_default();
@@ -173,7 +189,9 @@
             self.hold_back(now, id.job, &room);
             return Placing::HeldBack;
         }
-        let Some(worker) = self.best_worker(now, id) else { return Placing::NoRoom };
+        let Some(worker) = self.best_worker(now, id) else {
+            return if key.alone { Placing::NotAlone } else { Placing::NoRoom };
+        };
         if !self.is_within_limit(id.job, &room) {
             self.hold_back(now, id.job, &room);
             return Placing::HeldBack;
@@ -201,6 +219,7 @@
         let room = job.accepted.spec.steps[id.step as usize].reserved();
         let Some(task) = job.task_mut(id) else { return };
         let freed = task.freed;
+        let losses = task.lost.len();
         task.last_run = run;
         task.runs.push(Run {
             number: run,
@@ -223,6 +242,7 @@
             known.free().cpu_millis
         );
         known.reserve(id, run, room);
+        known.suspect(id, run, losses);
         self.note_used(id);
         self.commits.plan(now, id, run);
     }
@@ -257,15 +277,20 @@
     fn best_worker(&self, now: Duration, id: TaskId) -> Option<Arc<str>> {
         let step = self.step_of(id)?;
         let room = step.reserved();
-        let failed_on = &self.jobs.get(&id.job)?.task(id)?.failed_on;
+        let task = self.jobs.get(&id.job)?.task(id)?;
+        let alone = !step.gang && losses::runs_alone(task.lost.len());
         let candidates = self
             .workers
             .values()
-            .filter(|worker| room.fits(&worker.free()) && self.takes(now, worker, id, step));
-        let scored = candidates.map(|worker| {
-            let failed = failed_on.contains(&worker.entry.id);
-            (self.cost(now, worker, failed, step), worker)
-        });
+            .filter(|worker| room.fits(&worker.free()) && self.takes(now, worker, id, step))
+            .filter(|worker| {
+                if alone {
+                    self.is_free_for_one(worker)
+                } else {
+                    !self.kept_free.contains(&worker.entry.id)
+                }
+            });
+        let scored = candidates.map(|worker| (self.cost(now, worker, task, step), worker));
         let best = scored.min_by(|(a, one), (b, other)| {
             a.total_cmp(b).then_with(|| one.entry.id.cmp(&other.entry.id))
         });
@@ -280,6 +305,7 @@
             && spread
             && worker.is_usable(now)
             && !self.vacate.contains(&worker.entry.vm)
+            && !worker.isolates()
             && !self.is_blamed(now, worker)
             && self.tickets.allows(id, &worker.entry.id)
     }
@@ -296,8 +322,11 @@
         self.blame_counts = blamed.count() as f64 <= allowed;
     }
 
-    /// Lower is better. Fuller workers first, so that others stay empty and can leave the pool.
-    fn cost(&self, now: Duration, worker: &Worker, failed: bool, step: &Step) -> f64 {
+    /// Lower is better. Fuller workers first, so that others stay empty and can leave the pool; but tasks that were
+    /// lost with a worker keep apart from each other, and others from them.
+    fn cost(&self, now: Duration, worker: &Worker, task: &Task, step: &Step) -> f64 {
+        let failed = task.failed_on.contains(&worker.entry.id);
+        let suspected = !task.lost.is_empty();
         let far = step.near.as_ref().is_some_and(|rack| !worker.has_label(rack));
         let crowd = self.crowd(worker, step);
         let total = worker.entry.capacity.cpu_millis.max(1) as f64;
@@ -307,7 +336,8 @@
             + weight(failed, 50.0)
             + weight(crowd, 10.0)
             + worker.blame_at(now) * 2.0
-            + free
+            + if suspected { 1.0 - free } else { free }
+            + SUSPECT_WEIGHT * worker.suspects.len() as f64
     }
 
     /// Whether fill work and tasks with a tail target would come together.
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::job::Job;
 use crate::lease::Terms;
 use crate::limits::Parts;
+use crate::losses::KeptFree;
 use crate::place::{Key, Tickets};
 use crate::takeover::Settlement;
 use crate::worker::Worker;
@@ -53,6 +54,9 @@
     pub(crate) tickets: Tickets,
     pub(crate) parts: Parts,
     pub(crate) vacate: BTreeSet<Arc<str>>,
+    pub(crate) kept_free: KeptFree,
+    /// Whether a task that runs alone waited in the last round of placing.
+    pub(crate) waits_alone: bool,
     pub(crate) may_act: bool,
     pub(crate) place_again: bool,
     /// What tasks want that the last round of placing found no worker for, in thousandths of a core.
@@ -87,6 +91,8 @@
             tickets: Tickets::default(),
             parts: Parts::new(settings.shard, epoch),
             vacate: BTreeSet::new(),
+            kept_free: KeptFree::new(),
+            waits_alone: false,
             may_act: true,
             place_again: false,
             unplaced_millis: 0,
@@ -149,7 +155,7 @@
         match event {
             Event::Accepted(id, accepted) => self.accept(now, wall_ms, id, accepted),
             Event::Cancelled(id, by) => self.cancel(now, id, by),
-            Event::WorkerSeen(entry) => self.worker_seen(entry),
+            Event::WorkerSeen(entry) => self.worker_seen(now, entry),
             Event::WorkerGone(id) => self.worker_gone(now, &id),
             Event::Held { worker, sent, extended, held } => {
                 self.held(now, &worker, sent, extended, held);
@@ -183,6 +189,8 @@
             Event::Superseded => self.superseded = true,
             Event::Tick => {
                 self.look_over = true;
+                // Time alone proves the runs beside which it may start.
+                self.place_again |= self.waits_alone;
                 self.open_due(now, wall_ms);
                 self.release_lapsed(now);
                 self.forget_ended(now);
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -20,6 +20,7 @@
 use crosspath_job::{JobId, TaskId};
 
 use crate::event::Event;
+use crate::losses::Fate;
 use crate::scheduler::{Scheduler, Settings};
 
 /// For orders of the owner before that were on their way.
@@ -125,10 +126,13 @@
     }
 
     /// A worker has answered, or its life is over: what it does not show is not there.
-    pub(crate) fn accounted(&mut self, worker: &Arc<str>) {
+    pub(crate) fn accounted(&mut self, now: Duration, worker: &Arc<str>, fate: Fate) {
         if self.settlement.unaccounted.remove(worker).is_none() {
             return;
         }
+        if fate == Fate::Over {
+            self.lose_unseen(now, worker);
+        }
         self.place_again = true;
         for job in self.jobs.values_mut().filter(|job| job.inherited) {
             job.rule_out(|other| other == worker);
@@ -174,12 +178,17 @@
         let over = unaccounted.filter(|(id, until)| now >= **until && lapsed(id));
         let over: Vec<_> = over.map(|(id, _)| Arc::clone(id)).collect();
         for id in over {
-            self.accounted(&id);
+            self.accounted(now, &id, Fate::Over);
+            self.judge_lost_on(now, &id);
         }
         if !self.settlement.ends(now) {
             return;
         }
         self.place_again = true;
+        for id in self.settlement.unaccounted.keys().cloned().collect::<Vec<_>>() {
+            self.accounted(now, &id, Fate::Over);
+            self.judge_lost_on(now, &id);
+        }
         for job in self.jobs.values_mut().filter(|job| job.inherited) {
             job.rule_out(|_| true);
         }
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -8,6 +8,8 @@
 use crosspath_job::TaskId;
 use crosspath_job::spec::Room;
 
+use crate::losses;
+
 /// A worker: one life of a VM.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -38,6 +40,8 @@
     pub(crate) blame: f64,
     /// When the score was last changed.
     pub(crate) blamed: Duration,
+    /// Runs there of tasks that were lost before and have not proved themselves, and whether each is to be alone.
+    pub(crate) suspects: BTreeMap<(TaskId, u64), bool>,
     /// Orders without an answer, until their effect is ruled out.
     pub(crate) unanswered: BTreeSet<(TaskId, u64)>,
 }
@@ -64,6 +68,7 @@
             ends_acknowledged: 0,
             blame: 0.0,
             blamed: Duration::ZERO,
+            suspects: BTreeMap::new(),
             unanswered: BTreeSet::new(),
         }
     }
@@ -107,8 +112,21 @@
         }
     }
 
+    /// Notes a run of a task with so many losses.
+    pub(crate) fn suspect(&mut self, task: TaskId, run: u64, losses: usize) {
+        if losses > 0 {
+            self.suspects.insert((task, run), losses::runs_alone(losses));
+        }
+    }
+
+    /// Whether a run there is to be alone.
+    pub(crate) fn isolates(&self) -> bool {
+        self.suspects.values().any(|alone| *alone)
+    }
+
     /// Removes a run that is not there any more.
     pub(crate) fn release(&mut self, task: TaskId, run: u64) {
+        self.suspects.remove(&(task, run));
         self.unanswered.remove(&(task, run));
         if let Some(room) = self.runs.remove(&(task, run)) {
             self.used = self.used.minus(&room);
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -7,14 +7,17 @@
 //! started each 3.3 s, by three owners one after the other, on a different worker each time, and each time
 //! another life answered for the worker next.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
-use crosspath_border::worker::{Entry, Error};
-use crosspath_job::progress::State;
+use crosspath_border::worker::{Entry, Error, How};
+use crosspath_job::progress::{Progress, State, TaskProgress};
 use crosspath_job::record::Record;
+use crosspath_job::spec::Step;
+use crosspath_job::{JobId, TaskId};
 use crosspath_schedule::Event;
 
-use crate::common::{Bed, JOB, accepted, entry, kept, ms, step};
+use crate::common::{Bed, JOB, Ordered, accepted, ended, entry, kept, ms, running, step};
 use crate::world::{Faults, World};
 
 /// Starts of a task after which it must be over: three under which a worker was lost, and fewer than three more.
@@ -32,6 +35,7 @@
     let next = format!("{worker}'");
     bed.send(Event::WorkerSeen(Entry { vm: entry(worker).vm, ..entry(&next) }));
     bed.held(&next, Vec::new(), Vec::new());
+    bed.pass(ms(100));
     next
 }
 
@@ -62,6 +66,7 @@
     bed.submit(vec![step(1, 2)]);
     let job = Record::Accepted(JOB, accepted(vec![step(1, 2)]));
     let mut records = BTreeMap::from([(job.key(), job)]);
+    let mut lives = ["a", "b", "c", "d"].map(str::to_owned);
     let mut starts = 0;
     for epoch in 2..10 {
         let Some(order) = bed.starts().pop() else { break };
@@ -69,18 +74,18 @@
         bed.started(&order);
         records.extend(kept(&bed.actions).into_iter().map(|record| (record.key(), record)));
         // The owner ends as its worker does, so the next one finds another life.
-        let now = bed.now + ms(AWAY_MS);
-        bed = Bed::at(epoch, now);
-        let lives = ["a", "b", "c", "d"].map(|vm| {
-            if *vm == order.worker[..1] { format!("{vm}{epoch}") } else { vm.to_owned() }
-        });
-        let lives: Vec<&str> = lives.iter().map(String::as_str).collect();
-        bed.take_over(records.values().cloned().collect(), &lives);
-        for life in &lives {
-            bed.held(life, Vec::new(), Vec::new());
+        bed = Bed::at(epoch, bed.now + ms(AWAY_MS));
+        for life in lives.iter_mut().filter(|life| ***life == *order.worker) {
+            *life = format!("{life}'");
+        }
+        let ids: Vec<&str> = lives.iter().map(String::as_str).collect();
+        bed.take_over(records.values().cloned().collect(), &ids);
+        for id in &ids {
+            bed.held(id, Vec::new(), Vec::new());
         }
         bed.pass(ms(10_000));
     }
+    bed.pass(ms(100));
     assert!(starts <= MOST_STARTS, "{starts} starts");
     assert_eq!(bed.scheduler.state(JOB), Some(State::Failed));
 }
@@ -102,3 +107,203 @@
         }
     }
 }
+
+#[test]
+fn a_new_life_of_its_owner_gives_it_up_too() {
+    // The owner ends after two losses that it has kept; its next life is the third one's witness.
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![step(1, 2)]);
+    let mut last = None;
+    for _ in 0..3 {
+        let order = bed.starts().remove(0);
+        bed.started(&order);
+        if last.replace(order.clone()).is_none() || !order.worker.ends_with("''") {
+            crash(&mut bed, &order.worker);
+        }
+    }
+    let last = last.expect("a start");
+    let mut records = kept(&bed.actions);
+    records.push(Record::Accepted(JOB, accepted(vec![step(1, 2)])));
+    let mut next = Bed::at(2, bed.now + ms(AWAY_MS));
+    let ids = ["a", "b", "c", "d"].map(str::to_owned);
+    let ids: Vec<&str> = ids.iter().map(String::as_str).filter(|id| **id != *last.worker).collect();
+    next.take_over(records, &ids);
+    next.pass(ms(10_000));
+    next.pass(ms(100));
+    assert_eq!(next.starts(), Vec::new());
+    assert_eq!(next.scheduler.state(JOB), Some(State::Failed));
+}
+
+#[test]
+fn copies_that_are_lost_count_for_one_task() {
+    let copies = Step { speculative: true, ..step(1, 2) };
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![copies]);
+    let first = bed.starts().remove(0);
+    bed.started(&first);
+    // A copy of an owner before is found on another worker.
+    let copy = TaskId { ..first.task };
+    bed.held("b", vec![running(copy, 7)], Vec::new());
+    crash(&mut bed, &first.worker);
+    crash(&mut bed, "b");
+    let third = bed.starts().remove(0);
+    bed.started(&third);
+    crash(&mut bed, &third.worker);
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new());
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Failed));
+}
+
+#[test]
+fn tasks_that_were_lost_together_part_ways() {
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![step(4, 2)]);
+    let starts = bed.starts();
+    let together: BTreeSet<_> = starts.iter().map(|order| Arc::clone(&order.worker)).collect();
+    assert_eq!(together.len(), 1, "{starts:?}");
+    for order in &starts {
+        bed.started(order);
+    }
+    crash(&mut bed, &starts[0].worker);
+    let apart = bed.starts();
+    let workers: BTreeSet<_> = apart.iter().map(|order| Arc::clone(&order.worker)).collect();
+    assert!(workers.len() >= 3, "{apart:?}");
+}
+
+#[test]
+fn after_two_losses_a_task_runs_alone_and_nothing_joins_it() {
+    let mut bed = Bed::with_workers(&["a", "b", "c"]);
+    bed.submit(vec![step(1, 2)]);
+    for _ in 0..2 {
+        let order = bed.starts().remove(0);
+        bed.started(&order);
+        crash(&mut bed, &order.worker);
+    }
+    let suspect = bed.starts().remove(0);
+    bed.started(&suspect);
+    // Fifteen more would fit beside it, and go elsewhere.
+    bed.send(Event::Accepted(JobId(2), accepted(vec![step(15, 2)])));
+    bed.pass(ms(100));
+    let others = bed.starts();
+    assert_eq!(others.len(), 15);
+    assert!(others.iter().all(|order| order.worker != suspect.worker), "{others:?}");
+    let end = ended(1, suspect.task, suspect.run, How::Done);
+    bed.held(&suspect.worker, Vec::new(), vec![end]);
+    bed.pass(ms(100));
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Completed));
+}
+
+#[test]
+fn a_worker_is_kept_free_for_a_task_that_runs_alone() {
+    let mut bed = Bed::with_workers(&["a"]);
+    bed.submit(vec![step(1, 2)]);
+    let mut worker = "a".to_owned();
+    for _ in 0..2 {
+        let order = bed.starts().remove(0);
+        bed.started(&order);
+        worker = crash(&mut bed, &worker);
+    }
+    let suspect = bed.starts().remove(0);
+    bed.started(&suspect);
+    // More than the worker has room for: without a break, it would never be empty.
+    bed.send(Event::Accepted(JobId(2), accepted(vec![step(60, 2)])));
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new());
+    let end = ended(1, suspect.task, suspect.run, How::Done);
+    bed.held(&worker, Vec::new(), vec![end]);
+    bed.pass(ms(100));
+    assert_eq!(bed.starts().len(), 16);
+}
+
+#[test]
+fn a_full_worker_becomes_free_for_a_task_that_runs_alone() {
+    let lost = [1, 2].map(|run| (run, format!("gone-{run}").into()));
+    let task = TaskProgress { lost: lost.to_vec(), ..TaskProgress::default() };
+    let tasks = BTreeMap::from([("0.0.0".to_owned(), task)]);
+    let progress = Progress { state: State::Running, tasks, ended_ms: 0 };
+    let suspect = Record::Accepted(JOB, accepted(vec![step(1, 2)]));
+    let mut bed = Bed::new(1);
+    bed.take_over(vec![suspect, Record::Progress(JOB, progress)], &["a"]);
+    // Sixteen tasks run there already; as many again wait.
+    let others = TaskId { job: JobId(2), ..crate::common::task(0, 0) };
+    bed.send(Event::Accepted(JobId(2), accepted(vec![step(32, 2)])));
+    let there = (0..16).map(|index| running(TaskId { index, ..others }, 7));
+    let there: Vec<_> = there.collect();
+    bed.held("a", there.clone(), Vec::new());
+    assert_eq!(bed.starts(), Vec::new());
+    // Half of them end: nothing takes their places.
+    let ends = (1..).zip(&there[..8]).map(|(number, row)| ended(number, row.task, 7, How::Done));
+    let ends: Vec<_> = ends.collect();
+    bed.held("a", there[8..].to_vec(), ends);
+    bed.pass(ms(100));
+    assert_eq!(bed.starts(), Vec::new());
+    let ends = (9..).zip(&there[8..]).map(|(number, row)| ended(number, row.task, 7, How::Done));
+    let ends: Vec<_> = ends.collect();
+    bed.held("a", Vec::new(), ends);
+    bed.pass(ms(100));
+    let starts = bed.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].task.job, JOB);
+}
+
+#[test]
+fn a_lasting_task_that_works_between_losses_is_never_given_up() {
+    let lasting = Step { lasting: true, ..step(1, 2) };
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![lasting]);
+    for _ in 0..6 {
+        let order = bed.starts().remove(0);
+        bed.started(&order);
+        for _ in 0..4 {
+            bed.pass(ms(1_000));
+            bed.held(&order.worker, vec![running(order.task, order.run)], Vec::new());
+        }
+        crash(&mut bed, &order.worker);
+    }
+    assert_eq!(bed.starts().len(), 1);
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Running));
+}
+
+#[test]
+fn a_worker_that_was_cut_off_and_answers_again_crashed_under_nothing() {
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![step(1, 2)]);
+    for _ in 0..4 {
+        let order = bed.starts().remove(0);
+        bed.started(&order);
+        let sent = bed.now;
+        let error = Error::NoAnswer;
+        let worker = Arc::clone(&order.worker);
+        bed.send(Event::HoldFailed { worker, sent, extended: true, error });
+        bed.pass(ms(6_000));
+        bed.held(&order.worker, Vec::new(), Vec::new());
+    }
+    let kept = bed.scheduler.progress(JOB, 0).expect("a job");
+    assert!(kept.tasks["0.0.0"].lost.is_empty(), "{kept:?}");
+    assert_eq!(bed.starts().len(), 1);
+}
+
+#[test]
+fn a_start_that_met_another_life_was_not_lost() {
+    let mut bed = Bed::with_workers(&["a", "b"]);
+    bed.submit(vec![step(1, 2)]);
+    let order = bed.starts().remove(0);
+    // The look hears of the other life first, the start's answer says that nothing began.
+    crash(&mut bed, &order.worker);
+    let Ordered { worker, task, run } = order;
+    bed.send(Event::StartAnswered { worker, task, run, answer: Err(Error::OtherLife) });
+    let kept = bed.scheduler.progress(JOB, 0).expect("a job");
+    assert!(kept.tasks["0.0.0"].lost.is_empty(), "{kept:?}");
+}
+
+#[test]
+fn a_worker_that_ends_as_it_said_crashed_under_nothing() {
+    let mut bed = Bed::with_workers(&["a", "b"]);
+    bed.submit(vec![step(1, 2)]);
+    let order = bed.starts().remove(0);
+    bed.started(&order);
+    bed.send(Event::WorkerSeen(Entry { draining: true, ..entry(&order.worker) }));
+    crash(&mut bed, &order.worker);
+    let kept = bed.scheduler.progress(JOB, 0).expect("a job");
+    assert!(kept.tasks["0.0.0"].lost.is_empty(), "{kept:?}");
+}
