--- a/crates/crosspath_soak/src/audit.rs
+++ b/crates/crosspath_soak/src/audit.rs
@@ -7,6 +7,9 @@
 use crosspath_platform_stand_in::caller::Job;
 use crosspath_platform_stand_in::worker;
 
+/// Crashes of workers under a task after which it may be started fewer than as many times again.
+const CRASHES_ALLOWED: u64 = 3;
+
 /// What callers were told of a job.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Told {
@@ -31,6 +34,8 @@
     started: BTreeSet<JobId>,
     starts: u64,
     runs: BTreeMap<TaskId, u64>,
+    /// Lives of workers that ended under a task, and its starts since the third.
+    crashes: BTreeMap<TaskId, (u64, u64)>,
     violations: Vec<String>,
 }
 
@@ -122,6 +127,12 @@
                 "{task} run {run} started on {worker} while run {there} is on {other}"
             ));
         }
+        let (crashes, after) = self.crashes.get(&task).copied().unwrap_or_default();
+        if job.work.crashes && after >= CRASHES_ALLOWED {
+            return Some(format!(
+                "{task} run {run} started on {worker}: start {after} after three of {crashes} crashes"
+            ));
+        }
         if self.noted.contains(&task) {
             return Some(format!("{task} run {run} started on {worker} after its end was noted"));
         }
@@ -139,6 +150,10 @@
         };
         let mut state = self.lock();
         state.starts += 1;
+        if let Some((_, after)) = state.crashes.get_mut(&id).filter(|(n, _)| *n >= CRASHES_ALLOWED)
+        {
+            *after += 1;
+        }
         let broken = state.check_start(worker, id, run, text);
         state.running.insert(id, (worker.to_owned(), run));
         state.started.insert(id.job);
@@ -158,6 +173,9 @@
         if state.running.get(&id).is_some_and(|(at, there)| at == worker && *there == run) {
             state.running.remove(&id);
         }
+        if how == "crashed" {
+            state.crashes.entry(id).or_default().0 += 1;
+        }
         if how == "done" {
             state.done.insert(id);
         }
--- a/crates/crosspath_soak/src/main.rs
+++ b/crates/crosspath_soak/src/main.rs
@@ -46,6 +46,9 @@
     /// Play the seeds that failed once, before the others.
     #[bpaf(long)]
     regressions: bool,
+    /// Some jobs crash the workers that start them.
+    #[bpaf(long)]
+    deadly: bool,
     /// The daemon's program; by default the one beside this program.
     #[bpaf(long, argument("FILE"))]
     daemon: Option<PathBuf>,
@@ -72,6 +75,7 @@
             length: Duration::from_secs(options.seconds),
             daemons: options.daemons.max(1),
             workers: options.workers.max(1),
+            deadly: options.deadly,
             program: program.clone(),
         };
         match runtime.block_on(run_or_interrupt(&plan)) {
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -37,6 +37,8 @@
     pub(crate) daemons: usize,
     /// Of each pool.
     pub(crate) workers: usize,
+    /// Whether some jobs crash the workers that start them.
+    pub(crate) deadly: bool,
     pub(crate) program: PathBuf,
 }
 
@@ -143,7 +145,7 @@
     for daemon in &site.daemons {
         addresses.push(daemon.lock().await.callers);
     }
-    let traffic = Traffic::new(addresses.into_iter(), &audit);
+    let traffic = Traffic::new(addresses.into_iter(), &audit, plan.deadly);
     let submits = tokio::spawn(traffic.clone().run(plan.seed, plan.length, PAUSE));
     let faults = faults::strike(&site, plan.seed, plan.length).await;
     if let Err(error) = submits.await {
@@ -184,6 +186,9 @@
         Shown::State(state) if state == "completed" => {
             (!audit.is_done(job)).then(|| format!("job {} is shown as done and is not", job.id))
         }
+        Shown::State(state) if state == "failed" && job.work.crashes => {
+            (running > 0).then(|| format!("job {} was given up and runs", job.id))
+        }
         Shown::State(state) if state == "cancelled" && told.cancel_tried => {
             (running > 0).then(|| format!("cancelled job {} runs", job.id))
         }
--- a/crates/crosspath_soak/src/traffic.rs
+++ b/crates/crosspath_soak/src/traffic.rs
@@ -30,20 +30,33 @@
         id: JobId(rng.random()),
         queue: QUEUES[rng.random_range(0..QUEUES.len())].to_owned(),
         steps: if lasts { vec![2] } else { steps },
-        work: Work { takes_ms: rng.random_range(30..600), lasts, fails_first: chance(rng, 10) },
+        work: Work {
+            takes_ms: rng.random_range(30..600),
+            lasts,
+            fails_first: chance(rng, 10),
+            crashes: false,
+        },
     }
 }
 
+/// One job in so many crashes its workers, where some do. By its identifier: the others stay as they are.
+const DEADLY_EVERY: u64 = 23;
+
 /// Callers of all daemons.
 #[derive(Debug, Clone)]
 pub(crate) struct Traffic {
     callers: Vec<Caller>,
     audit: Audit,
+    deadly: bool,
 }
 
 impl Traffic {
-    pub(crate) fn new(daemons: impl Iterator<Item = SocketAddr>, audit: &Audit) -> Self {
-        Self { callers: daemons.map(Caller::new).collect(), audit: audit.clone() }
+    pub(crate) fn new(
+        daemons: impl Iterator<Item = SocketAddr>,
+        audit: &Audit,
+        deadly: bool,
+    ) -> Self {
+        Self { callers: daemons.map(Caller::new).collect(), audit: audit.clone(), deadly }
     }
 
     /// Submits jobs for a while, some of them twice, and cancels some.
@@ -52,7 +65,8 @@
         let until = tokio::time::Instant::now() + length;
         let mut under_way = Vec::new();
         while tokio::time::Instant::now() < until {
-            let job = job(&mut rng);
+            let mut job = job(&mut rng);
+            job.work.crashes = self.deadly && job.id.0.is_multiple_of(DEADLY_EVERY);
             let fate = StdRng::seed_from_u64(rng.random());
             under_way.push(tokio::spawn(self.clone().live(job, fate)));
             tokio::time::sleep(pause.mul_f64(rng.random_range(0.2..1.8))).await;
