--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod candidacy;
 pub mod census;
 pub mod claim;
-mod clock;
+pub mod clock;
 pub mod contact;
 mod daemon;
 mod feed;
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod candidacy;
 mod census;
 mod claim;
+mod clock;
 mod common;
 mod contact;
 mod handover;
