--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_border::operator::{Change, Config};
+use crosspath_border::operator::{self, Config};
 use crosspath_border::store::{Error, Partition, Stored, Topic};
-use crosspath_schedule::Event;
 
 use crate::clock;
+use crate::directory::Change;
 use crate::map::Unit;
 use crate::node::{Node, only_partition};
 use crate::shard::Handle;
@@ -114,8 +114,8 @@
         return;
     }
     match node.store.change(record) {
-        Ok(Change::Config(config)) => take_config(node, config),
-        Ok(Change::Wave(wave)) => {
+        Ok(operator::Change::Config(config)) => take_config(node, config),
+        Ok(operator::Change::Wave(wave)) => {
             log::info!(
                 "event=wave wave={} vms={} deadline_ms={} maximum={}",
                 wave.number,
@@ -125,7 +125,7 @@
             );
             node.waves().entry(wave.number).or_insert((Arc::new(wave), clock::now()));
         }
-        Ok(Change::Other) => {}
+        Ok(operator::Change::Other) => {}
         Err(error) => log::warn!("event=operator_record_unreadable error=\"{error}\""),
     }
 }
@@ -174,43 +174,10 @@
 }
 
 fn take_workers(node: &Node, records: &[Stored], whole: bool) {
-    let mut events = Vec::new();
-    {
-        let mut directory = node.directory();
-        if whole {
-            let there: std::collections::BTreeSet<&str> =
-                records.iter().map(|record| record.key.as_str()).collect();
-            let gone: Vec<_> =
-                directory.entries.keys().filter(|id| !there.contains(&***id)).cloned().collect();
-            for id in gone {
-                let entry = directory.entries.remove(&id);
-                events.extend(entry.map(|entry| (entry.pool, entry.vm, Event::WorkerGone(id))));
-            }
-            directory.loaded = true;
-        }
-        for record in records {
-            if record.value.is_empty() {
-                let entry = directory.entries.remove(record.key.as_str());
-                let gone = Event::WorkerGone(record.key.as_str().into());
-                events.extend(entry.map(|entry| (entry.pool, entry.vm, gone)));
-                continue;
-            }
-            match node.store.worker(record) {
-                Ok(entry) => {
-                    let known = directory.entries.insert(Arc::clone(&entry.id), entry.clone());
-                    let same = known.is_some_and(|known| known.says_same(&entry));
-                    if !same {
-                        let (pool, vm) = (Arc::clone(&entry.pool), Arc::clone(&entry.vm));
-                        events.push((pool, vm, Event::WorkerSeen(entry)));
-                    }
-                }
-                Err(error) => log::warn!("event=worker_entry_unreadable error=\"{error}\""),
-            }
-        }
-    }
+    let changes = node.directory().take(records, whole, |record| node.store.worker(record));
     let owned = node.owned();
     let map = node.map();
-    for (pool, vm, event) in events {
+    for Change { pool, vm, event } in changes {
         let unit = Unit { pool, slice: map.slice_of_vm(&vm) };
         for handle in owned.values().filter(|handle| handle.unit() == Some(&unit)) {
             handle.send(event.clone());
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod contact;
 mod daemon;
+pub mod directory;
 mod feed;
 mod fleet;
 pub mod fresh;
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -11,7 +11,7 @@
 use crosspath_border::operator::Wave;
 use crosspath_border::store::{Error, Guard, Keyed, Partition, Store, Topic};
 use crosspath_border::vm::Fleet;
-use crosspath_border::worker::{Entry, Runner};
+use crosspath_border::worker::Runner;
 use crosspath_http::server::Stage;
 use crosspath_quota::{Ask, Deal, Ledger};
 use crosspath_schedule::takeover::Legacy;
@@ -20,6 +20,7 @@
 use crate::appender::Appenders;
 use crate::clock;
 use crate::contact::Contact;
+use crate::directory::Directory;
 use crate::map::Map;
 use crate::member::Member;
 use crate::metrics::Metrics;
@@ -31,14 +32,6 @@
 /// Between looks whether the worker list is there.
 const LIST_PAUSE: Duration = Duration::from_millis(20);
 
-/// The worker list as last read.
-#[derive(Debug, Default)]
-pub(crate) struct Directory {
-    pub(crate) entries: BTreeMap<Arc<str>, Entry>,
-    /// Whether it was read to its end at least once.
-    pub(crate) loaded: bool,
-}
-
 /// When this daemon last knew what the newest configuration is.
 #[derive(Debug, Default, Clone, Copy)]
 struct OperatorsHeard {
--- /dev/null
+++ b/crates/crosspath_node/tests/node/directory.rs
@@ -0,0 +1,66 @@
+//! Entries of the worker list that another wrote, and what the others are worth then.
+
+use std::sync::Arc;
+
+use crosspath_border::store::{DecodeError, Stored};
+use crosspath_border::worker::Entry;
+use crosspath_job::spec::Room;
+use crosspath_node::directory::{Change, Directory};
+use crosspath_schedule::Event;
+
+const SOUND: &str = "sound";
+const FOREIGN: &str = "foreign";
+
+fn stored(key: &str, value: &str) -> Stored {
+    Stored { offset: 9, key: key.to_owned(), value: value.to_owned().into() }
+}
+
+fn read(record: &Stored) -> Result<Entry, DecodeError> {
+    let Stored { key, offset, value } = record;
+    if value != SOUND {
+        let detail = "another wrote it".to_owned();
+        return Err(DecodeError { key: key.clone(), offset: *offset, detail });
+    }
+    Ok(Entry {
+        id: key.as_str().into(),
+        pool: "counter".into(),
+        vm: Arc::from(format!("vm-{key}")),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        draining: false,
+        remaining_ms: 0,
+        capacity: Room { cpu_millis: 32_000, mem_mb: 128_000, gpus: 0 },
+        labels: Vec::new(),
+        clock_ms: 1_000,
+    })
+}
+
+fn take(directory: &mut Directory, records: &[Stored], whole: bool) -> Vec<Change> {
+    directory.take(records, whole, read)
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_no_worker_and_the_others_hold() {
+    let mut directory = Directory::default();
+    let records = [stored("x", FOREIGN), stored("i-1", SOUND), stored("y", FOREIGN)];
+    let changes = take(&mut directory, &records, true);
+    assert_eq!(changes.len(), 1);
+    assert!(matches!(&changes[0].event, Event::WorkerSeen(entry) if &*entry.id == "i-1"));
+}
+
+#[test]
+fn a_worker_whose_entry_another_wrote_over_is_not_used_until_it_writes_again() {
+    let mut directory = Directory::default();
+    take(&mut directory, &[stored("i-1", SOUND)], true);
+    let changes = take(&mut directory, &[stored("i-1", FOREIGN)], false);
+    assert_eq!(changes.len(), 1);
+    assert!(matches!(&changes[0].event, Event::WorkerGone(id) if &**id == "i-1"));
+    let changes = take(&mut directory, &[stored("i-1", SOUND)], false);
+    assert!(matches!(&changes[0].event, Event::WorkerSeen(_)));
+}
+
+#[test]
+fn an_entry_that_says_the_same_changes_nothing() {
+    let mut directory = Directory::default();
+    take(&mut directory, &[stored("i-1", SOUND)], true);
+    assert!(take(&mut directory, &[stored("i-1", SOUND)], false).is_empty());
+}
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod common;
 mod contact;
+mod directory;
 mod handover;
 mod keys;
 mod map;
