Tasks that were lost once are placed like any other

So what cost was spreading: each crash sent some 18 tasks to the emptiest workers, and others away from those.

Change: tasks keep apart only from the second loss on.

--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -6,8 +6,9 @@
 //! Most tasks that were lost are bystanders: up to 18 run beside the guilty one. What a count means therefore
 //! depends on what ran beside the task, and that is arranged:
 //!
-//! - after a loss a task goes where the fewest others under suspicion are, and to the emptiest of those, so that the
-//!   tasks lost with one worker part ways; that costs them no time;
+//! - after one loss a task is placed like any other;
+//! - after two it goes where the fewest others under suspicion are, and to the emptiest of those, so that the tasks
+//!   lost with one worker part ways;
 //! - after three it runs alone: nothing else there has just been started, and nothing else is started there until
 //!   the run has proved itself, see [`PROVEN`];
 //! - a loss when it was alone, the third or a later one, tells that the task is guilty: its job has failed. The
@@ -33,6 +34,8 @@
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
+/// Losses from which tasks keep apart from each other.
+const APART_FROM: usize = 2;
 /// Losses from which a task runs alone.
 const ALONE_FROM: usize = 3;
 /// Losses from which one that came alone fails the task's job. A task that crashes its workers costs three or four
@@ -56,6 +59,11 @@
     Over,
 }
 
+/// Whether tasks with so many losses keep apart from each other.
+pub(crate) fn keeps_apart(losses: usize) -> bool {
+    losses >= APART_FROM
+}
+
 /// Whether a task with so many losses runs alone.
 pub(crate) fn runs_alone(losses: usize) -> bool {
     losses >= ALONE_FROM
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -323,10 +323,10 @@
     }
 
     /// Lower is better. Fuller workers first, so that others stay empty and can leave the pool; but tasks that were
-    /// lost with a worker keep apart from each other, and others from them.
+    /// lost with several keep apart from each other, and others from them.
     fn cost(&self, now: Duration, worker: &Worker, task: &Task, step: &Step) -> f64 {
         let failed = task.failed_on.contains(&worker.entry.id);
-        let suspected = !task.lost.is_empty();
+        let apart = losses::keeps_apart(task.lost.len());
         let far = step.near.as_ref().is_some_and(|rack| !worker.has_label(rack));
         let crowd = self.crowd(worker, step);
         let total = worker.entry.capacity.cpu_millis.max(1) as f64;
@@ -336,7 +336,7 @@
             + weight(failed, 50.0)
             + weight(crowd, 10.0)
             + worker.blame_at(now) * 2.0
-            + if suspected { 1.0 - free } else { free }
+            + if apart { 1.0 - free } else { free }
             + SUSPECT_WEIGHT * worker.suspects.len() as f64
     }
 
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -40,7 +40,7 @@
     pub(crate) blame: f64,
     /// When the score was last changed.
     pub(crate) blamed: Duration,
-    /// Runs there of tasks that were lost before and have not proved themselves, and whether each is to be alone.
+    /// Runs there of tasks that keep apart and have not proved themselves, and whether each is to be alone.
     pub(crate) suspects: BTreeMap<(TaskId, u64), bool>,
     /// Orders without an answer, until their effect is ruled out.
     pub(crate) unanswered: BTreeSet<(TaskId, u64)>,
@@ -114,7 +114,7 @@
 
     /// Notes a run of a task with so many losses.
     pub(crate) fn suspect(&mut self, task: TaskId, run: u64, losses: usize) {
-        if losses > 0 {
+        if losses::keeps_apart(losses) {
             self.suspects.insert((task, run), losses::runs_alone(losses));
         }
     }
