--- a/crates/crosspath/src/commands/trace/summary.rs
+++ b/crates/crosspath/src/commands/trace/summary.rs
@@ -155,6 +155,11 @@
     };
     let state = end.value("state").unwrap_or("ended").to_lowercase();
     let (after, objective) = (end.number("after_ms"), end.number("objective_ms"));
+    if let Some(given_up) = lines.iter().rfind(|line| line.is("task_given_up")) {
+        let task = given_up.value("task").unwrap_or("a task");
+        let losses = given_up.number("losses");
+        return format!("{state} after {after} ms: {losses} workers were lost under {task}{wait}");
+    }
     let late = after.saturating_sub(objective);
     match (objective, late) {
         (0, _) => format!("{state} after {after} ms{wait}"),
--- a/crates/crosspath/tests/cli/trace.rs
+++ b/crates/crosspath/tests/cli/trace.rs
@@ -68,6 +68,20 @@
     assert_eq!(events(&output), ["shard_claimed", "submit", "job_ended"], "no line of a task");
 }
 
+#[test]
+fn a_job_that_was_given_up_tells_how_many_workers_it_cost() {
+    let output = trace("00000000000000d4", &["entry-d.log"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!(
+        lines[..2],
+        [
+            "failed after 10400 ms: 3 workers were lost under 00000000000000d4.0.0.2",
+            "step 0.0: 3 runs placed, 0 done, 3 otherwise; no wait; longest run 0 ms",
+        ]
+    );
+}
+
 #[test]
 fn a_wait_over_a_takeover_is_told_as_such() {
     let output = trace("00000000000000c3", &["entry-c.log"]);
