What a customer sends beyond its weight waits behind what is owed

Hypothesis: by latest start alone, one customer far beyond its weight makes all customers late together. Jobs are counted by their records' time, so that a new owner comes to the same; lasting tasks never wait for it. Nothing idles while something waits (checked each step).

--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -272,6 +272,8 @@
             {
                 version = Some(table.version);
                 events.push(Event::Limits(table.limits()));
+                let part = 1.0 / f64::from(self.node.map().slices().unwrap_or(1).max(1));
+                events.push(Event::Weights { weights: table.weights(), part });
             }
             let acts = self.node.may_act(now);
             if acts != may_act {
--- a/crates/crosspath_node/src/table.rs
+++ b/crates/crosspath_node/src/table.rs
@@ -5,7 +5,7 @@
 
 use crosspath_border::operator::{Config, Queue};
 use crosspath_job::spec::Room;
-use crosspath_quota::Limits;
+use crosspath_quota::{Limits, Weights};
 
 /// Queues of the newest configuration, and pools that queues had before.
 #[derive(Debug, Clone, Default)]
@@ -77,6 +77,12 @@
         limited.map(|customer| (Arc::clone(&customer.name), customer.maximum)).collect()
     }
 
+    /// Jobs a second that each customer is owed.
+    pub(crate) fn weights(&self) -> Weights {
+        let customers = self.config.customers.iter();
+        customers.map(|customer| (Arc::clone(&customer.name), customer.weight)).collect()
+    }
+
     /// Pools where jobs of the queue may be.
     pub(crate) fn pools_of(&self, queue: &Queue) -> BTreeSet<Arc<str>> {
         let mut pools = self.pools.get(&queue.name).cloned().unwrap_or_default();
--- a/crates/crosspath_quota/src/lib.rs
+++ b/crates/crosspath_quota/src/lib.rs
@@ -32,3 +32,6 @@
 
 /// Maximum of each customer that has one.
 pub type Limits = BTreeMap<Arc<str>, Room>;
+
+/// Jobs a second that each customer is owed when all is full.
+pub type Weights = BTreeMap<Arc<str>, f64>;
--- a/crates/crosspath_schedule/src/event.rs
+++ b/crates/crosspath_schedule/src/event.rs
@@ -8,7 +8,7 @@
 use crosspath_border::worker::{Entry, Error, Held, Started};
 use crosspath_job::record::{Accepted, Asker};
 use crosspath_job::{JobId, TaskId};
-use crosspath_quota::{Deal, Limits};
+use crosspath_quota::{Deal, Limits, Weights};
 
 /// One thing that has happened.
 #[derive(Debug, Clone)]
@@ -82,6 +82,13 @@
     HandedOver(BTreeMap<Arc<str>, Duration>),
     /// Customers' maxima, by the newest configuration.
     Limits(Limits),
+    /// Jobs a second that customers are owed by the newest configuration, and the part of them that comes here.
+    Weights {
+        /// By customer, over all shards.
+        weights: Weights,
+        /// Part of a customer's jobs that this shard gets.
+        part: f64,
+    },
     /// The ledger of all shards has answered the question with a number, or not.
     Dealt {
         /// Number of the question.
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -126,6 +126,8 @@
     pub kept: State,
     /// When it ended; while final.
     pub ended: Duration,
+    /// Whether its customer is owed it, or sent it beyond its share.
+    pub owed: bool,
     /// Whether it was there when the shard was taken over.
     pub inherited: bool,
     /// Longest chain of estimates from each step to the end, in ms.
@@ -155,6 +157,7 @@
             state: State::Queued,
             kept: State::Queued,
             ended: Duration::ZERO,
+            owed: true,
             inherited: false,
             chains_ms,
         }
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -31,6 +31,7 @@
             return;
         }
         self.insert(now, wall_ms, id, accepted);
+        self.count_share(id);
         if let Some(by) = self.cancelled_early.remove(&id) {
             self.cancel(now, id, by);
         }
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod report;
 mod runs;
 mod scheduler;
+mod shares;
 mod stall;
 pub mod takeover;
 mod vacate;
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -43,6 +43,8 @@
     /// Whether any worker with room will do.
     anywhere: bool,
     gang: bool,
+    /// Whether it waits behind all that is owed: its customer sent the job beyond its share.
+    beyond: bool,
     /// Whether it runs alone, for what it may have done to workers before.
     pub(crate) alone: bool,
 }
@@ -74,6 +76,7 @@
             room: step.reserved(),
             anywhere: step.requires.is_none() && step.per_worker == 0,
             gang: step.gang,
+            beyond: !job.owed && !step.lasting,
             // Members of a gang run side by side or not at all.
             alone: !step.gang && losses::runs_alone(losses),
         }
@@ -125,14 +128,15 @@
         self.weigh_blame(now);
         self.count_used(now);
         self.keep_free(now);
-        let (late, timely): (Vec<_>, Vec<_>) =
-            self.waiting.iter().copied().partition(|key| key.is_late(now));
+        let (beyond, owed): (Vec<_>, Vec<Key>) =
+            self.waiting.iter().copied().partition(|key| key.beyond);
+        let (late, timely): (Vec<_>, Vec<Key>) = owed.into_iter().partition(|key| key.is_late(now));
         let mut misfits = Misfits::default();
         let mut gang_tried = None;
         let mut refused = 0;
         self.unplaced_millis = 0;
         self.unplaced_lasting = 0;
-        for key in timely.into_iter().chain(late) {
+        for key in timely.into_iter().chain(late).chain(beyond) {
             if key.gang {
                 let gang = (key.task.job, key.task.time, key.task.step);
                 if gang_tried != Some(gang) {
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -17,6 +17,7 @@
 use crate::limits::Parts;
 use crate::losses::KeptFree;
 use crate::place::{Key, Tickets};
+use crate::shares::Shares;
 use crate::takeover::Settlement;
 use crate::worker::Worker;
 
@@ -53,6 +54,7 @@
     pub(crate) settlement: Settlement,
     pub(crate) tickets: Tickets,
     pub(crate) parts: Parts,
+    pub(crate) shares: Shares,
     pub(crate) vacate: BTreeSet<Arc<str>>,
     pub(crate) kept_free: KeptFree,
     /// Whether a task that runs alone waited in the last round of placing.
@@ -90,6 +92,7 @@
             settlement: Settlement::new(&settings, now),
             tickets: Tickets::default(),
             parts: Parts::new(settings.shard, epoch),
+            shares: Shares::default(),
             vacate: BTreeSet::new(),
             kept_free: KeptFree::new(),
             waits_alone: false,
@@ -185,6 +188,7 @@
             }
             Event::HandedOver(leases) => self.hand_over(leases),
             Event::Limits(limits) => self.limit(limits),
+            Event::Weights { weights, part } => self.weigh(weights, part),
             Event::Dealt { number, deal } => self.dealt(number, deal),
             Event::Superseded => self.superseded = true,
             Event::Tick => {
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod model;
 mod room;
+mod shares;
 mod stall;
 mod takeover;
 mod world;
