--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -21,8 +21,8 @@
 //! some 18 tasks to the emptiest workers: 0.880 instead of 0.887. In 24 model worlds in which each seventh job is
 //! deadly, it also costs more lives (2,730 instead of 2,301); not keeping apart at all fails sound jobs there.
 //!
-//! A run that has proved itself clears its task, so that lasting tasks are not failed by what their workers
-//! suffer in a day. A silent worker that is still listed may only be cut off: what was there counts as lost
+//! A lasting run that has proved itself clears its task, so that lasting tasks are not failed by what their workers
+//! suffer in a day. Brief tasks are cleared by their end only: one may crash its worker late in its work. A silent worker that is still listed may only be cut off: what was there counts as lost
 //! until it answers again, and alone fails no job.
 
 use std::collections::BTreeSet;
@@ -79,18 +79,24 @@
         run.is_some_and(|run| run.looked.saturating_sub(run.sent) >= PROVEN)
     }
 
-    /// A run that a look has shown: once it has proved itself, its task is cleared.
+    fn lasts(&self, id: TaskId) -> bool {
+        self.step_of(id).is_some_and(|step| step.lasting)
+    }
+
+    /// A run that a look has shown: once it has proved itself, it need not be alone any more, and a lasting task is
+    /// cleared.
     pub(crate) fn prove(&mut self, now: Duration, worker: &str, id: TaskId, number: u64) {
         if !self.is_proven(id, number) {
             return;
         }
+        let lasts = self.lasts(id);
         if let Some(worker) = self.workers.get_mut(worker) {
             self.place_again |= worker.suspects.remove(&(id, number)).is_some();
         }
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
             return;
         };
-        if !task.lost.is_empty() {
+        if lasts && !task.lost.is_empty() {
             log::info!("event=task_cleared task={id} run={number} losses={}", task.lost.len());
             task.lost.clear();
             self.commits.touch(now, id.job);
@@ -108,9 +114,10 @@
     ) {
         let Some(run) = self.run(id, number) else { return };
         let known = run.looked.saturating_sub(run.sent);
+        let innocent = known >= PROVEN && self.lasts(id);
         let never_sent = run.phase == Phase::Planned;
         let planned_end = self.workers.get(worker).is_some_and(|worker| worker.entry.draining);
-        if never_sent || planned_end || known >= PROVEN {
+        if never_sent || planned_end || innocent {
             return;
         }
         let beside = self.workers.get(worker).map_or(0, |worker| worker.runs.len());
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crosspath_border::worker::{Entry, Error, How};
+use crosspath_border::worker::{Entry, Error, How, Running};
 use crosspath_job::progress::{Loss, Progress, State, TaskProgress};
 use crosspath_job::record::Record;
 use crosspath_job::spec::Step;
@@ -267,6 +267,25 @@
     assert_eq!(starts[0].task.job, JOB);
 }
 
+#[test]
+fn a_brief_task_that_crashes_its_workers_late_is_given_up_too() {
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![step(1, 2)]);
+    let mut starts = 0;
+    while let Some(order) = bed.starts().pop() {
+        starts += 1;
+        assert!(starts <= MOST_STARTS);
+        bed.started(&order);
+        for percent in 1..=5 {
+            bed.pass(ms(1_000));
+            let row = Running { percent, ..running(order.task, order.run) };
+            bed.held(&order.worker, vec![row], Vec::new());
+        }
+        crash(&mut bed, &order.worker);
+    }
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Failed));
+}
+
 #[test]
 fn a_lasting_task_that_works_between_losses_is_never_given_up() {
     let lasting = Step { lasting: true, ..step(1, 2) };
