--- a/crates/crosspath_job/src/record.rs
+++ b/crates/crosspath_job/src/record.rs
@@ -55,17 +55,22 @@
 }
 
 impl Accepted {
-    /// Whether the job belongs to a caller of `queue` with the key of `customer`. A job without a customer
-    /// belongs to whoever knows its identifier.
+    /// Whether the job belongs to who asks. A job without a customer belongs to whoever knows its identifier.
     #[must_use]
-    pub fn belongs_to(&self, queue: &str, customer: Option<&str>) -> bool {
-        match (self.customer.as_deref(), customer) {
+    pub fn belongs_to(&self, asker: &Asker) -> bool {
+        match (&self.customer, &asker.customer) {
             (None, _) => true,
             // The queue needed a key when the job came.
-            (Some(_), None) => *self.queue == *queue,
+            (Some(_), None) => self.queue == asker.queue,
             (Some(own), Some(other)) => own == other,
         }
     }
+
+    /// Who handed the job in.
+    #[must_use]
+    pub fn asker(&self) -> Asker {
+        Asker { queue: Arc::clone(&self.queue), customer: self.customer.clone() }
+    }
 }
 
 /// Who asks for or about a job: that counts only for one that belongs to the asker.
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -10,7 +10,7 @@
 use crosspath_border::worker::{Entry, Start};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
-use crosspath_job::record::{Accepted, Asker, Record};
+use crosspath_job::record::{Asker, Record};
 use crosspath_schedule::lease::Terms;
 use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
 use tokio::sync::mpsc;
@@ -97,9 +97,7 @@
     pub(crate) fn state(&self, job: JobId, asker: &Asker) -> Option<Option<State>> {
         let shared = scheduler(&self.scheduler);
         let scheduler = shared.as_ref()?;
-        let belongs =
-            |accepted: &Accepted| accepted.belongs_to(&asker.queue, asker.customer.as_deref());
-        let own = scheduler.accepted(job).is_some_and(belongs);
+        let own = scheduler.accepted(job).is_some_and(|accepted| accepted.belongs_to(asker));
         Some(scheduler.state(job).filter(|_| own))
     }
 
@@ -108,8 +106,7 @@
         let Record::Accepted(job, accepted) = record else { return false };
         let shared = scheduler(&self.scheduler);
         let known = shared.as_ref().and_then(|scheduler| scheduler.accepted(*job));
-        let asker = accepted.customer.as_deref();
-        known.is_some_and(|known| !known.belongs_to(&accepted.queue, asker))
+        known.is_some_and(|known| !known.belongs_to(&accepted.asker()))
     }
 
     pub(crate) fn waiting(&self, queue: &str) -> Option<u64> {
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -21,7 +21,7 @@
     ) {
         if let Some(known) = self.jobs.get(&id) {
             // The log would give the job to another customer at the next takeover.
-            if !known.accepted.belongs_to(&accepted.queue, accepted.customer.as_deref()) {
+            if !known.accepted.belongs_to(&accepted.asker()) {
                 log::warn!(
                     "event=job_of_another_customer job={id} kept_for={:?}",
                     known.accepted.customer
@@ -60,7 +60,7 @@
             self.cancelled_early.insert(id, by);
             return;
         };
-        if !job.accepted.belongs_to(&by.queue, by.customer.as_deref()) {
+        if !job.accepted.belongs_to(&by) {
             log::warn!("event=cancel_of_another_customer job={id} by={:?}", by.customer);
             return;
         }
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -27,6 +27,7 @@
 mod shares;
 mod stall;
 pub mod takeover;
+mod tickets;
 mod vacate;
 mod worker;
 
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -1,11 +1,9 @@
 //! Which waiting task goes where.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_border::advice::{self, StepId};
 use crosspath_job::TaskId;
 use crosspath_job::spec::{Room, Step};
 
@@ -17,12 +15,6 @@
 
 /// Share of a pool's workers at most that get no new work for what they did to earlier tasks.
 const MAX_BLAMED_SHARE: f64 = 0.34;
-/// Workers that one question to the advice service may name.
-const ADVICE_WORKERS: usize = 100;
-/// A question to the advice service without an answer is asked again after this.
-const ADVICE_AGAIN: Duration = Duration::from_millis(500);
-/// A ticket is not used in its last moments: the start must arrive in time.
-const TICKET_MARGIN: Duration = Duration::from_millis(300);
 /// Tasks in a row that fit nowhere after which a round of placing ends.
 const MAX_REFUSED: usize = 96;
 
@@ -409,30 +401,6 @@
         }
         fill(&usable, step)
     }
-
-    // Advice.
-
-    /// Whether the task needs no advice or has some; asks for it otherwise.
-    fn has_advice(&mut self, now: Duration, id: TaskId) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else { return false };
-        if job.accepted.advice.is_none() {
-            return true;
-        }
-        let step = StepId { job: id.job, time: id.time, step: id.step };
-        if self.tickets.is_fresh(now, step) {
-            return true;
-        }
-        if self.tickets.may_ask(now, step) {
-            let workers = self.workers.values().filter(|worker| worker.is_usable(now));
-            let workers: Vec<_> =
-                workers.map(|worker| Arc::clone(&worker.entry.id)).take(ADVICE_WORKERS).collect();
-            if !workers.is_empty() {
-                self.actions.push(Action::Advise { step, workers });
-            }
-        }
-        self.place_again = true;
-        false
-    }
 }
 
 /// Tasks of the same step and time on a worker.
@@ -459,69 +427,3 @@
     }
     Some(chosen)
 }
-
-/// Tickets of the advice service.
-#[derive(Debug, Default)]
-pub(crate) struct Tickets(BTreeMap<StepId, Advice>);
-
-#[derive(Debug, Default)]
-struct Advice {
-    good: BTreeMap<Arc<str>, Arc<str>>,
-    valid_until: Duration,
-    asked: Duration,
-}
-
-fn step_id(task: TaskId) -> StepId {
-    StepId { job: task.job, time: task.time, step: task.step }
-}
-
-impl Tickets {
-    fn is_fresh(&self, now: Duration, step: StepId) -> bool {
-        self.0.get(&step).is_some_and(|advice| now < advice.valid_until)
-    }
-
-    /// Whether no question for the step is on its way; notes that one is now.
-    fn may_ask(&mut self, now: Duration, step: StepId) -> bool {
-        let advice = self.0.entry(step).or_default();
-        let may = advice.asked.is_zero() || now >= advice.asked + ADVICE_AGAIN;
-        if may {
-            advice.asked = now;
-        }
-        may
-    }
-
-    pub(crate) fn advised(
-        &mut self,
-        now: Duration,
-        step: StepId,
-        answer: Result<advice::Answer, advice::Error>,
-    ) {
-        let advice = self.0.entry(step).or_default();
-        match answer {
-            Ok(answer) => {
-                let valid = Duration::from_millis(answer.valid_ms).saturating_sub(TICKET_MARGIN);
-                // The ticket's time may have begun when the question was sent.
-                advice.valid_until = advice.asked + valid;
-                advice.good = answer.good.into_iter().collect();
-            }
-            Err(error) => {
-                log::info!("event=no_advice job={} step={} error=\"{error}\"", step.job, step.step);
-                advice.asked = now;
-            }
-        }
-    }
-
-    /// The step's tickets do not hold any more.
-    pub(crate) fn forget(&mut self, task: TaskId) {
-        self.0.remove(&step_id(task));
-    }
-
-    fn allows(&self, task: TaskId, worker: &Arc<str>) -> bool {
-        let advice = self.0.get(&step_id(task));
-        advice.is_none_or(|advice| advice.good.contains_key(worker))
-    }
-
-    fn ticket(&self, task: TaskId, worker: &Arc<str>) -> Option<Arc<str>> {
-        self.0.get(&step_id(task))?.good.get(worker).cloned()
-    }
-}
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -16,9 +16,10 @@
 use crate::lease::Terms;
 use crate::limits::Parts;
 use crate::losses::KeptFree;
-use crate::place::{Key, Tickets};
+use crate::place::Key;
 use crate::shares::Shares;
 use crate::takeover::Settlement;
+use crate::tickets::Tickets;
 use crate::worker::Worker;
 
 /// Waiting tasks that make a backlog.
