Long brief tasks that are lost together are not alone

Cause: a loss counted as alone where at most one run there had not proved itself, so two brief tasks that had run for more than 3 s side by side were both alone, and the third loss gave up both. Found by reading; its test fails before (state Failed) and passes now: alone is a run if no other may be to blame, and only lasting runs that have proved themselves are not.

--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -258,8 +258,14 @@
         best.map(|worker| Arc::clone(&worker.entry.id))
     }
 
+    /// Runs there that may be why the worker ends: all but lasting ones that have proved themselves.
+    pub(crate) fn to_blame(&self, worker: &Worker) -> usize {
+        let runs = worker.runs.keys();
+        runs.filter(|(task, run)| !(self.lasts(*task) && self.is_proven(*task, *run))).count()
+    }
+
     /// Runs there that have not proved themselves.
-    pub(crate) fn unproven(&self, worker: &Worker) -> usize {
+    fn unproven(&self, worker: &Worker) -> usize {
         worker.runs.keys().filter(|(task, run)| !self.is_proven(*task, *run)).count()
     }
 
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -286,6 +286,22 @@
     assert_eq!(bed.scheduler.state(JOB), Some(State::Failed));
 }
 
+#[test]
+fn two_long_brief_tasks_that_are_lost_together_are_not_alone() {
+    let mut bed = bed_with_losses(2, &["a", "b"]);
+    let other = TaskId { job: JobId(2), ..crate::common::task(0, 0) };
+    bed.send(Event::Accepted(JobId(2), accepted(vec![step(1, 2)])));
+    let suspect = crate::common::task(0, 0);
+    for percent in 1..=5 {
+        let row = |task| Running { percent, ..running(task, 7) };
+        bed.held("a", vec![row(suspect), row(other)], Vec::new());
+        bed.pass(ms(1_000));
+    }
+    crash(&mut bed, "a");
+    // The third loss, in company: either may be to blame.
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Running));
+}
+
 #[test]
 fn a_lasting_task_that_works_between_losses_is_never_given_up() {
     let lasting = Step { lasting: true, ..step(1, 2) };
