--- a/crates/crosspath_job/src/progress.rs
+++ b/crates/crosspath_job/src/progress.rs
@@ -39,7 +39,7 @@
     /// The worker.
     #[serde(rename = "w")]
     pub worker: Arc<str>,
-    /// Whether nothing else had just been started there.
+    /// Whether no other run there may be why the worker was lost.
     #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
     pub alone: bool,
 }
--- a/crates/crosspath_node/src/clock.rs
+++ b/crates/crosspath_node/src/clock.rs
@@ -29,7 +29,8 @@
             Err(error) => {
                 log::warn!("event=suspension_not_counted error=\"{error}\"");
                 let clock = ClockId::CLOCK_MONOTONIC;
-                Self { clock, began: read(clock).unwrap_or_default() }
+                let began = read(clock).expect("every kernel has a steady clock");
+                Self { clock, began }
             }
         }
     }
--- a/crates/crosspath_node/src/directory.rs
+++ b/crates/crosspath_node/src/directory.rs
@@ -47,14 +47,14 @@
         self.loaded |= whole;
         for record in records {
             if record.value.is_empty() {
-                changes.extend(self.entries.remove(record.key.as_str()).map(Change::gone));
+                changes.extend(self.forget(&record.key));
                 continue;
             }
             match read(record) {
                 Ok(entry) => changes.extend(self.note(entry)),
                 Err(error) => {
                     log::warn!("event=worker_entry_unreadable error=\"{error}\"");
-                    changes.extend(self.entries.remove(record.key.as_str()).map(Change::gone));
+                    changes.extend(self.forget(&record.key));
                 }
             }
         }
@@ -65,7 +65,11 @@
         let there: BTreeSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
         let gone = self.entries.keys().filter(|id| !there.contains(&***id));
         let gone: Vec<_> = gone.cloned().collect();
-        gone.iter().filter_map(|id| self.entries.remove(id)).map(Change::gone).collect()
+        gone.iter().filter_map(|id| self.forget(id)).collect()
+    }
+
+    fn forget(&mut self, id: &str) -> Option<Change> {
+        self.entries.remove(id).map(Change::gone)
     }
 
     fn note(&mut self, entry: Entry) -> Option<Change> {
--- a/crates/crosspath_schedule/src/answers.rs
+++ b/crates/crosspath_schedule/src/answers.rs
@@ -33,6 +33,7 @@
                 "event=start_refused task={task} run={number} worker={id} answer={answer:?}"
             );
         }
+        // Nothing began, so nothing was lost there.
         if !matches!(answer, Ok(Started::Yes) | Err(Error::NoAnswer)) {
             self.acquit(now, task, number);
         }
@@ -67,8 +68,7 @@
             }
             Ok(Started::Malformed) => {
                 log::warn!("event=start_malformed task={task} worker={id}");
-                if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task))
-                {
+                if let Some(task) = self.task_mut(task) {
                     task.not_before = now + PAUSE_AFTER_MALFORMED;
                 }
                 self.drop_and_queue(now, id, task, number, "malformed");
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -54,6 +54,13 @@
     pub pace: u32,
 }
 
+impl Run {
+    /// For how long it is known to have run: from its start to the last look that showed it.
+    pub(crate) fn known(&self) -> Duration {
+        self.looked.saturating_sub(self.sent)
+    }
+}
+
 /// One task.
 #[derive(Debug, Clone, Default)]
 pub struct Task {
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -20,8 +20,7 @@
 impl Scheduler {
     pub(crate) fn worker_seen(&mut self, now: Duration, entry: Entry) {
         if self.ended_lives.contains_key(&entry.id) {
-            self.accounted(now, &entry.id, Fate::Over);
-            self.judge_lost_on(now, &entry.id);
+            self.lost_unseen(now, &entry.id);
             return;
         }
         self.place_again = true;
@@ -237,7 +236,7 @@
             return;
         }
         log::info!("event=run_adopted task={id} run={number} worker={worker}");
-        if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
+        if let Some(task) = self.task_mut(id) {
             task.last_run = task.last_run.max(number);
             task.runs.push(Run {
                 number,
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -11,8 +11,8 @@
 //!   lost with one worker part ways;
 //! - after three it runs alone: nothing else there has just been started, and nothing else is started there until
 //!   the run has proved itself, see [`PROVEN`];
-//! - a loss when it was alone, the third or a later one, tells that the task is guilty: its job has failed. The
-//!   fourth is such a loss.
+//! - a loss when it was alone, the third or a later one, tells that the task is guilty: its job has failed. So it has
+//!   after the fourth of any kind.
 //!
 //! Each of these numbers weighs those against each other. On a day that crashes 20 to 30 % of each pool's workers nine
 //! times in 25 s, with no task at fault, 0.897 of the requests are served with losses counted so and 0.887 without
@@ -25,14 +25,13 @@
 //! suffer in a day. Brief tasks are cleared by their end only: one may crash its worker late in its work. A silent worker that is still listed may only be cut off: what was there counts as lost
 //! until it answers again, and alone fails no job.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_job::TaskId;
 use crosspath_job::progress::{Loss, State};
 
-use crate::job::Phase;
+use crate::job::{Job, Phase};
 use crate::place::Key;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
@@ -85,13 +84,18 @@
     /// Whether a run is known to have gone on for so long that it does not crash its worker by its start.
     fn is_proven(&self, id: TaskId, number: u64) -> bool {
         let run = self.run(id, number);
-        run.is_some_and(|run| run.looked.saturating_sub(run.sent) >= PROVEN)
+        run.is_some_and(|run| run.known() >= PROVEN)
     }
 
     fn lasts(&self, id: TaskId) -> bool {
         self.step_of(id).is_some_and(|step| step.lasting)
     }
 
+    /// Whether a run is surely not why its worker is lost: a lasting one that has proved itself.
+    fn is_innocent(&self, id: TaskId, number: u64) -> bool {
+        self.lasts(id) && self.is_proven(id, number)
+    }
+
     /// A run that a look has shown: once it has proved itself, it need not be alone any more, and a lasting task is
     /// cleared.
     pub(crate) fn prove(&mut self, now: Duration, worker: &str, id: TaskId, number: u64) {
@@ -102,9 +106,7 @@
         if let Some(worker) = self.workers.get_mut(worker) {
             self.place_again |= worker.suspects.remove(&(id, number)).is_some();
         }
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
-            return;
-        };
+        let Some(task) = self.task_mut(id) else { return };
         if lasts && !task.lost.is_empty() {
             log::info!("event=task_cleared task={id} run={number} losses={}", task.lost.len());
             task.lost.clear();
@@ -122,18 +124,16 @@
         company: Company,
     ) {
         let Some(run) = self.run(id, number) else { return };
-        let known = run.looked.saturating_sub(run.sent);
-        let innocent = known >= PROVEN && self.lasts(id);
         let never_sent = run.phase == Phase::Planned;
         let planned_end = self.workers.get(worker).is_some_and(|worker| worker.entry.draining);
-        if never_sent || planned_end || innocent {
+        if never_sent || planned_end || self.is_innocent(id, number) {
             return;
         }
         let Company { beside, alone } = company;
         log::info!(
             "event=run_lost task={id} run={number} worker={worker} phase={:?} known_ms={} beside={beside}",
             run.phase,
-            known.as_millis()
+            run.known().as_millis()
         );
         self.count_loss(now, id, Loss { run: number, worker: Arc::clone(worker), alone });
     }
@@ -159,8 +159,7 @@
     }
 
     fn count_loss(&mut self, now: Duration, id: TaskId, loss: Loss) {
-        let Some(job) = self.jobs.get_mut(&id.job) else { return };
-        let Some(task) = job.task_mut(id) else { return };
+        let Some(task) = self.task_mut(id) else { return };
         let known = task.lost.iter().any(|known| known.run == loss.run);
         if task.done || known {
             return;
@@ -173,9 +172,7 @@
 
     /// An answer shows that a start had no effect, whatever became of the worker.
     pub(crate) fn acquit(&mut self, now: Duration, id: TaskId, number: u64) {
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
-            return;
-        };
+        let Some(task) = self.task_mut(id) else { return };
         let before = task.lost.len();
         task.lost.retain(|loss| loss.run != number);
         if task.lost.len() < before {
@@ -187,9 +184,7 @@
     /// A worker answers that was taken for lost.
     pub(crate) fn acquit_all_on(&mut self, now: Duration, worker: &str) {
         for id in self.tasks_lost_on(worker) {
-            let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
-                continue;
-            };
+            let Some(task) = self.task_mut(id) else { continue };
             task.lost.retain(|loss| *loss.worker != *worker);
             self.commits.touch(now, id.job);
             self.requeue(id);
@@ -207,7 +202,7 @@
 
     fn tasks_lost_on(&self, worker: &str) -> Vec<TaskId> {
         let running = self.jobs.values().filter(|job| !job.state.is_final());
-        let tasks = running.flat_map(crate::job::Job::tasks);
+        let tasks = running.flat_map(Job::tasks);
         let lost = tasks.filter(|(_, task)| task.lost.iter().any(|loss| *loss.worker == *worker));
         lost.map(|(id, _)| id).collect()
     }
@@ -269,8 +264,7 @@
     /// What runs on a worker. Any run may be why it is lost, but for lasting ones that have proved themselves.
     pub(crate) fn company(&self, worker: &Worker) -> Company {
         let runs = worker.runs.keys();
-        let to_blame =
-            runs.filter(|(task, run)| !(self.lasts(*task) && self.is_proven(*task, *run)));
+        let to_blame = runs.filter(|(task, run)| !self.is_innocent(*task, *run));
         let alone = to_blame.count() <= 1;
         Company { beside: worker.runs.len().saturating_sub(1), alone }
     }
@@ -285,6 +279,3 @@
         self.unproven(worker) == 0
     }
 }
-
-/// Workers that take nothing but tasks that run alone.
-pub(crate) type KeptFree = BTreeSet<Arc<str>>;
--- a/crates/crosspath_schedule/src/pace.rs
+++ b/crates/crosspath_schedule/src/pace.rs
@@ -41,10 +41,7 @@
             );
         }
         for (worker, id, number, pressure) in orders {
-            let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else {
-                continue;
-            };
-            let Some(run) = task.runs.iter_mut().find(|run| run.number == number) else { continue };
+            let Some(run) = self.run_mut(id, number) else { continue };
             if run.phase != Phase::Running {
                 continue;
             }
--- a/crates/crosspath_schedule/src/runs.rs
+++ b/crates/crosspath_schedule/src/runs.rs
@@ -79,7 +79,7 @@
     }
 
     pub(crate) fn run_mut(&mut self, id: TaskId, number: u64) -> Option<&mut Run> {
-        let task = self.jobs.get_mut(&id.job)?.task_mut(id)?;
+        let task = self.task_mut(id)?;
         task.runs.iter_mut().find(|run| run.number == number)
     }
 
@@ -89,7 +89,7 @@
             worker.release(id, number);
             self.place_again = true;
         }
-        let task = self.jobs.get_mut(&id.job)?.task_mut(id)?;
+        let task = self.task_mut(id)?;
         let at = task.runs.iter().position(|run| run.number == number)?;
         Some(task.runs.remove(at))
     }
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -12,10 +12,9 @@
 use crate::action::Action;
 use crate::commit::Commits;
 use crate::event::Event;
-use crate::job::Job;
+use crate::job::{Job, Task};
 use crate::lease::Terms;
 use crate::limits::Parts;
-use crate::losses::KeptFree;
 use crate::place::Key;
 use crate::shares::Shares;
 use crate::takeover::Settlement;
@@ -57,7 +56,8 @@
     pub(crate) parts: Parts,
     pub(crate) shares: Shares,
     pub(crate) vacate: BTreeSet<Arc<str>>,
-    pub(crate) kept_free: KeptFree,
+    /// Workers that take nothing but tasks that run alone.
+    pub(crate) kept_free: BTreeSet<Arc<str>>,
     /// Whether a task that runs alone waited in the last round of placing.
     pub(crate) waits_alone: bool,
     pub(crate) may_act: bool,
@@ -95,7 +95,7 @@
             parts: Parts::new(settings.shard, epoch),
             shares: Shares::default(),
             vacate: BTreeSet::new(),
-            kept_free: KeptFree::new(),
+            kept_free: BTreeSet::new(),
             waits_alone: false,
             may_act: true,
             place_again: false,
@@ -225,6 +225,10 @@
         std::mem::take(&mut self.actions)
     }
 
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        self.jobs.get_mut(&id.job)?.task_mut(id)
+    }
+
     pub(crate) fn step_of(&self, task: TaskId) -> Option<&Step> {
         self.jobs.get(&task.job)?.accepted.spec.steps.get(task.step as usize)
     }
--- a/crates/crosspath_schedule/src/shares.rs
+++ b/crates/crosspath_schedule/src/shares.rs
@@ -63,6 +63,10 @@
 impl Scheduler {
     /// Customers are owed other numbers of jobs from now on: all jobs are counted anew.
     pub(crate) fn weigh(&mut self, weights: Weights, part: f64) {
+        // Most new configurations change nothing of it.
+        if self.shares.weights == weights && self.shares.part == part {
+            return;
+        }
         self.shares = Shares { weights, part, levels: BTreeMap::new() };
         let times = self.jobs.values().map(|job| (job.accepted.at_ms, job.id));
         let mut times: Vec<_> = times.collect();
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -139,6 +139,12 @@
         }
     }
 
+    /// What was unseen on a worker is over: it counts as lost, and its tasks are judged by that.
+    pub(crate) fn lost_unseen(&mut self, now: Duration, worker: &Arc<str>) {
+        self.accounted(now, worker, Fate::Over);
+        self.judge_lost_on(now, worker);
+    }
+
     /// What this owner knows of leases, for the next one. A worker that it looked at may have heard a
     /// look that extended them until just now, also where its last answer is older.
     #[must_use]
@@ -178,16 +184,14 @@
         let over = unaccounted.filter(|(id, until)| now >= **until && lapsed(id));
         let over: Vec<_> = over.map(|(id, _)| Arc::clone(id)).collect();
         for id in over {
-            self.accounted(now, &id, Fate::Over);
-            self.judge_lost_on(now, &id);
+            self.lost_unseen(now, &id);
         }
         if !self.settlement.ends(now) {
             return;
         }
         self.place_again = true;
         for id in self.settlement.unaccounted.keys().cloned().collect::<Vec<_>>() {
-            self.accounted(now, &id, Fate::Over);
-            self.judge_lost_on(now, &id);
+            self.lost_unseen(now, &id);
         }
         for job in self.jobs.values_mut().filter(|job| job.inherited) {
             job.rule_out(|_| true);
