Logs tell lives of workers apart, and an end that nobody heard

Cause: a run that vanished was told as not_there whether its worker had begun again, never had it, or had forgotten its end, and no line had the number of an end or the life that it came from, so the three ways to a task that runs twice could not be told apart.

run_ended has the end's number in its worker's life; run_over says earlier_life, end_not_heard or not_there; ends_not_heard tells numbers that were skipped; worker_known and worker_reborn tell when lives began and what had been acknowledged. No decision changes.

--- a/crates/crosspath_schedule/src/ends.rs
+++ b/crates/crosspath_schedule/src/ends.rs
@@ -22,12 +22,17 @@
         if ended.number <= worker.ends_seen {
             return;
         }
+        let expected = worker.ends_seen + 1;
+        let heard_all = worker.ends_seen > 0 || worker.reborn.is_some();
+        if heard_all && ended.number > expected {
+            log::warn!("event=ends_not_heard worker={id} from={expected} to={}", ended.number - 1);
+        }
         worker.ends_seen = ended.number;
-        let Ended { task, run, how, .. } = *ended;
+        let Ended { number, task, run, how, .. } = *ended;
         let dropped = self.drop_run(id, task, run);
         let took = dropped.as_ref().map(|run| now.saturating_sub(run.answered));
         log::info!(
-            "event=run_ended task={task} run={run} worker={id} how={how:?} took_ms={}",
+            "event=run_ended task={task} run={run} worker={id} end={number} how={how:?} took_ms={}",
             took.unwrap_or_default().as_millis()
         );
         let Some(step) = self.step_of(task) else { return };
--- a/crates/crosspath_schedule/src/lives.rs
+++ b/crates/crosspath_schedule/src/lives.rs
@@ -36,7 +36,13 @@
         self.lose_life(now, id, before_ms);
         self.commits.forget_ends(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        log::info!("event=worker_reborn worker={id} runs={}", worker.runs.len());
+        log::info!(
+            "event=worker_reborn worker={id} born_ms={} before_ms={before_ms} runs={} acknowledged={}",
+            worker.entry.born_ms,
+            worker.runs.len(),
+            worker.ends_acknowledged
+        );
+        worker.reborn = Some(now);
         worker.ends_seen = 0;
         worker.ends_acknowledged = 0;
         worker.synced = false;
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -42,7 +42,12 @@
             worker.entry = Entry { born_ms, ..entry };
             return;
         }
-        log::info!("event=worker_known worker={} vm={}", entry.id, entry.vm);
+        log::info!(
+            "event=worker_known worker={} vm={} born_ms={}",
+            entry.id,
+            entry.vm,
+            entry.born_ms
+        );
         let (id, clock_ms) = (Arc::clone(&entry.id), entry.clock_ms);
         let mut worker = Worker::new(entry);
         // An owner before may have given leases there.
@@ -277,6 +282,7 @@
     ) {
         let there: BTreeSet<_> = running.iter().map(|row| (row.task, row.run)).collect();
         let Some(worker) = self.workers.get(id) else { return };
+        let reborn = worker.reborn;
         let missing: Vec<_> =
             worker.runs.keys().filter(|key| !there.contains(key)).copied().collect();
         let start = self.settings.terms.start;
@@ -291,8 +297,18 @@
                 Phase::Doubtful => self.settings.terms.over(run.sent, start) < sent,
             };
             if ruled_out {
-                self.drop_and_queue(now, id, task, number, "not_there");
+                let why = absence(run, reborn);
+                self.drop_and_queue(now, id, task, number, why);
             }
         }
     }
 }
+
+/// Why a run is not there, as logs tell it.
+fn absence(run: &Run, reborn: Option<Duration>) -> &'static str {
+    match run.phase {
+        _ if reborn.is_some_and(|reborn| run.answered <= reborn) => "earlier_life",
+        Phase::Running => "end_not_heard",
+        _ => "not_there",
+    }
+}
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -18,6 +18,8 @@
     pub(crate) listed: bool,
     /// Whether a look under the own token was answered.
     pub(crate) synced: bool,
+    /// When it was heard that another life has begun under the identifier.
+    pub(crate) reborn: Option<Duration>,
     /// When the last look that it answered was sent.
     pub(crate) answered_sent: Duration,
     /// Looks or orders that failed since the last answer.
@@ -57,6 +59,7 @@
             entry,
             listed: true,
             synced: false,
+            reborn: None,
             answered_sent: Duration::ZERO,
             failures: 0,
             rest_until: Duration::ZERO,
