Ends of a worker's life are acknowledged to no later one

What callers saw: a task that was done ran again (TWICE); a task that had failed as often as it may was started again (BUDGET).

Cause: a look says up to which number the ends of a worker are kept, and goes to an address and an identifier, both of which a later life has too. A look whose connection had ended, or whose answer was overdue, went out again over a new connection with the same number; so did the looks beside the others. A life that had begun meanwhile, and had ended tasks already, forgot those ends unheard. Reading who answers does not help: the harm is done when the answer tells that another life gave it.

As long as a connection is open, it leads to the process that answered over it before. Looks have connections of their own, marked with the life that answered; a number goes out only over one that the life that is meant has answered on, else 0. Targets name the life. Ruled out: fencing tokens by life (a life that nobody has looked at knows none), a pause before the first number (a guess at how long a look may be under way). The guess "a worker that was silent is told 0" is not needed any more.

In the model a look tells of ends to the life that is meant only, as connections now see to.

--- a/crates/crosspath_border/src/worker.rs
+++ b/crates/crosspath_border/src/worker.rs
@@ -51,8 +51,10 @@
 pub struct Target {
     /// Where.
     pub address: SocketAddr,
-    /// Which life.
+    /// Its identifier.
     pub id: Arc<str>,
+    /// Which life, as [`Entry::born_ms`].
+    pub born_ms: u64,
 }
 
 /// An order to start a task.
@@ -148,7 +150,7 @@
 pub struct Hold {
     /// Fencing token of the shard's owner.
     pub token: u64,
-    /// Ends up to this number are kept and may be forgotten.
+    /// Ends up to this number of the life that is meant are kept and may be forgotten. No other life is told so.
     pub acknowledged: u64,
     /// Until when on the worker's clock everything there may run; none only looks.
     pub deadline_ms: Option<u64>,
--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -18,6 +18,7 @@
 pub use http::{Method, StatusCode};
 use http::{Request, header};
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -27,6 +28,7 @@
 use tokio::time::Instant;
 
 use crate::latency::Latency;
+use crate::line::Line;
 
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Idle time after which a connection is probed, and time between probes: the kernel counts whole
@@ -40,6 +42,7 @@
 
 /// A call that gave no answer that can be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The request was never sent, so it had no effect.
     #[snafu(display("{address} was not reached"))]
@@ -79,6 +82,8 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     connections: Arc<Mutex<Connections>>,
+    /// Idle connections for what goes by the process that it reaches.
+    lines: Arc<Mutex<Vec<Line>>>,
     latency: Arc<Mutex<Latency>>,
     connect_timeout: Duration,
     address: SocketAddr,
@@ -95,6 +100,37 @@
     pub body: Bytes,
 }
 
+impl AsRef<Self> for Answer {
+    fn as_ref(&self) -> &Self {
+        self
+    }
+}
+
+/// An answer, and the connection that it came over.
+#[derive(Debug)]
+pub struct Heard {
+    /// The answer.
+    pub answer: Answer,
+    line: Line,
+    lines: Arc<Mutex<Vec<Line>>>,
+}
+
+impl AsRef<Answer> for Heard {
+    fn as_ref(&self) -> &Answer {
+        &self.answer
+    }
+}
+
+impl Heard {
+    /// Keeps the connection for further requests; `process` tells which process has answered, if the answer says so.
+    pub fn keep(self, process: Option<u64>) -> Answer {
+        let mut line = self.line;
+        line.process = process;
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        self.answer
+    }
+}
+
 impl Client {
     /// Makes a client; each call takes at most `timeout`.
     #[must_use]
@@ -108,6 +144,7 @@
     pub fn with_connect_timeout(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
         Self {
             connections: Arc::new(Mutex::new(connections(connect))),
+            lines: Arc::default(),
             latency: Arc::default(),
             connect_timeout: connect,
             address,
@@ -236,8 +273,39 @@
         wait: Duration,
     ) -> Result<Answer, Error> {
         let request = self.request(request, body)?;
+        let exchange = || self.exchange(request.clone());
+        self.repeat(exchange, timeout, wait).await
+    }
+
+    /// As [`Self::send_repeatable`], for a request that may depend on which process it reaches: `request` makes it
+    /// for the process that answered over its connection before, or for one that is not known.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn send_by_process(
+        &self,
+        request: impl Fn(Option<u64>) -> (http::request::Builder, Bytes),
+        timeout: Duration,
+        wait: Duration,
+    ) -> Result<Heard, Error> {
+        let request = |process| {
+            let (request, body) = request(process);
+            self.request(request, body)
+        };
+        let exchange = || self.exchange_on_line(&request);
+        self.repeat(exchange, timeout, wait).await
+    }
+
+    /// The first answer to some tries of one request, within `timeout`.
+    async fn repeat<T: AsRef<Answer>, F: Future<Output = Result<T, Error>>>(
+        &self,
+        exchange: impl Fn() -> F,
+        timeout: Duration,
+        wait: Duration,
+    ) -> Result<T, Error> {
         let doubt = Doubt { client: self };
-        let Ok(answer) = tokio::time::timeout(timeout, self.tries(&request, wait)).await else {
+        let Ok(answer) = tokio::time::timeout(timeout, self.tries(exchange, wait)).await else {
             // It takes at least as long, so that a server that turns this slow is not asked thrice each time.
             self.latency().observe(timeout.saturating_sub(wait));
             return NoAnswerSnafu { address: self.address }.fail();
@@ -268,12 +336,16 @@
     }
 
     /// The first answer to some tries, each begun when the one before is overdue or has failed.
-    async fn tries(&self, request: &Request<Full<Bytes>>, wait: Duration) -> Result<Answer, Error> {
+    async fn tries<T: AsRef<Answer>, F: Future<Output = Result<T, Error>>>(
+        &self,
+        exchange: impl Fn() -> F,
+        wait: Duration,
+    ) -> Result<T, Error> {
         let mut tries = FuturesUnordered::new();
         let mut overdue = self.latency().overdue();
         let mut failed = Failures::default();
         for _ in 0..MOST_TRIES {
-            tries.push(self.observed(request.clone(), wait));
+            tries.push(self.observed(exchange(), wait));
             match tokio::time::timeout(wait + overdue, tries.next()).await {
                 Ok(Some(result)) => {
                     if let Some(answer) = failed.sift(result, !tries.is_empty()) {
@@ -306,13 +378,13 @@
     }
 
     /// An exchange whose time is noted, unless the server was asked to wait.
-    async fn observed(
+    async fn observed<T>(
         &self,
-        request: Request<Full<Bytes>>,
+        exchange: impl Future<Output = Result<T, Error>>,
         wait: Duration,
-    ) -> Result<Answer, Error> {
+    ) -> Result<T, Error> {
         let sent = Instant::now();
-        let answer = self.exchange(request).await?;
+        let answer = exchange.await?;
         if wait.is_zero() {
             self.latency().observe(sent.elapsed());
         }
@@ -326,6 +398,33 @@
     /// Gives up the idle connections; calls under way keep theirs.
     fn renew(&self) {
         *self.connections() = connections(self.connect_timeout);
+        self.lines().clear();
+    }
+
+    fn lines(&self) -> MutexGuard<'_, Vec<Line>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection that is still open.
+    async fn idle_line(&self) -> Option<Line> {
+        loop {
+            let mut line = self.lines().pop()?;
+            if line.is_open().await {
+                return Some(line);
+            }
+        }
+    }
+
+    async fn exchange_on_line(
+        &self,
+        request: &impl Fn(Option<u64>) -> Result<Request<Full<Bytes>>, Error>,
+    ) -> Result<Heard, Error> {
+        let mut line = match self.idle_line().await {
+            Some(line) => line,
+            None => Line::open(connector(self.connect_timeout), self.address).await?,
+        };
+        let answer = line.exchange(request(line.process)?).await?;
+        Ok(Heard { answer, line, lines: Arc::clone(&self.lines) })
     }
 
     fn connections(&self) -> MutexGuard<'_, Connections> {
@@ -340,14 +439,22 @@
             Err(error) if error.is_connect() => return NotSentSnafu { address }.fail(),
             Err(_) => return NoAnswerSnafu { address }.fail(),
         };
-        let (head, body) = answer.into_parts();
-        let Ok(whole) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
-            return NoAnswerSnafu { address }.fail();
-        };
-        Ok(Answer { head, body: whole.to_bytes() })
+        whole(address, answer).await
     }
 }
 
+/// Reads the whole of an answer.
+pub(crate) async fn whole(
+    address: SocketAddr,
+    answer: http::Response<Incoming>,
+) -> Result<Answer, Error> {
+    let (head, body) = answer.into_parts();
+    let Ok(whole) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+        return NoAnswerSnafu { address }.fail();
+    };
+    Ok(Answer { head, body: whole.to_bytes() })
+}
+
 /// What became of tries of one request that gave no answer to return.
 #[derive(Debug, Default)]
 struct Failures {
@@ -358,9 +465,16 @@
 impl Failures {
     /// The answer of a try, if it tells the fate of the request. A refusal tells that of its own try
     /// only, so it is no answer while another may have had its effect, or yet have it.
-    fn sift(&mut self, result: Result<Answer, Error>, others_under_way: bool) -> Option<Answer> {
+    fn sift<T: AsRef<Answer>>(
+        &mut self,
+        result: Result<T, Error>,
+        others_under_way: bool,
+    ) -> Option<T> {
         match result {
-            Ok(answer) if is_refusal(answer.head.status) && (self.doubtful || others_under_way) => {
+            Ok(answer)
+                if is_refusal(answer.as_ref().head.status)
+                    && (self.doubtful || others_under_way) =>
+            {
                 self.doubtful = true;
                 None
             }
@@ -390,13 +504,17 @@
 
 /// Connections to one server, none open yet.
 fn connections(connect_timeout: Duration) -> Connections {
+    Pool::builder(TokioExecutor::new()).build(connector(connect_timeout))
+}
+
+fn connector(connect_timeout: Duration) -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
     connector.set_keepalive(Some(KEEPALIVE));
     connector.set_keepalive_interval(Some(KEEPALIVE));
     connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
-    Pool::builder(TokioExecutor::new()).build(connector)
+    connector
 }
 
 /// A call that has no answer yet. Dropped without one it gives up the idle connections.
--- a/crates/crosspath_http/src/lib.rs
+++ b/crates/crosspath_http/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod client;
 pub mod latency;
+mod line;
 pub mod server;
 
 pub use body::Body;
--- a/crates/crosspath_node/src/watch.rs
+++ b/crates/crosspath_node/src/watch.rs
@@ -93,8 +93,7 @@
     let mut unkept = 0;
     while !watch.is_over() {
         let sent = clock::now();
-        // A worker that was silent may have begun anew, and its ends have other numbers then.
-        let acknowledged = if failing { 0 } else { watch.acknowledged() };
+        let acknowledged = watch.acknowledged();
         // A worker that did not answer may still hear: its leases must be able to run out.
         let extended = !failing && node.may_act(sent);
         let wait = if first || failing || unkept > acknowledged { Duration::ZERO } else { WAIT };
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -77,7 +77,8 @@
     }
 
     pub(crate) fn target(&self) -> Target {
-        Target { address: self.entry.address, id: Arc::clone(&self.entry.id) }
+        let Entry { address, ref id, born_ms, .. } = self.entry;
+        Target { address, id: Arc::clone(id), born_ms }
     }
 
     pub(crate) fn free(&self) -> Room {
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -451,8 +451,8 @@
         for worker in due {
             let watched = self.owners[owner].watched.get_mut(&worker).expect("watched");
             watched.next = Duration::MAX;
-            // As an owner's looks do: a worker that was silent is told of no ends, and may let leases run out.
-            let acknowledged = if watched.failing { 0 } else { watched.acknowledged };
+            // A worker that was silent may let leases run out.
+            let acknowledged = watched.acknowledged;
             let extended = acts && !watched.failing;
             let deadline_ms = extended.then(|| watched.clock.deadline_ms(now, HOLD));
             let look = Order::Look { acknowledged, deadline_ms, beside: false };
@@ -580,7 +580,9 @@
                 Ok(Reply::Stopped)
             }
             Order::Look { acknowledged, deadline_ms, .. } => {
-                let acknowledged = *acknowledged;
+                // No life is told of ends of another.
+                let is_meant = message.worker.born_ms == worker.entry.born_ms;
+                let acknowledged = if is_meant { *acknowledged } else { 0 };
                 for ended in worker.ended.iter().filter(|ended| ended.number <= acknowledged) {
                     match ended.how {
                         How::Done => drop(self.noted.insert(ended.task)),
