A worker that has begun again is known by its own entry

What callers would see: a pool that is short of a VM for as long as that VM lives.

Cause: a later life under the same identifier was taken for the same worker that only counts anew. Looks went on to the address of the life before, also where the list had told another; its clock stood for the new one's, so starts were refused as late or leases ran longer; and a worker that had said that it would leave was taken for leaving still.

A later life's own entry takes the place of the one before, and the looks begin with its address and clock; where a look tells of it first, it is not leaving. Tests: ..._elsewhere_is_looked_at_there_by_its_own_clock (127.0.0.1:9 with clock 1000 instead of :10 with 70 before) and a_worker_that_was_to_leave_takes_work_once_it_has_begun_again (0 starts of 1 before).

Resetting the count of failures is gone: the first answer does that, and no test told the difference.

--- a/crates/crosspath_schedule/src/lives.rs
+++ b/crates/crosspath_schedule/src/lives.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crosspath_border::worker::Entry;
 use crosspath_job::progress::Loss;
 
 use crate::action::Action;
@@ -13,54 +14,62 @@
 use crate::scheduler::Scheduler;
 
 impl Scheduler {
-    /// Takes in which life of a worker has told something; whether that is the newest one that is known.
-    pub(crate) fn is_newest_life(&mut self, now: Duration, id: &Arc<str>, born_ms: u64) -> bool {
-        let Some(worker) = self.workers.get_mut(id) else { return false };
+    /// Takes in which life of a worker has told something; whether that is the newest one that is known. `entry` makes
+    /// the entry of a later life from that of the one before.
+    pub(crate) fn is_newest_life(
+        &mut self,
+        now: Duration,
+        id: &Arc<str>,
+        born_ms: u64,
+        entry: impl FnOnce(&Entry) -> Entry,
+    ) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
         let known_ms = worker.entry.born_ms;
-        if born_ms == 0 || born_ms == known_ms {
-            return true;
+        if born_ms > known_ms {
+            let entry = entry(&worker.entry);
+            self.begin_anew(now, id, entry);
         }
-        if born_ms < known_ms {
-            return false;
-        }
-        worker.entry.born_ms = born_ms;
-        if known_ms > 0 {
-            self.begin_anew(now, id, known_ms);
-        }
-        true
+        born_ms == 0 || born_ms >= known_ms
     }
 
-    /// The life that began at `before_ms` is over, and another answers in its place. What it does not show is gone:
-    /// its first answer rules that out.
-    fn begin_anew(&mut self, now: Duration, id: &Arc<str>, before_ms: u64) {
-        self.lose_life(now, id, before_ms);
+    /// Another life answers in the place of the one that was known. What it does not show is gone: its first answer
+    /// rules that out.
+    fn begin_anew(&mut self, now: Duration, id: &Arc<str>, entry: Entry) {
+        self.lose_life(now, id);
         self.commits.forget_ends(id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         log::info!(
-            "event=worker_reborn worker={id} born_ms={} before_ms={before_ms} runs={} acknowledged={}",
+            "event=worker_reborn worker={id} born_ms={} before_ms={} runs={} acknowledged={}",
+            entry.born_ms,
             worker.entry.born_ms,
             worker.runs.len(),
             worker.ends_acknowledged
         );
+        self.actions.push(Action::Unwatch { worker: worker.target() });
+        worker.entry = entry;
         worker.reborn = Some(now);
         worker.ends_seen = 0;
         worker.ends_acknowledged = 0;
         worker.synced = false;
-        worker.failures = 0;
-        let (target, clock_ms) = (worker.target(), worker.entry.clock_ms);
-        self.actions.push(Action::Unwatch { worker: target.clone() });
-        self.actions.push(Action::Watch { worker: target, clock_ms });
+        let (worker, clock_ms) = (worker.target(), worker.entry.clock_ms);
+        self.actions.push(Action::Watch { worker, clock_ms });
     }
 
     /// What a life's end takes along counts for its tasks, under a name that no worker has.
-    fn lose_life(&mut self, now: Duration, id: &Arc<str>, born_ms: u64) {
+    fn lose_life(&mut self, now: Duration, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else { return };
-        if worker.entry.draining {
+        let born_ms = worker.entry.born_ms;
+        let draining = worker.entry.draining;
+        if born_ms == 0 {
             return;
         }
+        let life: Arc<str> = format!("{id}@{born_ms}").into();
+        if draining {
+            return;
+        }
+        let Some(worker) = self.workers.get(id) else { return };
         let alone = self.company(worker).is_alone();
         let runs: Vec<_> = worker.runs.keys().copied().collect();
-        let life: Arc<str> = format!("{id}@{born_ms}").into();
         for (task, number) in runs {
             let phase = self.run(task, number).map(|run| run.phase);
             let was_there =
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -25,7 +25,7 @@
         }
         self.place_again = true;
         if self.workers.contains_key(&entry.id)
-            && !self.is_newest_life(now, &entry.id, entry.born_ms)
+            && !self.is_newest_life(now, &entry.id, entry.born_ms, |_| entry.clone())
         {
             return;
         }
@@ -168,7 +168,14 @@
         extended: bool,
         held: Held,
     ) {
-        if !self.is_newest_life(now, id, held.born_ms) {
+        let later = |before: &Entry| Entry {
+            born_ms: held.born_ms,
+            clock_ms: held.clock_ms,
+            draining: false,
+            remaining_ms: 0,
+            ..before.clone()
+        };
+        if !self.is_newest_life(now, id, held.born_ms, later) {
             return;
         }
         let terms = self.settings.terms;
--- a/crates/crosspath_schedule/tests/schedule/lives.rs
+++ b/crates/crosspath_schedule/tests/schedule/lives.rs
@@ -1,10 +1,13 @@
 //! Lives of a worker under one identifier: what the life before ran is over, and ends are numbered anew.
 
+use std::net::SocketAddr;
+
 use crosspath_border::worker::{Ended, Entry, Held, How, Running};
+use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_schedule::{Action, Event};
 
-use crate::common::{Bed, JOB, ended, entry, ms, running, step, task};
+use crate::common::{Bed, JOB, accepted, ended, entry, ms, running, step, task};
 
 const FIRST_MS: u64 = 1_700_000_000_000;
 const SECOND_MS: u64 = FIRST_MS + 9_000;
@@ -118,3 +121,42 @@
     assert!(starts <= 5, "{starts} starts");
     assert_eq!(bed.scheduler.state(JOB), Some(State::Failed));
 }
+
+/// Where looks go, and the clock that they begin with.
+fn watched(bed: &Bed) -> Option<(SocketAddr, u64, u64)> {
+    let watch = |action: &Action| match action {
+        Action::Watch { worker, clock_ms } => Some((worker.address, worker.born_ms, *clock_ms)),
+        _ => None,
+    };
+    bed.actions.iter().rev().find_map(watch)
+}
+
+#[test]
+fn a_worker_that_begins_again_elsewhere_is_looked_at_there_by_its_own_clock() {
+    let mut bed = bed(1);
+    let address = "127.0.0.1:10".parse().expect("an address");
+    bed.send(Event::WorkerSeen(Entry { address, clock_ms: 70, ..born("a", SECOND_MS) }));
+    assert_eq!(watched(&bed), Some((address, SECOND_MS, 70)));
+}
+
+#[test]
+fn a_worker_that_was_to_leave_takes_work_once_it_has_begun_again() {
+    let mut bed = bed(1);
+    bed.send(Event::WorkerSeen(Entry { draining: true, ..born("a", FIRST_MS) }));
+    held(&mut bed, "a", SECOND_MS, Vec::new(), Vec::new());
+    bed.pass(ms(100));
+    assert_eq!(bed.starts().len(), 1);
+}
+
+#[test]
+fn nothing_starts_on_a_life_that_has_not_answered() {
+    let mut bed = bed(1);
+    bed.send(Event::WorkerSeen(born("a", SECOND_MS)));
+    let other = JobId(JOB.0 + 1);
+    bed.send(Event::Accepted(other, accepted(vec![step(1, 8)])));
+    bed.pass(ms(100));
+    assert!(bed.starts().is_empty());
+    held(&mut bed, "a", SECOND_MS, Vec::new(), Vec::new());
+    bed.pass(ms(100));
+    assert_eq!(bed.starts().len(), 2);
+}
