A life that has ended hides no later one under its identifier

What callers would see: a pool that is short of a VM for a minute after it came back.

Cause: the end of a life was kept by the identifier alone, for 60 s, so that late entries of it bring nobody back. A later life under the same identifier was taken for such an entry.

The end is kept with when the life began, and hides entries of lives that began no later. Test: a_life_that_has_ended_hides_no_later_one_under_its_identifier (not looked at before).

--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -17,9 +17,19 @@
 /// For which a late entry of a life that has ended is known as such. Writes are late by some seconds.
 const ENDED_LIFE_MEMORY: Duration = Duration::from_secs(60);
 
+/// A life that is surely over.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndedLife {
+    /// When it began, in ms since 1970.
+    born_ms: u64,
+    /// When it was known to be over.
+    known: Duration,
+}
+
 impl Scheduler {
     pub(crate) fn worker_seen(&mut self, now: Duration, entry: Entry) {
-        if self.ended_lives.contains_key(&entry.id) {
+        let ended = self.ended_lives.get(&entry.id);
+        if ended.is_some_and(|ended| entry.born_ms <= ended.born_ms) {
             self.lost_unseen(now, &entry.id);
             return;
         }
@@ -83,13 +93,16 @@
 
     /// The worker's life is surely over, whatever the list may show of it yet.
     pub(crate) fn end_life(&mut self, now: Duration, id: &Arc<str>, why: &str) {
-        self.ended_lives.insert(Arc::clone(id), now);
+        if let Some(worker) = self.workers.get(id) {
+            let ended = EndedLife { born_ms: worker.entry.born_ms, known: now };
+            self.ended_lives.insert(Arc::clone(id), ended);
+        }
         self.worker_dead(now, id, why);
     }
 
     /// Forgets ended lives of which no entry can come any more.
     pub(crate) fn forget_ended_lives(&mut self, now: Duration) {
-        self.ended_lives.retain(|_, ended| now < *ended + ENDED_LIFE_MEMORY);
+        self.ended_lives.retain(|_, ended| now < ended.known + ENDED_LIFE_MEMORY);
     }
 
     /// The worker's life is over, and with it all that ran there.
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::job::{Job, Task};
 use crate::lease::Terms;
 use crate::limits::Parts;
+use crate::looks::EndedLife;
 use crate::place::Key;
 use crate::shares::Shares;
 use crate::takeover::Settlement;
@@ -46,8 +47,8 @@
     pub(crate) epoch: u64,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) workers: BTreeMap<Arc<str>, Worker>,
-    /// Lives of VMs that are over, and since when that is known.
-    pub(crate) ended_lives: BTreeMap<Arc<str>, Duration>,
+    /// Lives of VMs that are over, by their identifiers.
+    pub(crate) ended_lives: BTreeMap<Arc<str>, EndedLife>,
     pub(crate) waiting: BTreeSet<Key>,
     pub(crate) actions: Vec<Action>,
     pub(crate) commits: Commits,
--- a/crates/crosspath_schedule/tests/schedule/lives.rs
+++ b/crates/crosspath_schedule/tests/schedule/lives.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crosspath_border::worker::{Ended, Entry, Held, How, Running};
+use crosspath_border::worker::{Ended, Entry, Error, Held, How, Running};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_schedule::{Action, Event};
@@ -139,6 +139,19 @@
     assert_eq!(watched(&bed), Some((address, SECOND_MS, 70)));
 }
 
+#[test]
+fn a_life_that_has_ended_hides_no_later_one_under_its_identifier() {
+    let mut bed = bed(1);
+    let sent = bed.now;
+    let error = Error::OtherLife;
+    bed.send(Event::HoldFailed { worker: "a".into(), sent, extended: true, error });
+    bed.actions.clear();
+    bed.send(Event::WorkerSeen(born("a", FIRST_MS)));
+    assert_eq!(watched(&bed), None, "a late entry of the life that is over");
+    bed.send(Event::WorkerSeen(born("a", SECOND_MS)));
+    assert!(watched(&bed).is_some(), "the life that is there");
+}
+
 #[test]
 fn a_worker_that_was_to_leave_takes_work_once_it_has_begun_again() {
     let mut bed = bed(1);
