Orders that meet a stranger end no later life of their worker

What callers would see: payments that run twice (TWICE), since the runs of a worker that lives count as over.

Cause: an order that meets another worker at the address ends the life that it was meant for. By identifier, that ended the later life, which had begun elsewhere meanwhile, and its runs started again on other workers.

Only what was sent since the life that is known began says anything about it. Test: orders_that_meet_a_stranger_end_no_later_life (two starts of runs that the later life runs before). In the model an old address is taken by a stranger now, half of the time.

--- a/crates/crosspath_schedule/src/answers.rs
+++ b/crates/crosspath_schedule/src/answers.rs
@@ -78,8 +78,9 @@
                 self.drop_and_queue(now, id, task, number, "not_reached");
             }
             Err(Error::OtherLife) => {
+                let sent = self.run(task, number).map(|run| run.sent);
                 self.drop_and_queue(now, id, task, number, "other_life");
-                self.end_life(now, id, "other_life");
+                self.met_other_life(now, id, sent);
             }
             Err(Error::NoAnswer) => self.start_unanswered(now, id, task, number),
         }
@@ -133,7 +134,10 @@
                 }
             }
             Err(Error::Fenced) => self.superseded = true,
-            Err(Error::OtherLife) => self.end_life(now, id, "other_life"),
+            Err(Error::OtherLife) => {
+                let sent = self.run(task, number).map(|run| run.stop_sent);
+                self.met_other_life(now, id, sent);
+            }
             Err(error) => {
                 log::info!(
                     "event=stop_failed task={task} run={number} worker={id} error=\"{error}\""
--- a/crates/crosspath_schedule/src/lives.rs
+++ b/crates/crosspath_schedule/src/lives.rs
@@ -32,6 +32,20 @@
         born_ms == 0 || born_ms >= known_ms
     }
 
+    /// Whether something that was sent to a worker at `sent` was meant for a life before the one that is known.
+    pub(crate) fn is_of_life_before(&self, id: &str, sent: Duration) -> bool {
+        let worker = self.workers.get(id);
+        worker.and_then(|worker| worker.reborn).is_some_and(|reborn| sent <= reborn)
+    }
+
+    /// An order met another worker, so the life that it was meant for is over. `sent` is when it was sent, if that is
+    /// known still; else looks tell.
+    pub(crate) fn met_other_life(&mut self, now: Duration, id: &Arc<str>, sent: Option<Duration>) {
+        if sent.is_some_and(|sent| !self.is_of_life_before(id, sent)) {
+            self.end_life(now, id, "other_life");
+        }
+    }
+
     /// Another life answers in the place of the one that was known. What it does not show is gone: its first answer
     /// rules that out.
     fn begin_anew(&mut self, now: Duration, id: &Arc<str>, entry: Entry) {
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -153,6 +153,9 @@
         extended: bool,
         error: Error,
     ) {
+        if self.is_of_life_before(id, sent) {
+            return;
+        }
         match error {
             Error::OtherLife => return self.end_life(now, id, "other_life"),
             Error::Fenced => self.superseded = true,
--- a/crates/crosspath_schedule/tests/schedule/lives.rs
+++ b/crates/crosspath_schedule/tests/schedule/lives.rs
@@ -1,6 +1,7 @@
 //! Lives of a worker under one identifier: what the life before ran is over, and ends are numbered anew.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crosspath_border::worker::{Ended, Entry, Error, Held, How, Running};
 use crosspath_job::JobId;
@@ -173,3 +174,24 @@
     bed.pass(ms(100));
     assert_eq!(bed.starts().len(), 2);
 }
+
+/// The worker has begun again elsewhere; what was under way to the life before meets a stranger at the old address.
+#[test]
+fn orders_that_meet_a_stranger_end_no_later_life() {
+    let mut bed = bed(2);
+    let (kept, sent) = (task(0, 0), bed.now);
+    bed.send(Event::WorkerSeen(Entry { draining: true, ..born("a", FIRST_MS) }));
+    held(&mut bed, "a", SECOND_MS, Vec::new(), Vec::new());
+    bed.pass(ms(100));
+    assert_eq!(bed.starts().len(), 2);
+    let worker: Arc<str> = "a".into();
+    let answer = Err(Error::OtherLife);
+    bed.send(Event::StartAnswered { worker: worker.clone(), task: kept, run: 10_001, answer });
+    let answer = Err(Error::OtherLife);
+    bed.send(Event::StopAnswered { worker: worker.clone(), task: kept, run: 10_001, answer });
+    bed.send(Event::HoldFailed { worker, sent, extended: true, error: Error::OtherLife });
+    bed.send(Event::WorkerSeen(born("b", FIRST_MS)));
+    held(&mut bed, "b", FIRST_MS, Vec::new(), Vec::new());
+    bed.pass(ms(100));
+    assert!(bed.starts().is_empty(), "the later life runs them");
+}
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -547,8 +547,11 @@
         }
         let is_look = matches!(message.order, Order::Look { .. });
         let is_meant = is_look || worker.entry.born_ms == message.worker.born_ms;
-        let is_there = worker.entry.address == message.worker.address;
-        (!is_meant || !is_there).then_some(Error::NotReached)
+        if worker.entry.address != message.worker.address {
+            let is_taken = self.now.as_millis().is_multiple_of(2);
+            return Some(if is_taken { Error::OtherLife } else { Error::NotReached });
+        }
+        (!is_meant).then_some(Error::NotReached)
     }
 
     fn perform(&mut self, message: &Message) -> Result<Reply, Error> {
