What lapsed on a life stays lost when a later one answers

Cause: a worker that answers again after its leases had run out is acquitted of what was lost there. By identifier, that acquitted the life before whenever a later one answered more than 5.2 s after the crash, so a deadly task never had three losses.

Losses on a life that another has followed keep that life's name, which no worker has.

--- a/crates/crosspath_schedule/src/lives.rs
+++ b/crates/crosspath_schedule/src/lives.rs
@@ -78,6 +78,7 @@
             return;
         }
         let life: Arc<str> = format!("{id}@{born_ms}").into();
+        self.rename_losses(now, id, &life);
         if draining {
             return;
         }
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -196,6 +196,17 @@
         }
     }
 
+    /// What was lost on a worker was lost on that life of it: later ones answer for themselves.
+    pub(crate) fn rename_losses(&mut self, now: Duration, worker: &str, life: &Arc<str>) {
+        for id in self.tasks_lost_on(worker) {
+            let Some(task) = self.task_mut(id) else { continue };
+            for loss in task.lost.iter_mut().filter(|loss| *loss.worker == *worker) {
+                loss.worker = Arc::clone(life);
+            }
+            self.commits.touch(now, id.job);
+        }
+    }
+
     /// Its key tells whether a waiting task is to run alone.
     fn requeue(&mut self, id: TaskId) {
         let Some(job) = self.jobs.get(&id.job) else { return };
--- a/crates/crosspath_schedule/tests/schedule/lives.rs
+++ b/crates/crosspath_schedule/tests/schedule/lives.rs
@@ -195,3 +195,14 @@
     bed.pass(ms(100));
     assert!(bed.starts().is_empty(), "the later life runs them");
 }
+
+#[test]
+fn what_lapsed_on_the_life_before_stays_lost_when_a_later_one_answers() {
+    let mut bed = bed(1);
+    let (sent, error) = (bed.now, Error::NoAnswer);
+    bed.send(Event::HoldFailed { worker: "a".into(), sent, extended: true, error });
+    bed.pass(ms(6_000));
+    held(&mut bed, "a", SECOND_MS, Vec::new(), Vec::new());
+    let kept = bed.scheduler.progress(JOB, 0).expect("a job");
+    assert_eq!(kept.tasks["0.0.0"].lost.len(), 1);
+}
