Records name the life of a worker that a run is on

Cause: a run's place was kept by the worker's identifier. A new owner whom a later life answered took that for the word of the life that the run was on: it was not there, so it was taken as never begun, and the loss counted for nobody.

Records, losses, and what owners tell each other of leases name lives (the identifier, and when the life began); records without that are read as before. Owners before this change take such a name for a worker that is not listed, and wait for its leases: safe in a rolling update. A life is over as soon as the list or an answer tells of a later one, and its runs are lost then and counted like those of any worker that ends, since orders reach no later life; that takes the place of the names made up for losses.

--- a/crates/crosspath_job/src/progress.rs
+++ b/crates/crosspath_job/src/progress.rs
@@ -36,7 +36,7 @@
     /// Number of the run.
     #[serde(rename = "r")]
     pub run: u64,
-    /// The worker.
+    /// The worker's life.
     #[serde(rename = "w")]
     pub worker: Arc<str>,
     /// Whether no other run there may be why the worker was lost.
@@ -58,7 +58,7 @@
     /// Runs that were lost with their workers, in order.
     #[serde(rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub lost: Vec<Loss>,
-    /// Number and worker of each run that is or may be; written before a run is started, so that
+    /// Number and worker's life of each run that is or may be; written before a run is started, so that
     /// a new owner knows where to look for it.
     #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<(u64, Arc<str>)>,
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -32,6 +32,8 @@
     pub number: u64,
     /// The worker.
     pub worker: Arc<str>,
+    /// Name of that worker's life.
+    pub life: Arc<str>,
     /// How far it is.
     pub phase: Phase,
     /// When the start was sent, or the run was found.
@@ -74,7 +76,7 @@
     pub checkpoint: Option<Arc<str>>,
     /// Runs that are or may be; more than one only where the step allows copies.
     pub runs: Vec<Run>,
-    /// Number and worker of runs that an owner before may have started and no answer has ruled out.
+    /// Number and worker's life of runs that an owner before may have started and no answer has ruled out.
     pub unseen: Vec<(u64, Arc<str>)>,
     /// Runs that were lost with their workers; cleared by a run that proves itself.
     pub lost: Vec<Loss>,
@@ -87,9 +89,9 @@
 }
 
 impl Task {
-    /// Number and worker of each run that is or may be.
+    /// Number and worker's life of each run that is or may be.
     fn placements(&self) -> Vec<(u64, Arc<str>)> {
-        let runs = self.runs.iter().map(|run| (run.number, Arc::clone(&run.worker)));
+        let runs = self.runs.iter().map(|run| (run.number, Arc::clone(&run.life)));
         let known: Vec<_> = runs.collect();
         let unseen = self.unseen.iter().filter(|unseen| !known.contains(unseen)).cloned();
         unseen.chain(known.iter().cloned()).collect()
@@ -208,11 +210,11 @@
         self.since + Duration::from_millis(allowed)
     }
 
-    /// Whether `is_over` rules out a worker's runs; forgets those that nobody has seen.
+    /// Forgets unseen runs on lives that `is_over` rules out.
     pub(crate) fn rule_out(&mut self, is_over: impl Fn(&Arc<str>) -> bool) {
         let steps = self.instances.iter_mut().flat_map(|instance| &mut instance.steps);
         for task in steps.flat_map(|step| &mut step.tasks) {
-            task.unseen.retain(|(_, worker)| !is_over(worker));
+            task.unseen.retain(|(_, life)| !is_over(life));
         }
     }
 
--- a/crates/crosspath_schedule/src/lives.rs
+++ b/crates/crosspath_schedule/src/lives.rs
@@ -1,19 +1,40 @@
 //! Lives of a worker under one identifier.
 //!
-//! A worker may begin again under the identifier that it had. It then holds nothing, and counts its ends from 1: were
-//! it told that ends up to some number are kept, as the life before was, it would forget its own.
+//! A worker may begin again under the identifier that it had. It then holds nothing, and counts its ends from 1. What
+//! was known of the life before says nothing of it: orders reach the life that they are meant for or none, so what
+//! that one ran is over.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_border::worker::Entry;
-use crosspath_job::progress::Loss;
 
 use crate::action::Action;
-use crate::job::Phase;
+use crate::losses::Fate;
 use crate::scheduler::Scheduler;
 
+/// Between a worker's identifier and when its life began, in the name of a life.
+const BORN: char = '@';
+
+/// Name of a life: the worker's identifier, and when it began where that is told.
+pub(crate) fn name(id: &Arc<str>, born_ms: u64) -> Arc<str> {
+    if born_ms == 0 { Arc::clone(id) } else { format!("{id}{BORN}{born_ms}").into() }
+}
+
+/// The worker that a life is of, and when it began; 0 where its name does not tell.
+pub(crate) fn parse(name: &str) -> (&str, u64) {
+    let parts = name.rsplit_once(BORN);
+    let parts = parts.and_then(|(id, born_ms)| Some((id, born_ms.parse().ok()?)));
+    parts.unwrap_or((name, 0))
+}
+
 impl Scheduler {
+    /// Whether a life is the one that is known of its worker.
+    pub(crate) fn is_known_life(&self, name: &str) -> bool {
+        let (id, born_ms) = parse(name);
+        self.workers.get(id).is_some_and(|worker| worker.entry.born_ms == born_ms)
+    }
+
     /// Takes in which life of a worker has told something; whether that is the newest one that is known. `entry` makes
     /// the entry of a later life from that of the one before.
     pub(crate) fn is_newest_life(
@@ -46,12 +67,10 @@
         }
     }
 
-    /// Another life answers in the place of the one that was known. What it does not show is gone: its first answer
-    /// rules that out.
+    /// Another life is there in the place of the one that was known.
     fn begin_anew(&mut self, now: Duration, id: &Arc<str>, entry: Entry) {
-        self.lose_life(now, id);
-        self.commits.forget_ends(id);
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(worker) = self.workers.get(id) else { return };
+        let (before, target) = (worker.life(), worker.target());
         log::info!(
             "event=worker_reborn worker={id} born_ms={} before_ms={} runs={} acknowledged={}",
             entry.born_ms,
@@ -59,7 +78,10 @@
             worker.runs.len(),
             worker.ends_acknowledged
         );
-        self.actions.push(Action::Unwatch { worker: worker.target() });
+        self.release_all(now, id, "earlier_life");
+        self.commits.forget_ends(id);
+        self.actions.push(Action::Unwatch { worker: target });
+        let Some(worker) = self.workers.get_mut(id) else { return };
         worker.entry = entry;
         worker.reborn = Some(now);
         worker.ends_seen = 0;
@@ -67,34 +89,17 @@
         worker.synced = false;
         let (worker, clock_ms) = (worker.target(), worker.entry.clock_ms);
         self.actions.push(Action::Watch { worker, clock_ms });
+        self.judge_lost_on(now, &before);
+        self.end_lives_under(now, id);
     }
 
-    /// What a life's end takes along counts for its tasks, under a name that no worker has.
-    fn lose_life(&mut self, now: Duration, id: &Arc<str>) {
+    /// Lives under a worker's identifier that owners before knew are over if they began before the one that is known.
+    pub(crate) fn end_lives_under(&mut self, now: Duration, id: &str) {
         let Some(worker) = self.workers.get(id) else { return };
         let born_ms = worker.entry.born_ms;
-        let draining = worker.entry.draining;
-        if born_ms == 0 {
-            return;
-        }
-        let life: Arc<str> = format!("{id}@{born_ms}").into();
-        self.rename_losses(now, id, &life);
-        if draining {
-            return;
-        }
-        let Some(worker) = self.workers.get(id) else { return };
-        let alone = self.company(worker).is_alone();
-        let runs: Vec<_> = worker.runs.keys().copied().collect();
-        for (task, number) in runs {
-            let phase = self.run(task, number).map(|run| run.phase);
-            let was_there =
-                matches!(phase, Some(Phase::Running | Phase::Stopping | Phase::Stopped));
-            if was_there && !self.is_innocent(task, number) {
-                log::info!("event=run_lost task={task} run={number} worker={life} phase={phase:?}");
-                let worker = Arc::clone(&life);
-                self.count_loss(now, task, Loss { run: number, worker, alone });
-            }
+        for life in self.settlement.lives_before(id, born_ms) {
+            self.accounted(now, &life, Fate::Over);
+            self.judge_lost_on(now, &life);
         }
-        self.judge_lost_on(now, &life);
     }
 }
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -9,6 +9,7 @@
 
 use crate::action::Action;
 use crate::job::{Phase, Run};
+use crate::lives;
 use crate::losses::Fate;
 use crate::runs::STOPPED_WITHIN;
 use crate::scheduler::Scheduler;
@@ -30,7 +31,7 @@
     pub(crate) fn worker_seen(&mut self, now: Duration, entry: Entry) {
         let ended = self.ended_lives.get(&entry.id);
         if ended.is_some_and(|ended| entry.born_ms <= ended.born_ms) {
-            self.lost_unseen(now, &entry.id);
+            self.lost_unseen(now, &lives::name(&entry.id, entry.born_ms));
             return;
         }
         self.place_again = true;
@@ -59,11 +60,13 @@
             entry.born_ms
         );
         let (id, clock_ms) = (Arc::clone(&entry.id), entry.clock_ms);
+        let known = Arc::clone(&id);
         let mut worker = Worker::new(entry);
         // An owner before may have given leases there.
         worker.inherited_until(self.settlement.open_until());
         self.actions.push(Action::Watch { worker: worker.target(), clock_ms });
         self.workers.insert(id, worker);
+        self.end_lives_under(now, &known);
     }
 
     pub(crate) fn worker_gone(&mut self, now: Duration, id: &Arc<str>) {
@@ -109,11 +112,12 @@
     pub(crate) fn worker_dead(&mut self, now: Duration, id: &Arc<str>, why: &str) {
         let Some(worker) = self.workers.get(id) else { return };
         log::info!("event=worker_over worker={id} why={why} runs={}", worker.runs.len());
+        let life = worker.life();
         self.actions.push(Action::Unwatch { worker: worker.target() });
         self.release_all(now, id, why);
-        self.accounted(now, id, Fate::Over);
+        self.accounted(now, &life, Fate::Over);
         self.workers.remove(id);
-        self.judge_lost_on(now, id);
+        self.judge_lost_on(now, &life);
     }
 
     pub(crate) fn release_all(&mut self, now: Duration, id: &Arc<str>, why: &str) {
@@ -208,8 +212,9 @@
         if extended {
             worker.leased_until(terms.over(sent, terms.hold));
         }
+        let life = worker.life();
         if was_lost {
-            self.acquit_all_on(now, id);
+            self.acquit_all_on(now, &life);
         }
         for ended in &held.ended {
             self.ended(now, id, ended);
@@ -219,6 +224,8 @@
             self.is_running(now, id, running);
         }
         self.reconcile(now, id, sent, &held.running);
+        self.accounted(now, &life, Fate::Answers);
+        // A record may not tell which life it means.
         self.accounted(now, id, Fate::Answers);
         self.end_lives_before(now, id, sent);
     }
@@ -267,6 +274,7 @@
         let Some(known) = self.workers.get_mut(worker) else { return };
         known.reserve(id, number, room);
         known.suspect(id, number, losses);
+        let life = known.life();
         if !wanted {
             log::info!("event=run_unwanted task={id} run={number} worker={worker}");
             let worker = known.target();
@@ -279,6 +287,7 @@
             task.runs.push(Run {
                 number,
                 worker: Arc::clone(worker),
+                life,
                 phase: Phase::Running,
                 sent: now,
                 answered: now,
@@ -305,7 +314,6 @@
     ) {
         let there: BTreeSet<_> = running.iter().map(|row| (row.task, row.run)).collect();
         let Some(worker) = self.workers.get(id) else { return };
-        let reborn = worker.reborn;
         let missing: Vec<_> =
             worker.runs.keys().filter(|key| !there.contains(key)).copied().collect();
         let start = self.settings.terms.start;
@@ -320,18 +328,10 @@
                 Phase::Doubtful => self.settings.terms.over(run.sent, start) < sent,
             };
             if ruled_out {
-                let why = absence(run, reborn);
+                let ended = matches!(run.phase, Phase::Running);
+                let why = if ended { "end_not_heard" } else { "not_there" };
                 self.drop_and_queue(now, id, task, number, why);
             }
         }
     }
 }
-
-/// Why a run is not there, as logs tell it.
-fn absence(run: &Run, reborn: Option<Duration>) -> &'static str {
-    match run.phase {
-        _ if reborn.is_some_and(|reborn| run.answered <= reborn) => "earlier_life",
-        Phase::Running => "end_not_heard",
-        _ => "not_there",
-    }
-}
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -30,6 +30,7 @@
 use crosspath_job::progress::{Loss, State};
 
 use crate::job::{Job, Phase};
+use crate::lives;
 use crate::place::Key;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
@@ -68,13 +69,6 @@
     alone: bool,
 }
 
-impl Company {
-    /// Whether no other run may be why the worker was lost.
-    pub(crate) fn is_alone(self) -> bool {
-        self.alone
-    }
-}
-
 /// Whether tasks with so many losses keep apart from each other.
 pub(crate) fn keeps_apart(losses: usize) -> bool {
     losses >= APART_FROM
@@ -97,7 +91,7 @@
     }
 
     /// Whether a run is surely not why its worker is lost: a lasting one that has proved itself.
-    pub(crate) fn is_innocent(&self, id: TaskId, number: u64) -> bool {
+    fn is_innocent(&self, id: TaskId, number: u64) -> bool {
         self.lasts(id) && self.is_proven(id, number)
     }
 
@@ -140,30 +134,33 @@
             run.phase,
             run.known().as_millis()
         );
-        self.count_loss(now, id, Loss { run: number, worker: Arc::clone(worker), alone });
+        let worker = Arc::clone(&run.life);
+        self.count_loss(now, id, Loss { run: number, worker, alone });
     }
 
-    /// Runs of owners before that no answer has shown, and that a worker's end took along.
-    pub(crate) fn lose_unseen(&mut self, now: Duration, worker: &Arc<str>) {
-        if self.workers.get(worker).is_some_and(|worker| worker.entry.draining) {
+    /// Runs of owners before that no answer has shown, and that the end of a worker's life took along.
+    pub(crate) fn lose_unseen(&mut self, now: Duration, life: &Arc<str>) {
+        let (worker, _) = lives::parse(life);
+        let drains = self.workers.get(worker).is_some_and(|worker| worker.entry.draining);
+        if drains && self.is_known_life(life) {
             return;
         }
         let mut lost = Vec::new();
         for job in self.jobs.values().filter(|job| job.inherited && !job.state.is_final()) {
             for (id, task) in job.tasks() {
-                let unseen = task.unseen.iter().filter(|(_, other)| other == worker);
+                let unseen = task.unseen.iter().filter(|(_, other)| other == life);
                 let unseen = unseen.filter(|(number, _)| self.run(id, *number).is_none());
                 lost.extend(unseen.map(|(number, _)| (id, *number)));
             }
         }
         for (id, number) in lost {
-            log::info!("event=run_lost task={id} run={number} worker={worker} phase=Unseen");
-            let worker = Arc::clone(worker);
+            log::info!("event=run_lost task={id} run={number} worker={life} phase=Unseen");
+            let worker = Arc::clone(life);
             self.count_loss(now, id, Loss { run: number, worker, alone: false });
         }
     }
 
-    pub(crate) fn count_loss(&mut self, now: Duration, id: TaskId, loss: Loss) {
+    fn count_loss(&mut self, now: Duration, id: TaskId, loss: Loss) {
         let Some(task) = self.task_mut(id) else { return };
         let known = task.lost.iter().any(|known| known.run == loss.run);
         if task.done || known {
@@ -186,27 +183,16 @@
         }
     }
 
-    /// A worker answers that was taken for lost.
-    pub(crate) fn acquit_all_on(&mut self, now: Duration, worker: &str) {
-        for id in self.tasks_lost_on(worker) {
+    /// A life answers that was taken for lost.
+    pub(crate) fn acquit_all_on(&mut self, now: Duration, life: &str) {
+        for id in self.tasks_lost_on(life) {
             let Some(task) = self.task_mut(id) else { continue };
-            task.lost.retain(|loss| *loss.worker != *worker);
+            task.lost.retain(|loss| *loss.worker != *life);
             self.commits.touch(now, id.job);
             self.requeue(id);
         }
     }
 
-    /// What was lost on a worker was lost on that life of it: later ones answer for themselves.
-    pub(crate) fn rename_losses(&mut self, now: Duration, worker: &str, life: &Arc<str>) {
-        for id in self.tasks_lost_on(worker) {
-            let Some(task) = self.task_mut(id) else { continue };
-            for loss in task.lost.iter_mut().filter(|loss| *loss.worker == *worker) {
-                loss.worker = Arc::clone(life);
-            }
-            self.commits.touch(now, id.job);
-        }
-    }
-
     /// Its key tells whether a waiting task is to run alone.
     fn requeue(&mut self, id: TaskId) {
         let Some(job) = self.jobs.get(&id.job) else { return };
@@ -216,16 +202,16 @@
         }
     }
 
-    fn tasks_lost_on(&self, worker: &str) -> Vec<TaskId> {
+    fn tasks_lost_on(&self, life: &str) -> Vec<TaskId> {
         let running = self.jobs.values().filter(|job| !job.state.is_final());
         let tasks = running.flat_map(Job::tasks);
-        let lost = tasks.filter(|(_, task)| task.lost.iter().any(|loss| *loss.worker == *worker));
+        let lost = tasks.filter(|(_, task)| task.lost.iter().any(|loss| *loss.worker == *life));
         lost.map(|(id, _)| id).collect()
     }
 
-    /// Gives up the tasks under which too many workers were lost, one of them being `worker`.
-    pub(crate) fn judge_lost_on(&mut self, now: Duration, worker: &str) {
-        for id in self.tasks_lost_on(worker) {
+    /// Gives up the tasks under which too many workers were lost, this life among them.
+    pub(crate) fn judge_lost_on(&mut self, now: Duration, life: &str) {
+        for id in self.tasks_lost_on(life) {
             self.judge(now, id);
         }
     }
@@ -234,7 +220,7 @@
         let Some(job) = self.jobs.get(&id.job).filter(|job| !job.state.is_final()) else { return };
         let Some(task) = job.task(id).filter(|task| !task.done) else { return };
         // A worker that is still listed may be back.
-        let over = task.lost.iter().filter(|loss| !self.workers.contains_key(&loss.worker));
+        let over = task.lost.iter().filter(|loss| !self.is_known_life(&loss.worker));
         let over: Vec<_> = over.collect();
         let losses = over.len();
         let alone = over.last().is_some_and(|loss| loss.alone);
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -216,10 +216,12 @@
         let Some(task) = job.task_mut(id) else { return };
         let freed = task.freed;
         let losses = task.lost.len();
+        let Some(known) = self.workers.get_mut(worker) else { return };
         task.last_run = run;
         task.runs.push(Run {
             number: run,
             worker: Arc::clone(worker),
+            life: known.life(),
             phase: Phase::Planned,
             sent: now,
             answered: now,
@@ -231,7 +233,6 @@
             gauge: 0,
             pace: 100,
         });
-        let Some(known) = self.workers.get_mut(worker) else { return };
         log::info!(
             "event=run_placed task={id} run={run} worker={worker} waited_ms={} free_millis={}",
             now.saturating_sub(freed).as_millis(),
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -20,6 +20,7 @@
 use crosspath_job::{JobId, TaskId};
 
 use crate::event::Event;
+use crate::lives;
 use crate::losses::Fate;
 use crate::scheduler::{Scheduler, Settings};
 
@@ -31,15 +32,15 @@
 pub struct Legacy {
     /// Its epoch: the next owner may rely on the rest only if no other was between them.
     pub epoch: u64,
-    /// When what may run on each worker has surely lapsed.
+    /// When what may run on each life of a worker has surely lapsed.
     pub over: BTreeMap<Arc<str>, Duration>,
 }
 
 /// Which inherited tasks may have runs that this owner has not seen.
 #[derive(Debug)]
 pub(crate) struct Settlement {
-    /// Workers that have not answered yet and whose life is not over, and when what owners before
-    /// ordered there has surely lapsed.
+    /// Lives of workers that have not answered yet and are not over, and when what owners before ordered
+    /// there has surely lapsed.
     unaccounted: BTreeMap<Arc<str>, Duration>,
     /// When everything unseen has lapsed.
     until: Duration,
@@ -63,6 +64,13 @@
         self.over
     }
 
+    /// Lives under a worker's identifier that have not answered and began before `born_ms`.
+    pub(crate) fn lives_before(&self, id: &str, born_ms: u64) -> Vec<Arc<str>> {
+        let named = self.unaccounted.keys().map(|life| (life, lives::parse(life)));
+        let before = named.filter(|(_, (of, began))| *of == id && (1..born_ms).contains(began));
+        before.map(|(life, _)| Arc::clone(life)).collect()
+    }
+
     /// Whether time settles everything now.
     fn ends(&mut self, now: Duration) -> bool {
         let ends = !self.over && now >= self.until;
@@ -125,24 +133,24 @@
         }
     }
 
-    /// A worker has answered, or its life is over: what it does not show is not there.
-    pub(crate) fn accounted(&mut self, now: Duration, worker: &Arc<str>, fate: Fate) {
-        if self.settlement.unaccounted.remove(worker).is_none() {
+    /// A life of a worker has answered, or is over: what it does not show is not there.
+    pub(crate) fn accounted(&mut self, now: Duration, life: &Arc<str>, fate: Fate) {
+        if self.settlement.unaccounted.remove(life).is_none() {
             return;
         }
         if fate == Fate::Over {
-            self.lose_unseen(now, worker);
+            self.lose_unseen(now, life);
         }
         self.place_again = true;
         for job in self.jobs.values_mut().filter(|job| job.inherited) {
-            job.rule_out(|other| other == worker);
+            job.rule_out(|other| other == life);
         }
     }
 
-    /// What was unseen on a worker is over: it counts as lost, and its tasks are judged by that.
-    pub(crate) fn lost_unseen(&mut self, now: Duration, worker: &Arc<str>) {
-        self.accounted(now, worker, Fate::Over);
-        self.judge_lost_on(now, worker);
+    /// What was unseen on a life is over: it counts as lost, and its tasks are judged by that.
+    pub(crate) fn lost_unseen(&mut self, now: Duration, life: &Arc<str>) {
+        self.accounted(now, life, Fate::Over);
+        self.judge_lost_on(now, life);
     }
 
     /// What this owner knows of leases, for the next one. A worker that it looked at may have heard a
@@ -151,23 +159,24 @@
     pub fn leave(&self, now: Duration) -> Legacy {
         let unaccounted = self.settlement.unaccounted.iter();
         // Nothing was ordered there by this owner.
-        let unseen = unaccounted.filter(|(id, _)| !self.workers.contains_key(*id));
-        let unseen = unseen.map(|(id, until)| (Arc::clone(id), *until));
+        let unseen = unaccounted.filter(|(life, _)| !self.is_known_life(life));
+        let unseen = unseen.map(|(life, until)| (Arc::clone(life), *until));
         let terms = self.settings.terms;
         let extended = terms.over(now + IN_FLIGHT, terms.hold);
         let looked_at = self.workers.values();
-        let looked_at =
-            looked_at.map(|worker| (Arc::clone(&worker.entry.id), worker.lease_over.max(extended)));
+        let looked_at = looked_at.map(|worker| (worker.life(), worker.lease_over.max(extended)));
         Legacy { epoch: self.epoch, over: unseen.chain(looked_at).collect() }
     }
 
     /// Takes in what the owner before said of leases on workers that have not answered yet.
     pub(crate) fn hand_over(&mut self, leases: BTreeMap<Arc<str>, Duration>) {
-        for (id, over) in leases {
-            let Some(until) = self.settlement.unaccounted.get_mut(&id) else { continue };
+        for (life, over) in leases {
+            let known = self.is_known_life(&life);
+            let Some(until) = self.settlement.unaccounted.get_mut(&life) else { continue };
             *until = over.min(*until);
-            log::info!("event=lease_handed_over worker={id} over_ms={}", until.as_millis());
-            if let Some(worker) = self.workers.get_mut(&id) {
+            log::info!("event=lease_handed_over worker={life} over_ms={}", until.as_millis());
+            let (worker, _) = lives::parse(&life);
+            if let Some(worker) = self.workers.get_mut(worker).filter(|_| known) {
                 worker.lease_over = worker.ordered_over.max(*until);
             }
         }
@@ -176,22 +185,23 @@
     /// Frees what is unseen on each worker once it has surely lapsed there.
     pub(crate) fn settle(&mut self, now: Duration) {
         // While a first look at a worker is on its way, it may extend what runs there.
-        let lapsed = |id: &Arc<str>| {
-            let worker = self.workers.get(id);
+        let lapsed = |life: &Arc<str>| {
+            let (worker, _) = lives::parse(life);
+            let worker = self.workers.get(worker);
             worker.is_none_or(|worker| worker.failures > 0 && now > worker.lease_over)
         };
         let unaccounted = self.settlement.unaccounted.iter();
-        let over = unaccounted.filter(|(id, until)| now >= **until && lapsed(id));
-        let over: Vec<_> = over.map(|(id, _)| Arc::clone(id)).collect();
-        for id in over {
-            self.lost_unseen(now, &id);
+        let over = unaccounted.filter(|(life, until)| now >= **until && lapsed(life));
+        let over: Vec<_> = over.map(|(life, _)| Arc::clone(life)).collect();
+        for life in over {
+            self.lost_unseen(now, &life);
         }
         if !self.settlement.ends(now) {
             return;
         }
         self.place_again = true;
-        for id in self.settlement.unaccounted.keys().cloned().collect::<Vec<_>>() {
-            self.lost_unseen(now, &id);
+        for life in self.settlement.unaccounted.keys().cloned().collect::<Vec<_>>() {
+            self.lost_unseen(now, &life);
         }
         for job in self.jobs.values_mut().filter(|job| job.inherited) {
             job.rule_out(|_| true);
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -8,6 +8,7 @@
 use crosspath_job::TaskId;
 use crosspath_job::spec::Room;
 
+use crate::lives;
 use crate::losses;
 
 /// A worker: one life of a VM.
@@ -81,6 +82,11 @@
         Target { address, id: Arc::clone(id), born_ms }
     }
 
+    /// Name of its life.
+    pub(crate) fn life(&self) -> Arc<str> {
+        lives::name(&self.entry.id, self.entry.born_ms)
+    }
+
     pub(crate) fn free(&self) -> Room {
         self.entry.capacity.minus(&self.used)
     }
--- a/crates/crosspath_schedule/tests/schedule/lives.rs
+++ b/crates/crosspath_schedule/tests/schedule/lives.rs
@@ -6,9 +6,10 @@
 use crosspath_border::worker::{Ended, Entry, Error, Held, How, Running};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
+use crosspath_job::record::Record;
 use crosspath_schedule::{Action, Event};
 
-use crate::common::{Bed, JOB, accepted, ended, entry, ms, running, step, task};
+use crate::common::{Bed, JOB, accepted, ended, entry, kept, ms, running, step, task};
 
 const FIRST_MS: u64 = 1_700_000_000_000;
 const SECOND_MS: u64 = FIRST_MS + 9_000;
@@ -206,3 +207,24 @@
     let kept = bed.scheduler.progress(JOB, 0).expect("a job");
     assert_eq!(kept.tasks["0.0.0"].lost.len(), 1);
 }
+
+#[test]
+fn a_task_that_crashes_a_life_under_each_owner_is_given_up() {
+    let mut records = vec![Record::Accepted(JOB, accepted(vec![step(1, 8)]))];
+    let mut starts = 0;
+    for epoch in 1..10 {
+        let mut owner = Bed::at(epoch, ms(10_000 * epoch));
+        owner.take_over(records.clone(), &[]);
+        let born_ms = FIRST_MS + 10_000 * epoch;
+        owner.send(Event::WorkerSeen(born("a", born_ms)));
+        held(&mut owner, "a", born_ms, Vec::new(), Vec::new());
+        owner.pass(ms(100));
+        starts += owner.starts().len();
+        records.extend(kept(&owner.actions));
+        records.sort_by_key(Record::key);
+        // The newest record of each key comes last, and stands.
+        records.reverse();
+        records.dedup_by_key(|record| record.key());
+    }
+    assert!(starts <= 5, "{starts} starts");
+}
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -91,13 +91,12 @@
 }
 
 /// Worlds in which each seventh job crashes its workers, with owners that come and go.
-#[test]
-fn deadly_jobs_are_given_up_and_all_others_complete() {
+fn play_deadly_worlds(keeps_ids: bool) {
     let quiet = Faults::default();
     let kinds = [quiet, Faults { takeover: 1, ..quiet }];
     for (first, faults) in (1..).step_by(1_000).zip(kinds) {
         for seed in first..first + 12 {
-            let mut world = World::deadly(seed, faults);
+            let mut world = World::deadly(seed, faults, keeps_ids);
             for _ in 0..1_000 {
                 world.load();
                 world.step();
@@ -108,6 +107,16 @@
     }
 }
 
+#[test]
+fn deadly_jobs_are_given_up_and_all_others_complete() {
+    play_deadly_worlds(false);
+}
+
+#[test]
+fn deadly_jobs_are_given_up_whose_workers_begin_again_under_their_identifiers() {
+    play_deadly_worlds(true);
+}
+
 #[test]
 fn a_new_life_of_its_owner_gives_it_up_too() {
     // The owner ends after two losses that it has kept; its next life is the third one's witness.
--- a/crates/crosspath_schedule/tests/schedule/world.rs
+++ b/crates/crosspath_schedule/tests/schedule/world.rs
@@ -183,6 +183,8 @@
     pub(crate) starts: u64,
     /// Whether some jobs crash the workers that start them.
     deadly: bool,
+    /// Whether workers that crash begin again under their identifiers.
+    keeps_ids: bool,
     /// Lives that were lost under tasks, and starts after the third loss.
     losses: BTreeMap<TaskId, Losses>,
 }
@@ -220,6 +222,7 @@
             failed: BTreeMap::new(),
             starts: 0,
             deadly: false,
+            keeps_ids: faults.reborn > 0,
             losses: BTreeMap::new(),
         };
         for n in 0..5 {
@@ -229,9 +232,9 @@
         world
     }
 
-    /// A world in which some jobs crash the workers that start them.
-    pub(crate) fn deadly(seed: u64, faults: Faults) -> Self {
-        Self { deadly: true, ..Self::new(seed, faults) }
+    /// A world in which some jobs crash the workers that start them, which then have other identifiers or not.
+    pub(crate) fn deadly(seed: u64, faults: Faults, keeps_ids: bool) -> Self {
+        Self { deadly: true, keeps_ids, ..Self::new(seed, faults) }
     }
 
     fn is_deadly(&self, job: JobId) -> bool {
@@ -314,12 +317,14 @@
             self.crash();
         }
         if self.faults.reborn > 0 && self.chance(self.faults.reborn) {
-            self.begin_again();
+            let at = self.rng.random_range(0..self.workers.len());
+            let id = Arc::clone(self.workers.keys().nth(at).expect("a worker"));
+            self.begin_again(&id);
         }
         if self.chance(self.faults.crash.max(self.faults.reborn)) {
             self.late_entry();
         }
-        if self.faults.reborn > 0 && self.chance(TOLD_AT_ONCE) {
+        if self.keeps_ids && self.chance(TOLD_AT_ONCE) {
             self.heartbeat();
         }
         if self.chance(self.faults.cut) {
@@ -365,10 +370,8 @@
     }
 
     /// A worker crashes, and another life begins under its identifier.
-    fn begin_again(&mut self) {
-        let at = self.rng.random_range(0..self.workers.len());
-        let id = Arc::clone(self.workers.keys().nth(at).expect("a worker"));
-        let before = self.workers.remove(&id).expect("a worker");
+    fn begin_again(&mut self, id: &Arc<str>) {
+        let before = self.workers.remove(id).expect("a worker");
         for task in before.runs.keys() {
             self.losses.entry(*task).or_default().lives += 1;
         }
@@ -377,10 +380,10 @@
             address.set_port(address.port() + 1);
         }
         let entry = Entry { born_ms: self.born_ms(), address, ..before.entry.clone() };
-        self.workers.insert(Arc::clone(&id), SimWorker::new(entry, self.now));
+        self.workers.insert(Arc::clone(id), SimWorker::new(entry, self.now));
         self.ended.push(before.entry);
         if self.chance(TOLD_AT_ONCE) {
-            self.list(&id);
+            self.list(id);
         }
     }
 
@@ -414,7 +417,11 @@
         let crashed = self.workers.iter().filter(|(_, worker)| worker.runs.iter().any(is_fatal));
         let crashed: Vec<_> = crashed.map(|(id, _)| Arc::clone(id)).collect();
         for id in crashed {
-            self.crash_worker(&id);
+            if self.keeps_ids {
+                self.begin_again(&id);
+            } else {
+                self.crash_worker(&id);
+            }
         }
         let mut ends = Vec::new();
         for worker in self.workers.values() {
