Of two lives the one that answers the later look is the later

What callers would see: a pool that is short of a VM for good, and ends there that nobody takes note of.

Cause: lives were told apart by when they say that they began. A worker whose wall clock was set back before it began again says that it began earlier than the life before, and all its answers were taken for late words of that one.

A look that was sent after the last one that the known life answered, and after that life was known to be there, is answered by no earlier one: the process is gone. Entries of the list may be late, and still go by their number.

--- a/crates/crosspath_schedule/src/lives.rs
+++ b/crates/crosspath_schedule/src/lives.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_border::worker::Entry;
+use crosspath_border::worker::{Entry, Held};
 
 use crate::action::Action;
 use crate::losses::Fate;
@@ -35,22 +35,39 @@
         self.workers.get(id).is_some_and(|worker| worker.entry.born_ms == born_ms)
     }
 
-    /// Takes in which life of a worker has told something; whether that is the newest one that is known. `entry` makes
-    /// the entry of a later life from that of the one before.
-    pub(crate) fn is_newest_life(
+    /// Takes in an entry of a known worker; whether it is of the newest life that is known.
+    pub(crate) fn is_listed_newest(&mut self, now: Duration, entry: &Entry) -> bool {
+        let Some(worker) = self.workers.get(&entry.id) else { return false };
+        let known_ms = worker.entry.born_ms;
+        if entry.born_ms > known_ms {
+            self.begin_anew(now, &entry.id, entry.clone());
+        }
+        entry.born_ms == 0 || entry.born_ms >= known_ms
+    }
+
+    /// Takes in which life has answered a look that was sent at `sent`; whether it is the newest one that is known.
+    /// Of two the one that answers the later look is the later, also where its wall clock was set back.
+    pub(crate) fn is_answered_by_newest(
         &mut self,
         now: Duration,
         id: &Arc<str>,
-        born_ms: u64,
-        entry: impl FnOnce(&Entry) -> Entry,
+        sent: Duration,
+        held: &Held,
     ) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
-        let known_ms = worker.entry.born_ms;
-        if born_ms > known_ms {
-            let entry = entry(&worker.entry);
-            self.begin_anew(now, id, entry);
+        let (known, answered) = (&worker.entry, worker.answered_sent);
+        if held.born_ms == 0 || held.born_ms == known.born_ms {
+            return true;
+        }
+        let looked_later = sent > answered && !self.is_of_life_before(id, sent);
+        if held.born_ms < known.born_ms && !looked_later {
+            return false;
         }
-        born_ms == 0 || born_ms >= known_ms
+        let (born_ms, clock_ms) = (held.born_ms, held.clock_ms);
+        let entry = known.clone();
+        let entry = Entry { born_ms, clock_ms, draining: false, remaining_ms: 0, ..entry };
+        self.begin_anew(now, id, entry);
+        true
     }
 
     /// Whether something that was sent to a worker at `sent` was meant for a life before the one that is known.
--- a/crates/crosspath_schedule/src/looks.rs
+++ b/crates/crosspath_schedule/src/looks.rs
@@ -35,9 +35,7 @@
             return;
         }
         self.place_again = true;
-        if self.workers.contains_key(&entry.id)
-            && !self.is_newest_life(now, &entry.id, entry.born_ms, |_| entry.clone())
-        {
+        if self.workers.contains_key(&entry.id) && !self.is_listed_newest(now, &entry) {
             return;
         }
         if let Some(worker) = self.workers.get_mut(&entry.id) {
@@ -188,14 +186,7 @@
         extended: bool,
         held: Held,
     ) {
-        let later = |before: &Entry| Entry {
-            born_ms: held.born_ms,
-            clock_ms: held.clock_ms,
-            draining: false,
-            remaining_ms: 0,
-            ..before.clone()
-        };
-        if !self.is_newest_life(now, id, held.born_ms, later) {
+        if !self.is_answered_by_newest(now, id, sent, &held) {
             return;
         }
         let terms = self.settings.terms;
