--- a/crates/crosspath_soak/src/faults.rs
+++ b/crates/crosspath_soak/src/faults.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 
 use crate::proxy::Harm;
-use crate::run::Site;
+use crate::run::{Plan, Site};
 
 /// A killed daemon is started again after this at most, in ms.
 const LONGEST_DOWN_MS: u64 = 2_500;
@@ -21,6 +21,10 @@
 const BETWEEN_SILENCES_MS: std::ops::Range<u64> = 1_000..5_000;
 /// Told apart from the seed of the other faults, which are drawn as without silences.
 const SILENCES_SEED: u64 = 0x51_1e_4c_e5;
+/// Between two crashes of workers that begin again under their identifiers, in ms.
+const BETWEEN_CRASHES_MS: std::ops::Range<u64> = 100..700;
+/// As [`SILENCES_SEED`], for these crashes.
+const CRASHES_SEED: u64 = 0xc4_a5_4e_5d;
 
 /// One fault.
 #[derive(Debug, Clone, Copy)]
@@ -73,10 +77,30 @@
     }
 }
 
-/// Strikes for a while; faults overlap. Their number.
-pub(crate) async fn strike(site: &Arc<Site>, seed: u64, length: Duration) -> usize {
-    let (others, silences) = tokio::join!(overlap(site, seed, length), silence(site, seed, length));
-    others + silences
+/// Strikes as the plan says; faults overlap. Their number.
+pub(crate) async fn strike(site: &Arc<Site>, plan: &Plan) -> usize {
+    let (seed, length) = (plan.seed, plan.length);
+    let crashes = async { if plan.reborn { crash_often(site, seed, length).await } else { 0 } };
+    let (others, silences, crashes) =
+        tokio::join!(overlap(site, seed, length), silence(site, seed, length), crashes);
+    others + silences + crashes
+}
+
+/// Workers crash, and begin again at once.
+async fn crash_often(site: &Site, seed: u64, length: Duration) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed ^ CRASHES_SEED);
+    let until = tokio::time::Instant::now() + length;
+    let mut number = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(BETWEEN_CRASHES_MS))).await;
+        if tokio::time::Instant::now() >= until {
+            return number;
+        }
+        let worker = rng.random_range(0..site.workers.len());
+        log::info!("event=fault fault=Crash({worker})");
+        site.workers[worker].crash();
+        number += 1;
+    }
 }
 
 /// Open connections to the store or to workers go silent for good, while new ones work.
--- a/crates/crosspath_soak/src/main.rs
+++ b/crates/crosspath_soak/src/main.rs
@@ -49,6 +49,9 @@
     /// Some jobs crash the workers that start them.
     #[bpaf(long)]
     deadly: bool,
+    /// Workers that crash begin again under their identifiers.
+    #[bpaf(long)]
+    reborn: bool,
     /// The daemon's program; by default the one beside this program.
     #[bpaf(long, argument("FILE"))]
     daemon: Option<PathBuf>,
@@ -76,6 +79,7 @@
             daemons: options.daemons.max(1),
             workers: options.workers.max(1),
             deadly: options.deadly,
+            reborn: options.reborn,
             program: program.clone(),
         };
         match runtime.block_on(run_or_interrupt(&plan)) {
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -39,6 +39,8 @@
     pub(crate) workers: usize,
     /// Whether some jobs crash the workers that start them.
     pub(crate) deadly: bool,
+    /// Whether workers that crash begin again under their identifiers.
+    pub(crate) reborn: bool,
     pub(crate) program: PathBuf,
 }
 
@@ -99,6 +101,9 @@
             let proxy = Proxy::start(worker.address()).await;
             let proxy = proxy.context(SetupSnafu { what: "proxy" })?;
             worker.publish(&site.store, proxy.address);
+            if plan.reborn {
+                worker.keep_id();
+            }
             site.workers.push(worker);
             site.worker_proxies.push(proxy);
         }
@@ -147,7 +152,7 @@
     }
     let traffic = Traffic::new(addresses.into_iter(), &audit, plan.deadly);
     let submits = tokio::spawn(traffic.clone().run(plan.seed, plan.length, PAUSE));
-    let faults = faults::strike(&site, plan.seed, plan.length).await;
+    let faults = faults::strike(&site, plan).await;
     if let Err(error) = submits.await {
         audit.violation(format!("callers failed: {error}"));
     }
