--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -3,18 +3,12 @@
 //! An open connection may go silent for good while new ones work, and nothing but an answer that does
 //! not come shows it. So a call without an answer costs the client all its idle connections, which may
 //! be silent too: the next call is made on a new one. What waits long is probed by keep-alives.
-//!
-//! A request that may be repeated is sent again on a new connection once its answer is overdue by what
-//! the server lately took, while the first goes on: an answer that is lost costs the time until then
-//! and not the whole time-out, and a server that turns slow loses nothing by it. Only answers tell how long a
-//! server takes: with lost ones counted as slow, each next one would be waited for ever longer.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream::{FuturesUnordered, StreamExt as _};
 pub use http::{Method, StatusCode};
 use http::{Request, header};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -25,7 +19,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt as _, Snafu};
-use tokio::time::Instant;
 
 use crate::latency::Latency;
 use crate::line::Line;
@@ -36,9 +29,6 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is dead: one may be lost.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Times that a request which may be repeated is sent at most: of answers of which a third is lost,
-/// one call in 27 gets none.
-const MOST_TRIES: usize = 3;
 
 /// A call that gave no answer that can be used.
 #[derive(Debug, Snafu)]
@@ -83,10 +73,10 @@
 pub struct Client {
     connections: Arc<Mutex<Connections>>,
     /// Idle connections for what goes by the process that it reaches.
-    lines: Arc<Mutex<Vec<Line>>>,
+    pub(crate) lines: Arc<Mutex<Vec<Line>>>,
     latency: Arc<Mutex<Latency>>,
-    connect_timeout: Duration,
-    address: SocketAddr,
+    pub(crate) connect_timeout: Duration,
+    pub(crate) address: SocketAddr,
     timeout: Duration,
     token: Option<String>,
 }
@@ -106,38 +96,6 @@
     }
 }
 
-/// An answer, and the connection that it came over.
-#[derive(Debug)]
-pub struct Heard {
-    /// The answer.
-    pub answer: Answer,
-    line: Line,
-    lines: Arc<Mutex<Vec<Line>>>,
-}
-
-impl AsRef<Answer> for Heard {
-    fn as_ref(&self) -> &Answer {
-        &self.answer
-    }
-}
-
-// Dropped, it closes the connection.
-impl Heard {
-    /// Keeps the connection for further requests.
-    pub fn keep(self) -> Answer {
-        let process = self.line.process;
-        self.keep_to(process)
-    }
-
-    /// Keeps the connection for further requests; the answer tells which process it leads to, or does not.
-    pub fn keep_to(self, process: Option<u64>) -> Answer {
-        let mut line = self.line;
-        line.process = process;
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
-        self.answer
-    }
-}
-
 impl Client {
     /// Makes a client; each call takes at most `timeout`.
     #[must_use]
@@ -284,77 +242,13 @@
         self.repeat(exchange, timeout, wait).await
     }
 
-    /// As [`Self::send_repeatable`], for a request that may depend on which process it reaches: `request` makes it
-    /// for the process that answered over its connection before, or for one that is not known.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Self::send`].
-    pub async fn send_by_process(
-        &self,
-        request: impl Fn(Option<u64>) -> (http::request::Builder, Bytes),
-        timeout: Duration,
-        wait: Duration,
-    ) -> Result<Heard, Error> {
-        let request = |process| {
-            let (request, body) = request(process);
-            self.request(request, body)
-        };
-        let exchange = || self.exchange_on_line(&request);
-        self.repeat(exchange, timeout, wait).await
-    }
-
-    /// Sends a request over a connection that leads to `process`; none where there is no such connection.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Self::send`].
-    pub async fn send_to_process(
-        &self,
-        process: u64,
-        request: http::request::Builder,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Option<Result<Heard, Error>> {
-        let mut line = self.idle_line(|line| line.process == Some(process)).await?;
-        let request = match self.request(request, body) {
-            Ok(request) => request,
-            Err(error) => return Some(Err(error)),
-        };
-        let doubt = Doubt { client: self };
-        let exchange = tokio::time::timeout(timeout, line.exchange(request));
-        let Ok(answer) = exchange.await else {
-            return Some(NoAnswerSnafu { address: self.address }.fail());
-        };
-        doubt.settle();
-        let lines = Arc::clone(&self.lines);
-        Some(answer.map(|answer| Heard { answer, line, lines }))
-    }
-
-    /// The first answer to some tries of one request, within `timeout`.
-    async fn repeat<T: AsRef<Answer>, F: Future<Output = Result<T, Error>>>(
-        &self,
-        exchange: impl Fn() -> F,
-        timeout: Duration,
-        wait: Duration,
-    ) -> Result<T, Error> {
-        let doubt = Doubt { client: self };
-        let Ok(answer) = tokio::time::timeout(timeout, self.tries(exchange, wait)).await else {
-            // It takes at least as long, so that a server that turns this slow is not asked thrice each time.
-            self.latency().observe(timeout.saturating_sub(wait));
-            return NoAnswerSnafu { address: self.address }.fail();
-        };
-        doubt.settle();
-        answer
-    }
-
     /// Time after which an answer is overdue now, beyond what the server may wait.
     #[must_use]
     pub fn overdue(&self) -> Duration {
         self.latency().overdue()
     }
 
-    fn request(
+    pub(crate) fn request(
         &self,
         request: http::request::Builder,
         body: Bytes,
@@ -369,107 +263,21 @@
         request.body(Full::new(body)).or(NotSentSnafu { address }.fail())
     }
 
-    /// The first answer to some tries, each begun when the one before is overdue or has failed.
-    async fn tries<T: AsRef<Answer>, F: Future<Output = Result<T, Error>>>(
-        &self,
-        exchange: impl Fn() -> F,
-        wait: Duration,
-    ) -> Result<T, Error> {
-        let mut tries = FuturesUnordered::new();
-        let mut overdue = self.latency().overdue();
-        let mut failed = Failures::default();
-        for _ in 0..MOST_TRIES {
-            tries.push(self.observed(exchange(), wait));
-            match tokio::time::timeout(wait + overdue, tries.next()).await {
-                Ok(Some(result)) => {
-                    if let Some(answer) = failed.sift(result, !tries.is_empty()) {
-                        return Ok(answer);
-                    }
-                }
-                Ok(None) | Err(_) => {
-                    log::info!(
-                        "event=answer_overdue server={} after_ms={}",
-                        self.address,
-                        (wait + overdue).as_millis()
-                    );
-                    // A lost answer says nothing of how long answers take: only those that come do.
-                    overdue *= 2;
-                }
-            }
-            self.renew();
-        }
-        while let Some(result) = tries.next().await {
-            if let Some(answer) = failed.sift(result, !tries.is_empty()) {
-                return Ok(answer);
-            }
-        }
-        let address = self.address;
-        if failed.doubtful {
-            NoAnswerSnafu { address }.fail()
-        } else {
-            NotSentSnafu { address }.fail()
-        }
-    }
-
-    /// An exchange whose time is noted, unless the server was asked to wait.
-    async fn observed<T>(
-        &self,
-        exchange: impl Future<Output = Result<T, Error>>,
-        wait: Duration,
-    ) -> Result<T, Error> {
-        let sent = Instant::now();
-        let answer = exchange.await?;
-        if wait.is_zero() {
-            self.latency().observe(sent.elapsed());
-        }
-        Ok(answer)
-    }
-
-    fn latency(&self) -> MutexGuard<'_, Latency> {
+    pub(crate) fn latency(&self) -> MutexGuard<'_, Latency> {
         self.latency.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Gives up the idle connections; calls under way keep theirs.
-    fn renew(&self) {
+    pub(crate) fn renew(&self) {
         *self.connections() = connections(self.connect_timeout);
         self.lines().clear();
     }
 
-    fn lines(&self) -> MutexGuard<'_, Vec<Line>> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// An idle connection that is still open, the one used last.
-    async fn idle_line(&self, suits: impl Fn(&Line) -> bool) -> Option<Line> {
-        loop {
-            let mut line = {
-                let mut lines = self.lines();
-                let at = lines.iter().rposition(&suits)?;
-                lines.remove(at)
-            };
-            if line.is_open().await {
-                return Some(line);
-            }
-        }
-    }
-
-    async fn exchange_on_line(
-        &self,
-        request: &impl Fn(Option<u64>) -> Result<Request<Full<Bytes>>, Error>,
-    ) -> Result<Heard, Error> {
-        let mut line = match self.idle_line(|_| true).await {
-            Some(line) => line,
-            None => Line::open(connector(self.connect_timeout), self.address).await?,
-        };
-        let answer = line.exchange(request(line.process)?).await?;
-        Ok(Heard { answer, line, lines: Arc::clone(&self.lines) })
-    }
-
     fn connections(&self) -> MutexGuard<'_, Connections> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
+    pub(crate) async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
         let address = self.address;
         let connections = self.connections().clone();
         let answer = match connections.request(request).await {
@@ -493,48 +301,6 @@
     Ok(Answer { head, body: whole.to_bytes() })
 }
 
-/// What became of tries of one request that gave no answer to return.
-#[derive(Debug, Default)]
-struct Failures {
-    /// Whether one of them may have had its effect.
-    doubtful: bool,
-}
-
-impl Failures {
-    /// The answer of a try, if it tells the fate of the request. A refusal tells that of its own try
-    /// only, so it is no answer while another may have had its effect, or yet have it.
-    fn sift<T: AsRef<Answer>>(
-        &mut self,
-        result: Result<T, Error>,
-        others_under_way: bool,
-    ) -> Option<T> {
-        match result {
-            Ok(answer)
-                if is_refusal(answer.as_ref().head.status)
-                    && (self.doubtful || others_under_way) =>
-            {
-                self.doubtful = true;
-                None
-            }
-            Ok(answer) => Some(answer),
-            Err(error) => {
-                self.doubtful |= !matches!(error, Error::NotSent { .. });
-                None
-            }
-        }
-    }
-}
-
-/// Whether a status says that the server has done nothing for now.
-fn is_refusal(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::INSUFFICIENT_STORAGE
-    )
-}
-
 fn encode(body: Option<&impl Serialize>) -> Bytes {
     let bytes = body.map(|body| serde_json::to_vec(body).expect("requests have a JSON form"));
     bytes.unwrap_or_default().into()
@@ -545,7 +311,7 @@
     Pool::builder(TokioExecutor::new()).build(connector(connect_timeout))
 }
 
-fn connector(connect_timeout: Duration) -> HttpConnector {
+pub(crate) fn connector(connect_timeout: Duration) -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
@@ -557,13 +323,13 @@
 
 /// A call that has no answer yet. Dropped without one it gives up the idle connections.
 #[derive(Debug)]
-struct Doubt<'a> {
-    client: &'a Client,
+pub(crate) struct Doubt<'a> {
+    pub(crate) client: &'a Client,
 }
 
 impl Doubt<'_> {
     /// The call has ended with an answer, or with an error of its connection.
-    fn settle(self) {
+    pub(crate) fn settle(self) {
         std::mem::forget(self);
     }
 }
--- a/crates/crosspath_http/src/lib.rs
+++ b/crates/crosspath_http/src/lib.rs
@@ -3,7 +3,8 @@
 pub mod body;
 pub mod client;
 pub mod latency;
-mod line;
+pub mod line;
+mod repeat;
 pub mod server;
 
 pub use body::Body;
--- a/crates/crosspath_http/src/line.rs
+++ b/crates/crosspath_http/src/line.rs
@@ -5,6 +5,8 @@
 //! answered over it before.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Uri, header};
@@ -13,7 +15,38 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use tower::ServiceExt as _;
 
-use crate::client::{Answer, Error, NoAnswerSnafu, NotSentSnafu, whole};
+use crate::client::{Answer, Client, Doubt, Error, NoAnswerSnafu, NotSentSnafu, connector, whole};
+
+/// An answer, and the connection that it came over; closed unless it is kept.
+#[derive(Debug)]
+pub struct Heard {
+    /// The answer.
+    pub answer: Answer,
+    line: Line,
+    lines: Arc<Mutex<Vec<Line>>>,
+}
+
+impl AsRef<Answer> for Heard {
+    fn as_ref(&self) -> &Answer {
+        &self.answer
+    }
+}
+
+impl Heard {
+    /// Keeps the connection for further requests.
+    pub fn keep(self) -> Answer {
+        let process = self.line.process;
+        self.keep_to(process)
+    }
+
+    /// Keeps the connection for further requests; the answer tells which process it leads to, or does not.
+    pub fn keep_to(self, process: Option<u64>) -> Answer {
+        let mut line = self.line;
+        line.process = process;
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        self.answer
+    }
+}
 
 /// A connection for one request at a time.
 #[derive(Debug)]
@@ -57,6 +90,85 @@
     }
 }
 
+impl Client {
+    /// As [`Self::send_repeatable`], for a request that may depend on which process it reaches: `request` makes it
+    /// for the process that answered over its connection before, or for one that is not known.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn send_by_process(
+        &self,
+        request: impl Fn(Option<u64>) -> (http::request::Builder, Bytes),
+        timeout: Duration,
+        wait: Duration,
+    ) -> Result<Heard, Error> {
+        let request = |process| {
+            let (request, body) = request(process);
+            self.request(request, body)
+        };
+        let exchange = || self.exchange_on_line(&request);
+        self.repeat(exchange, timeout, wait).await
+    }
+
+    /// Sends a request over a connection that leads to `process`; none where there is no such connection.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn send_to_process(
+        &self,
+        process: u64,
+        request: http::request::Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Option<Result<Heard, Error>> {
+        let mut line = self.idle_line(|line| line.process == Some(process)).await?;
+        let request = match self.request(request, body) {
+            Ok(request) => request,
+            Err(error) => return Some(Err(error)),
+        };
+        let doubt = Doubt { client: self };
+        let exchange = tokio::time::timeout(timeout, line.exchange(request));
+        let Ok(answer) = exchange.await else {
+            return Some(NoAnswerSnafu { address: self.address }.fail());
+        };
+        doubt.settle();
+        let lines = Arc::clone(&self.lines);
+        Some(answer.map(|answer| Heard { answer, line, lines }))
+    }
+
+    pub(crate) fn lines(&self) -> MutexGuard<'_, Vec<Line>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection that is still open, the one used last.
+    async fn idle_line(&self, suits: impl Fn(&Line) -> bool) -> Option<Line> {
+        loop {
+            let mut line = {
+                let mut lines = self.lines();
+                let at = lines.iter().rposition(&suits)?;
+                lines.remove(at)
+            };
+            if line.is_open().await {
+                return Some(line);
+            }
+        }
+    }
+
+    async fn exchange_on_line(
+        &self,
+        request: &impl Fn(Option<u64>) -> Result<Request<Full<Bytes>>, Error>,
+    ) -> Result<Heard, Error> {
+        let mut line = match self.idle_line(|_| true).await {
+            Some(line) => line,
+            None => Line::open(connector(self.connect_timeout), self.address).await?,
+        };
+        let answer = line.exchange(request(line.process)?).await?;
+        Ok(Heard { answer, line, lines: Arc::clone(&self.lines) })
+    }
+}
+
 /// The request as servers take it: its URI is a path, and a header names the server.
 fn in_origin_form(mut request: Request<Full<Bytes>>, address: SocketAddr) -> Request<Full<Bytes>> {
     let path = request.uri().path_and_query().cloned();
