crosspath evacuate, its taking back, and which data centres are evacuated

An operator had to write the record of an evacuation with the platform's own tools, and a name that there is not was refused in daemons' logs only. The command refuses a data centre that no worker is in before anything is kept (exit code 2), tells a store that turns it away (4) from one that does not answer (5), and shows what is evacuated and the workers there, as text or JSON. Tests against the stand-in of the store.

--- a/crates/crosspath/src/args.rs
+++ b/crates/crosspath/src/args.rs
@@ -108,6 +108,25 @@
     /// Show every daemon
     #[bpaf(command)]
     Status,
+    /// Keep new work from a data centre, or let it in again
+    #[bpaf(command)]
+    Evacuate {
+        /// Address of the platform's store
+        #[bpaf(env("CROSSPATH_STORE"), argument("ADDRESS"))]
+        store: SocketAddr,
+        /// Take the evacuation back
+        undo: bool,
+        /// Its name
+        #[bpaf(positional("DATA_CENTRE"))]
+        data_centre: String,
+    },
+    /// Show which data centres are evacuated, and the workers there
+    #[bpaf(command)]
+    Evacuations {
+        /// Address of the platform's store
+        #[bpaf(env("CROSSPATH_STORE"), argument("ADDRESS"))]
+        store: SocketAddr,
+    },
     /// Print the story of one job, from saved logs of all daemons
     #[bpaf(command)]
     Trace {
--- a/crates/crosspath/src/commands.rs
+++ b/crates/crosspath/src/commands.rs
@@ -4,6 +4,7 @@
 mod change;
 mod delete;
 mod diff;
+mod evacuate;
 mod explain;
 mod get;
 mod status;
@@ -36,6 +37,10 @@
         Command::Wave(command) => wave::run(&api()?, format, command).await,
         Command::Explain { kind, name } => explain::run(&api()?, format, &id(kind, &name)?).await,
         Command::Status => status::run(&api()?, format).await,
+        Command::Evacuate { store, undo, data_centre } => {
+            evacuate::run(format, store, &data_centre, undo).await
+        }
+        Command::Evacuations { store } => evacuate::show(format, store).await,
         Command::Trace { all, job, files } => trace::run(format, &job, &files, all),
         Command::Change { id } => change::run(&api()?, format, &id).await,
     }
--- /dev/null
+++ b/crates/crosspath/src/commands/evacuate.rs
@@ -0,0 +1,119 @@
+//! `crosspath evacuate` and `crosspath evacuations`: data centres that are to get no new work.
+//!
+//! Both ask the platform's store, where an operator's word stands: it is in force once the store has taken it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::operator::{Change, Evacuation};
+use crosspath_border::store::{Error as StoreError, Guard, Partition, Store as _, Stored, Topic};
+use crosspath_border::worker::Entry;
+use crosspath_platform::LogStore;
+use serde::Serialize;
+use snafu::ResultExt as _;
+
+use crate::error::{Error, ExitStatus, NoDataCentreSnafu, StoreSnafu};
+use crate::output::{self, Format};
+use crate::table;
+
+/// For each call of the store.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Workers of one pool in an evacuated data centre.
+#[derive(Debug, Default, Serialize)]
+struct Pool {
+    workers: usize,
+    /// Those of them that say that they will end.
+    leaving: usize,
+}
+
+type DataCentres = BTreeMap<Arc<str>, BTreeMap<Arc<str>, Pool>>;
+
+/// Asks for the evacuation of a data centre, or takes that back.
+pub(crate) async fn run(
+    format: Format,
+    address: SocketAddr,
+    data_centre: &str,
+    undo: bool,
+) -> Result<ExitStatus, Error> {
+    let store = LogStore::new(address, TIMEOUT);
+    let workers = workers(&store).await.context(StoreSnafu)?;
+    let known: BTreeSet<_> = workers.iter().map(|entry| &*entry.data_centre).collect();
+    if !undo && !known.contains(data_centre) {
+        let known = Vec::from_iter(known).join(", ");
+        return NoDataCentreSnafu { data_centre, known }.fail();
+    }
+    let word = Evacuation { data_centre: data_centre.into(), asked: !undo };
+    let record = LogStore::evacuation(&word);
+    let appended = store.append(only(Topic::Operators), &[record], Guard::Free).await;
+    appended.context(StoreSnafu)?;
+    print(format, &store, &workers).await
+}
+
+/// Shows which data centres are evacuated.
+pub(crate) async fn show(format: Format, address: SocketAddr) -> Result<ExitStatus, Error> {
+    let store = LogStore::new(address, TIMEOUT);
+    let workers = workers(&store).await.context(StoreSnafu)?;
+    print(format, &store, &workers).await
+}
+
+async fn print(format: Format, store: &LogStore, workers: &[Entry]) -> Result<ExitStatus, Error> {
+    let records = newest(store, Topic::Operators).await.context(StoreSnafu)?;
+    let evacuated = records.iter().filter_map(|record| match store.change(record) {
+        Ok(Change::Evacuation(word)) if word.asked => Some(word.data_centre),
+        _ => None,
+    });
+    let mut data_centres: DataCentres = evacuated.map(|name| (name, BTreeMap::new())).collect();
+    for entry in workers {
+        let Some(pools) = data_centres.get_mut(&entry.data_centre) else { continue };
+        let pool = pools.entry(Arc::clone(&entry.pool)).or_default();
+        pool.workers += 1;
+        pool.leaving += usize::from(entry.draining);
+    }
+    output::print(format, &data_centres, || text(&data_centres));
+    Ok(ExitStatus::Success)
+}
+
+fn text(data_centres: &DataCentres) -> String {
+    if data_centres.is_empty() {
+        return "no data centre is evacuated".to_owned();
+    }
+    let mut rows = Vec::new();
+    for (name, pools) in data_centres {
+        if pools.is_empty() {
+            rows.push(vec![name.to_string(), "-".into(), "0".into(), "0".into()]);
+        }
+        for (pool, Pool { workers, leaving }) in pools {
+            let row =
+                [name.to_string(), pool.to_string(), workers.to_string(), leaving.to_string()];
+            rows.push(row.into());
+        }
+    }
+    table::render(&["DATA CENTRE", "POOL", "WORKERS", "LEAVING"], &rows)
+}
+
+/// Entries of the worker list that can be read.
+async fn workers(store: &LogStore) -> Result<Vec<Entry>, StoreError> {
+    let records = newest(store, Topic::Workers).await?;
+    Ok(records.iter().filter_map(|record| store.worker(record).ok()).collect())
+}
+
+/// The newest record of each key of a topic with one partition.
+async fn newest(store: &LogStore, topic: Topic) -> Result<Vec<Stored>, StoreError> {
+    let mut records: Vec<Stored> = Vec::new();
+    loop {
+        let after = records.last().map(|record| record.key.clone());
+        let page = store.newest(only(topic), after.as_deref()).await?;
+        let more = page.more && !page.records.is_empty();
+        records.extend(page.records);
+        if !more {
+            return Ok(records);
+        }
+    }
+}
+
+fn only(topic: Topic) -> Partition {
+    Partition { topic, number: 0 }
+}
--- a/crates/crosspath/src/error.rs
+++ b/crates/crosspath/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use crosspath_border::store;
 use crosspath_http::client;
 use crosspath_operator::model::Problem;
 use snafu::Snafu;
@@ -36,6 +37,10 @@
     NoServer,
     #[snafu(display("no line names the job {job}; are the logs of all daemons given?"))]
     NotLogged { job: String },
+    #[snafu(display("no worker is in the data centre {data_centre}; there are {known}"))]
+    NoDataCentre { data_centre: String, known: String },
+    #[snafu(display("{source}"))]
+    Store { source: store::Error },
     #[snafu(display("no token; set {variable} or write --token"))]
     NoToken { variable: &'static str },
     #[snafu(display("{}", problem.message))]
@@ -56,13 +61,15 @@
             | Self::Name { .. }
             | Self::NoServer
             | Self::NotLogged { .. }
+            | Self::NoDataCentre { .. }
             | Self::NoToken { .. } => ExitStatus::BadInput,
             Self::Refused { status: 400 | 413 | 422, .. } => ExitStatus::BadInput,
             Self::Refused { status: 503, .. } => ExitStatus::NotAccepted,
             Self::Refused { status: 504, .. } => ExitStatus::Unknown,
             Self::Refused { .. } => ExitStatus::Refused,
             Self::Call { source: client::Error::NotSent { .. } } => ExitStatus::NotAccepted,
-            Self::Call { .. } | Self::Wait { .. } => ExitStatus::Unknown,
+            Self::Store { source } if source.is_not_done() => ExitStatus::NotAccepted,
+            Self::Store { .. } | Self::Call { .. } | Self::Wait { .. } => ExitStatus::Unknown,
         }
     }
 }
--- a/crates/crosspath/tests/cli/main.rs
+++ b/crates/crosspath/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! The tool against a real daemon, as an operator uses it.
 
+mod evacuate;
 mod trace;
 
 use std::path::PathBuf;
