--- a/crates/crosspath_node/src/evacuation.rs
+++ b/crates/crosspath_node/src/evacuation.rs
@@ -84,10 +84,7 @@
     }
 
     /// Takes in all records that there are, as of the place `read_to`: what none of them asks for is taken back.
-    ///
-    /// # Errors
-    ///
-    /// [`UnknownError`] for each record that is left out.
+    /// Gives the errors of the records that are left out.
     pub fn replace(&mut self, records: &[Evacuation], read_to: u64) -> Vec<UnknownError> {
         let mut asked = BTreeSet::new();
         let mut unknown = Vec::new();
