A lasting task that was at work has crashed none of its workers by its start

What callers would see: a watcher job that is sound is shown as failed, and all its tasks end at once, beyond what its step may miss (AVAIL).

Tasks that crash their workers do so at their start; a lasting one counted as past it after 3 s only.

A lasting run that looks have shown at work is past its start. Tests: a_lasting_task_that_was_at_work_under_each_loss_is_never_given_up fails without the change; a_lasting_task_that_crashes_its_workers_before_it_is_at_work_is_given_up holds before and after.

--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -8,6 +8,9 @@
 use crosspath_job::record::Accepted;
 use crosspath_job::{JobId, TaskId};
 
+/// Percent at which a lasting task is at work.
+const AT_WORK: u32 = 100;
+
 /// How far a run is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -57,6 +60,11 @@
 }
 
 impl Run {
+    /// Whether it was last shown at work, if it is a lasting one.
+    pub(crate) fn is_at_work(&self) -> bool {
+        self.percent >= AT_WORK
+    }
+
     /// For how long it is known to have run: from its start to the last look that showed it.
     pub(crate) fn known(&self) -> Duration {
         self.looked.saturating_sub(self.sent)
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -19,7 +19,7 @@
 //! and a task that is told late costs more lives.
 //!
 //! A lasting run that has proved itself clears its task, so that lasting tasks are not failed by what their workers
-//! suffer in a day. Brief tasks are cleared by their end only: one may crash its worker late in its work. A silent
+//! suffer in a day: giving a lasting job up ends all its tasks at once, whatever may be away. Brief tasks are cleared by their end only: one may crash its worker late in its work. A silent
 //! worker that is still listed may only be cut off: what was there counts as lost until it answers again, and alone
 //! fails no job.
 
@@ -80,10 +80,11 @@
 }
 
 impl Scheduler {
-    /// Whether a run is known to have gone on for so long that it does not crash its worker by its start.
+    /// Whether a run is known not to crash its worker by its start: it has gone on for so long, or is a lasting one
+    /// that is past its start.
     fn is_proven(&self, id: TaskId, number: u64) -> bool {
         let run = self.run(id, number);
-        run.is_some_and(|run| run.known() >= PROVEN)
+        run.is_some_and(|run| run.known() >= PROVEN || (self.lasts(id) && run.is_at_work()))
     }
 
     fn lasts(&self, id: TaskId) -> bool {
--- a/crates/crosspath_schedule/src/vacate.rs
+++ b/crates/crosspath_schedule/src/vacate.rs
@@ -12,8 +12,6 @@
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
-/// Percent at which a lasting task is at work.
-const AT_WORK: u32 = 100;
 /// Tasks with a checkpoint go on elsewhere below this percent of their work; above, they end soon.
 const MOVE_BELOW: u32 = 70;
 /// What moving a task costs its job: a stop of up to 0.9 s, a wait for room, another start.
@@ -66,7 +64,7 @@
         let at_work = |run: &Run| {
             let worker = self.workers.get(&run.worker);
             let sound = worker.is_some_and(Worker::answers);
-            let works = run.phase == Phase::Running && run.percent >= AT_WORK;
+            let works = run.phase == Phase::Running && run.is_at_work();
             sound && works && !self.may_be_stopped_by_another(now, run)
         };
         let others = (0..).zip(&step.tasks).filter(|(index, _)| *index != id.index);
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -329,6 +329,28 @@
     assert_eq!(bed.scheduler.state(JOB), Some(State::Running));
 }
 
+#[test]
+fn a_lasting_task_that_was_at_work_under_each_loss_is_never_given_up() {
+    let mut bed = Bed::with_workers(&["a"]);
+    bed.submit(vec![Step { lasting: true, ..step(1, 2) }]);
+    for _ in 0..6 {
+        let order = bed.starts().remove(0);
+        bed.started(&order);
+        bed.pass(ms(900));
+        bed.held(&order.worker, vec![running(order.task, order.run)], Vec::new());
+        crash(&mut bed, &order.worker);
+    }
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Running));
+}
+
+#[test]
+fn a_lasting_task_that_crashes_its_workers_before_it_is_at_work_is_given_up() {
+    let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
+    bed.submit(vec![Step { lasting: true, ..step(1, 2) }]);
+    assert!(crash_all(&mut bed) <= MOST_STARTS);
+    assert_eq!(bed.scheduler.state(JOB), Some(State::Failed));
+}
+
 #[test]
 fn a_worker_that_was_cut_off_and_answers_again_crashed_under_nothing() {
     let mut bed = Bed::with_workers(&["a", "b", "c", "d"]);
