--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -20,8 +20,8 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt as _, Snafu};
 
+use crate::connection::Connection;
 use crate::latency::Latency;
-use crate::line::Line;
 
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Idle time after which a connection is probed, and time between probes: the kernel counts whole
@@ -73,7 +73,7 @@
 pub struct Client {
     connections: Arc<Mutex<Connections>>,
     /// Idle connections for what goes by the process that it reaches.
-    pub(crate) lines: Arc<Mutex<Vec<Line>>>,
+    pub(crate) idle: Arc<Mutex<Vec<Connection>>>,
     latency: Arc<Mutex<Latency>>,
     pub(crate) connect_timeout: Duration,
     pub(crate) address: SocketAddr,
@@ -109,7 +109,7 @@
     pub fn with_connect_timeout(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
         Self {
             connections: Arc::new(Mutex::new(connections(connect))),
-            lines: Arc::default(),
+            idle: Arc::default(),
             latency: Arc::default(),
             connect_timeout: connect,
             address,
@@ -270,7 +270,7 @@
     /// Gives up the idle connections; calls under way keep theirs.
     pub(crate) fn renew(&self) {
         *self.connections() = connections(self.connect_timeout);
-        self.lines().clear();
+        self.idle().clear();
     }
 
     fn connections(&self) -> MutexGuard<'_, Connections> {
--- a/crates/crosspath_http/src/line.rs
+++ b/crates/crosspath_http/src/connection.rs
@@ -22,8 +22,8 @@
 pub struct Heard {
     /// The answer.
     pub answer: Answer,
-    line: Line,
-    lines: Arc<Mutex<Vec<Line>>>,
+    connection: Connection,
+    idle: Arc<Mutex<Vec<Connection>>>,
 }
 
 impl AsRef<Answer> for Heard {
@@ -35,29 +35,29 @@
 impl Heard {
     /// Keeps the connection for further requests.
     pub fn keep(self) -> Answer {
-        let process = self.line.process;
+        let process = self.connection.process;
         self.keep_to(process)
     }
 
     /// Keeps the connection for further requests; the answer tells which process it leads to, or does not.
     pub fn keep_to(self, process: Option<u64>) -> Answer {
-        let mut line = self.line;
-        line.process = process;
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        let mut connection = self.connection;
+        connection.process = process;
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(connection);
         self.answer
     }
 }
 
 /// A connection for one request at a time.
 #[derive(Debug)]
-pub(crate) struct Line {
+pub(crate) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     /// The process that answered over it last, as far as its answer told.
     pub(crate) process: Option<u64>,
 }
 
-impl Line {
+impl Connection {
     /// Opens a connection.
     pub(crate) async fn open(connector: HttpConnector, address: SocketAddr) -> Result<Self, Error> {
         let uri: Uri = format!("http://{address}/").parse().expect("an address makes a URI");
@@ -107,7 +107,7 @@
             let (request, body) = request(process);
             self.request(request, body)
         };
-        let exchange = || self.exchange_on_line(&request);
+        let exchange = || self.exchange_directly(&request);
         self.repeat(exchange, timeout, wait).await
     }
 
@@ -123,49 +123,50 @@
         body: Bytes,
         timeout: Duration,
     ) -> Option<Result<Heard, Error>> {
-        let mut line = self.idle_line(|line| line.process == Some(process)).await?;
+        let leads_there = |connection: &Connection| connection.process == Some(process);
+        let mut connection = self.idle_connection(leads_there).await?;
         let request = match self.request(request, body) {
             Ok(request) => request,
             Err(error) => return Some(Err(error)),
         };
         let doubt = Doubt { client: self };
-        let exchange = tokio::time::timeout(timeout, line.exchange(request));
+        let exchange = tokio::time::timeout(timeout, connection.exchange(request));
         let Ok(answer) = exchange.await else {
             return Some(NoAnswerSnafu { address: self.address }.fail());
         };
         doubt.settle();
-        let lines = Arc::clone(&self.lines);
-        Some(answer.map(|answer| Heard { answer, line, lines }))
+        let idle = Arc::clone(&self.idle);
+        Some(answer.map(|answer| Heard { answer, connection, idle }))
     }
 
-    pub(crate) fn lines(&self) -> MutexGuard<'_, Vec<Line>> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn idle(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// An idle connection that is still open, the one used last.
-    async fn idle_line(&self, suits: impl Fn(&Line) -> bool) -> Option<Line> {
+    async fn idle_connection(&self, suits: impl Fn(&Connection) -> bool) -> Option<Connection> {
         loop {
-            let mut line = {
-                let mut lines = self.lines();
-                let at = lines.iter().rposition(&suits)?;
-                lines.remove(at)
+            let mut connection = {
+                let mut idle = self.idle();
+                let at = idle.iter().rposition(&suits)?;
+                idle.remove(at)
             };
-            if line.is_open().await {
-                return Some(line);
+            if connection.is_open().await {
+                return Some(connection);
             }
         }
     }
 
-    async fn exchange_on_line(
+    async fn exchange_directly(
         &self,
         request: &impl Fn(Option<u64>) -> Result<Request<Full<Bytes>>, Error>,
     ) -> Result<Heard, Error> {
-        let mut line = match self.idle_line(|_| true).await {
-            Some(line) => line,
-            None => Line::open(connector(self.connect_timeout), self.address).await?,
+        let mut connection = match self.idle_connection(|_| true).await {
+            Some(connection) => connection,
+            None => Connection::open(connector(self.connect_timeout), self.address).await?,
         };
-        let answer = line.exchange(request(line.process)?).await?;
-        Ok(Heard { answer, line, lines: Arc::clone(&self.lines) })
+        let answer = connection.exchange(request(connection.process)?).await?;
+        Ok(Heard { answer, connection, idle: Arc::clone(&self.idle) })
     }
 }
 
--- a/crates/crosspath_http/src/lib.rs
+++ b/crates/crosspath_http/src/lib.rs
@@ -2,8 +2,8 @@
 
 pub mod body;
 pub mod client;
+pub mod connection;
 pub mod latency;
-pub mod line;
 mod repeat;
 pub mod server;
 
