The fault soak cuts, loses and evacuates data centres

Links between two of them break (daemons of one do not reach the workers of the other, all reach the store), one loses power with its daemons, and one is evacuated, all beside each other and beside the other faults. Nothing may start in a data centre that has been evacuated for longer than the limit and the lease of a start.

A proxy tells the data centre of a caller by its source address. Daemons therefore get a setting, listen.source, the local address from which workers are called, for VMs with several addresses; without it nothing changes. Weighed against a proxy for each pair of daemon and worker: the worker list names one address a worker.

Not covered: links that break between daemons, whose addresses are told by the daemons themselves.

--- a/crates/crosspath_http/src/client.rs
+++ b/crates/crosspath_http/src/client.rs
@@ -6,7 +6,7 @@
 //! the next call opens a new one. TCP keep-alive probes detect dead connections on which a call
 //! waits for a long time.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -82,6 +82,8 @@
     latency: Arc<Mutex<Latency>>,
     pub(crate) connect_timeout: Duration,
     pub(crate) address: SocketAddr,
+    /// Local address of new connections; `None` lets the system choose.
+    pub(crate) source: Option<IpAddr>,
     timeout: Duration,
     token: Option<String>,
 }
@@ -113,16 +115,24 @@
     #[must_use]
     pub fn with_connect_timeout(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
         Self {
-            pool: Arc::new(Mutex::new(new_pool(connect))),
+            pool: Arc::new(Mutex::new(new_pool(connect, None))),
             idle: Arc::default(),
             latency: Arc::default(),
             connect_timeout: connect,
             address,
+            source: None,
             timeout,
             token: None,
         }
     }
 
+    /// Opens connections from the local address `source`, on VMs that have several.
+    #[must_use]
+    pub fn with_source(self, source: Option<IpAddr>) -> Self {
+        let pool = Arc::new(Mutex::new(new_pool(self.connect_timeout, source)));
+        Self { pool, source, ..self }
+    }
+
     /// Sends `token` as the bearer token of each call.
     #[must_use]
     pub fn with_token(self, token: impl Into<String>) -> Self {
@@ -279,7 +289,7 @@
 
     /// Discards the idle connections. Calls in progress keep theirs.
     pub(crate) fn discard_idle(&self) {
-        *self.pool() = new_pool(self.connect_timeout);
+        *self.pool() = new_pool(self.connect_timeout, self.source);
         self.idle().clear();
     }
 
@@ -318,12 +328,13 @@
 }
 
 /// Creates a pool without open connections.
-fn new_pool(connect_timeout: Duration) -> Pool {
-    HyperClient::builder(TokioExecutor::new()).build(connector(connect_timeout))
+fn new_pool(connect_timeout: Duration, source: Option<IpAddr>) -> Pool {
+    HyperClient::builder(TokioExecutor::new()).build(connector(connect_timeout, source))
 }
 
-pub(crate) fn connector(connect_timeout: Duration) -> HttpConnector {
+pub(crate) fn connector(connect_timeout: Duration, source: Option<IpAddr>) -> HttpConnector {
     let mut connector = HttpConnector::new();
+    connector.set_local_address(source);
     connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
     connector.set_keepalive(Some(KEEPALIVE));
--- a/crates/crosspath_http/src/connection.rs
+++ b/crates/crosspath_http/src/connection.rs
@@ -170,7 +170,9 @@
     ) -> Result<Exchange, Error> {
         let mut connection = match self.idle_connection(|_| true).await {
             Some(connection) => connection,
-            None => Connection::open(connector(self.connect_timeout), self.address).await?,
+            None => {
+                Connection::open(connector(self.connect_timeout, self.source), self.address).await?
+            }
         };
         let response = connection.exchange(request(connection.process)?).await?;
         Ok(Exchange { response, connection, idle: Arc::clone(&self.idle) })
--- a/crates/crosspath_node/src/settings.rs
+++ b/crates/crosspath_node/src/settings.rs
@@ -1,7 +1,7 @@
 //! Loads the daemon's settings from a JSON file and validates them.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,6 +52,7 @@
     readiness: SocketAddr,
     peers: SocketAddr,
     metrics: SocketAddr,
+    source: Option<IpAddr>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -155,6 +156,8 @@
     pub peers: SocketAddr,
     /// Address on which the daemon serves its metrics.
     pub metrics: SocketAddr,
+    /// Local address from which workers are called; `None` lets the system choose.
+    pub source: Option<IpAddr>,
     /// Address of the platform's log store.
     pub log: SocketAddr,
     /// Address of the platform's VM list; `None` if VMs are not managed.
@@ -338,6 +341,7 @@
         readiness: listen.readiness,
         peers: listen.peers,
         metrics: listen.metrics,
+        source: listen.source,
         log: platform.log,
         vms: platform.vms,
         vm_orders_per_s: orders,
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -307,6 +307,7 @@
             readiness: addresses[1],
             peers: addresses[2],
             metrics: addresses[3],
+            source: None,
             log: addresses[0],
             vms: None,
             vm_orders_per_s: 64.0,
--- a/crates/crosspath_soak/src/audit.rs
+++ b/crates/crosspath_soak/src/audit.rs
@@ -2,16 +2,23 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use crosspath_job::{JobId, TaskId};
 use crosspath_platform_stand_in::caller::Job;
 use crosspath_platform_stand_in::worker;
 
+use crate::daemon::EVACUATION_LIMIT;
+
 /// Number of worker crashes during a task after which the task must be suspected of causing them.
 ///
 /// A task that does cause them may then be started fewer than this many times again.
 const CRASH_LIMIT: u64 = 3;
 
+/// Time after the request of an evacuation from which a start in the data centre is a violation: the
+/// limit, and the lease for which a start that was sent in time may take to reach its worker.
+const EVACUATION_DEADLINE: Duration = EVACUATION_LIMIT.saturating_add(Duration::from_millis(2_500));
+
 /// State of a job as its caller knows it from the responses.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Submission {
@@ -43,6 +50,10 @@
     /// Workers that crashed during the task, and starts of the task since their number reached
     /// [`CRASH_LIMIT`].
     crashes: BTreeMap<TaskId, (u64, u64)>,
+    /// Data centre of each VM.
+    vms: BTreeMap<String, String>,
+    /// Time of the request, by evacuated data centre.
+    evacuated: BTreeMap<String, Instant>,
     violations: Vec<String>,
 }
 
@@ -55,6 +66,24 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Registers the data centre of a VM.
+    pub(crate) fn add_vm(&self, vm: &str, data_centre: &str) {
+        self.lock().vms.insert(vm.to_owned(), data_centre.to_owned());
+    }
+
+    /// Notes that the evacuation of a data centre is requested; false if it is evacuated already.
+    pub(crate) fn begin_evacuation(&self, data_centre: &str) -> bool {
+        let evacuated = &mut self.lock().evacuated;
+        let begins = !evacuated.contains_key(data_centre);
+        evacuated.entry(data_centre.to_owned()).or_insert_with(Instant::now);
+        begins
+    }
+
+    /// Notes that the request to evacuate a data centre is about to be withdrawn.
+    pub(crate) fn end_evacuation(&self, data_centre: &str) {
+        self.lock().evacuated.remove(data_centre);
+    }
+
     /// Registers a job before its first submit.
     pub(crate) fn add_job(&self, job: &Job) {
         self.lock().jobs.entry(job.id).or_insert_with(|| (job.clone(), Submission::default()));
@@ -136,6 +165,14 @@
 }
 
 impl State {
+    /// Data centre of a worker, if starts there are a violation because it is evacuated.
+    fn evacuated_data_centre(&self, worker: &str) -> Option<&str> {
+        let (vm, _) = worker.rsplit_once('-')?;
+        let data_centre = self.vms.get(vm)?;
+        let requested = self.evacuated.get(data_centre)?;
+        (requested.elapsed() > EVACUATION_DEADLINE).then_some(data_centre)
+    }
+
     /// The violation that a start of a task is, if any.
     fn check_start(&self, worker: &str, task: TaskId, run: u64, text: &str) -> Option<String> {
         let Some((job, _)) = self.jobs.get(&task.job) else {
@@ -148,6 +185,11 @@
                 "{task} run {run} started on {worker}: differs from the submitted job"
             ));
         }
+        if let Some(data_centre) = self.evacuated_data_centre(worker) {
+            return Some(format!(
+                "{task} run {run} started on {worker} in {data_centre}, which is evacuated"
+            ));
+        }
         if let Some((other_worker, other_run)) = self.running.get(&task) {
             return Some(format!(
                 "{task} run {run} started on {worker} while run {other_run} is on {other_worker}"
--- a/crates/crosspath_soak/src/daemon.rs
+++ b/crates/crosspath_soak/src/daemon.rs
@@ -1,6 +1,6 @@
 //! A daemon as a child process. Signals are sent only to processes that were started here.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -13,6 +13,10 @@
 /// Time in which a daemon must exit after SIGTERM, also set as its `stop_grace_s`.
 const STOP_GRACE: Duration = Duration::from_secs(6);
 
+/// Time after the request of an evacuation from which no task may start in the data centre, also set
+/// as `evacuation_ms`.
+pub(crate) const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
+
 /// The `crosspathd` executable in the directory of this program, if it exists.
 pub(crate) fn default_program() -> Option<PathBuf> {
     let program = std::env::current_exe().ok()?.parent()?.join("crosspathd");
@@ -54,20 +58,27 @@
         directory: &Path,
         store: SocketAddr,
         shards: u32,
+        data_centres: &[String],
     ) -> std::io::Result<Self> {
         let name = format!("entry-{number}");
         let ip = loopback_ip(number);
         let listen = |port: u16| SocketAddr::from((ip, port));
         let callers_address = listen(CALLERS_PORT);
-        let settings = json!({
+        let data_centre = number % data_centres.len();
+        // The loss of a data centre can be survived only if two others remain to tell it from a cut.
+        let tolerated = usize::from(data_centres.len() > 2);
+        let mut settings = json!({
             "name": name,
-            "data_centre": "a",
+            "data_centre": data_centres[data_centre],
+            "data_centres": data_centres,
+            "failure_domains": { "tolerated_data_centres": tolerated },
             "cores": 1.0,
             "listen": {
                 "callers": callers_address,
                 "readiness": listen(READINESS_PORT),
                 "peers": listen(PEERS_PORT),
                 "metrics": listen(METRICS_PORT),
+                "source": ip,
             },
             "platform": { "log": store, "shards": shards },
             "leases": {
@@ -78,6 +89,9 @@
                 "stop_grace_s": STOP_GRACE.as_secs(),
             },
         });
+        if data_centres.len() > 1 {
+            settings["leases"]["evacuation_ms"] = json!(EVACUATION_LIMIT.as_millis());
+        }
         let settings_file = directory.join(format!("{name}.json"));
         std::fs::write(&settings_file, settings.to_string())?;
         let log_file = directory.join(format!("{name}.log"));
@@ -85,6 +99,11 @@
         Ok(Self { name, callers_address, program, settings_file, log_file, child: None })
     }
 
+    /// Address from which the daemon calls workers.
+    pub(crate) fn source(&self) -> IpAddr {
+        self.callers_address.ip()
+    }
+
     /// Starts the process unless it is running.
     pub(crate) fn start(&mut self) -> std::io::Result<()> {
         if self.is_running() {
--- a/crates/crosspath_soak/src/faults.rs
+++ b/crates/crosspath_soak/src/faults.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
+use crate::audit::Audit;
 use crate::proxy::Impairment;
 use crate::run::{Cluster, Plan};
 
@@ -15,6 +16,8 @@
 const MAX_DOWNTIME_MS: u64 = 2_500;
 /// Longest fault of a connection, a process or the store.
 const MAX_FAULT_MS: u64 = 4_000;
+/// Longest loss of power of a data centre.
+const MAX_POWER_LOSS: Duration = Duration::from_millis(2_500);
 /// Interval between two faults.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 150..1_500;
 /// Interval between two times at which open connections are silenced for good.
@@ -27,6 +30,13 @@
 /// As [`SILENCES_SEED`], for these crashes.
 const CRASH_SEED: u64 = 0xc4_a5_4e_5d;
 
+/// Interval between two faults of data centres.
+const DATA_CENTRE_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
+/// As [`SILENCE_SEED`], for these faults.
+const DATA_CENTRE_SEED: u64 = 0xdc_dc_dc_dc;
+/// Duration of an evacuation: longer than the time from which starts are a violation.
+const EVACUATION_MS: std::ops::Range<u64> = 6_000..12_000;
+
 /// A fault and its target; daemons and workers by index.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
@@ -79,17 +89,111 @@
 }
 
 /// Injects faults for the duration of the plan; they overlap. Returns their number.
-pub(crate) async fn inject(cluster: &Arc<Cluster>, plan: &Plan) -> usize {
+pub(crate) async fn inject(cluster: &Arc<Cluster>, audit: &Audit, plan: &Plan) -> usize {
     let (seed, duration) = (plan.seed, plan.duration);
     let crashes = async {
         if plan.reuse_worker_ids { crash_workers(cluster, seed, duration).await } else { 0 }
     };
-    let (overlapping, silences, crashes) = tokio::join!(
+    let data_centres = async {
+        if plan.data_centres > 1 {
+            disrupt_data_centres(cluster, audit, seed, duration).await
+        } else {
+            0
+        }
+    };
+    let (overlapping, silences, crashes, data_centres) = tokio::join!(
         inject_overlapping(cluster, seed, duration),
         silence_connections(cluster, seed, duration),
-        crashes
+        crashes,
+        data_centres
     );
-    overlapping + silences + crashes
+    overlapping + silences + crashes + data_centres
+}
+
+/// Breaks links between data centres, takes the power of a data centre, and evacuates them, beside
+/// each other and beside the other faults. Returns how many times.
+async fn disrupt_data_centres(
+    cluster: &Arc<Cluster>,
+    audit: &Audit,
+    seed: u64,
+    duration: Duration,
+) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed ^ DATA_CENTRE_SEED);
+    let until = tokio::time::Instant::now() + duration;
+    let count = cluster.data_centres.len();
+    let mut in_progress = Vec::new();
+    while tokio::time::Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(DATA_CENTRE_INTERVAL_MS))).await;
+        let target = rng.random_range(0..count);
+        let other = (target + rng.random_range(1..count)) % count;
+        let fault_duration = Duration::from_millis(rng.random_range(500..2 * MAX_FAULT_MS));
+        let evacuation = Duration::from_millis(rng.random_range(EVACUATION_MS));
+        let kind = rng.random_range(0..4);
+        log::info!("event=fault fault=DataCentre({kind}, {target}, {other})");
+        let (cluster, audit) = (Arc::clone(cluster), audit.clone());
+        in_progress.push(tokio::spawn(async move {
+            match kind {
+                0 | 1 => break_link(&cluster, target, other, fault_duration).await,
+                2 => lose_power(&cluster, target, fault_duration.min(MAX_POWER_LOSS)).await,
+                _ => evacuate(&cluster, &audit, target, evacuation).await,
+            }
+        }));
+    }
+    let count = in_progress.len();
+    for fault in in_progress {
+        if let Err(error) = fault.await {
+            log::warn!("event=fault_failed error={error}");
+        }
+    }
+    count
+}
+
+/// Cuts the daemons of each of two data centres from the workers of the other.
+async fn break_link(cluster: &Cluster, one: usize, other: usize, duration: Duration) {
+    set_link_broken(cluster, one, other, true).await;
+    tokio::time::sleep(duration).await;
+    set_link_broken(cluster, one, other, false).await;
+}
+
+async fn set_link_broken(cluster: &Cluster, one: usize, other: usize, is_broken: bool) {
+    for (from, to) in [(one, other), (other, one)] {
+        for daemon in cluster.daemons_in(from) {
+            let source = cluster.daemons[daemon].lock().await.source();
+            cluster.worker_proxies_in(to).for_each(|proxy| proxy.set_blocked(source, is_broken));
+        }
+    }
+}
+
+/// Kills the daemons of a data centre and everything on its workers, which are silent until power
+/// returns.
+async fn lose_power(cluster: &Cluster, data_centre: usize, duration: Duration) {
+    let workers = cluster.workers.iter().enumerate();
+    for (number, worker) in workers {
+        if cluster.data_centre_of_worker(number) == data_centre {
+            cluster.worker_proxies[number].set_impairment(Impairment::Silence);
+            worker.crash();
+        }
+    }
+    for daemon in cluster.daemons_in(data_centre) {
+        cluster.daemons[daemon].lock().await.kill().await;
+    }
+    tokio::time::sleep(duration).await;
+    cluster.worker_proxies_in(data_centre).for_each(|proxy| proxy.set_impairment(Impairment::None));
+    for daemon in cluster.daemons_in(data_centre) {
+        cluster.start(daemon).await;
+    }
+}
+
+/// Evacuates a data centre for some time, unless it is evacuated already.
+async fn evacuate(cluster: &Cluster, audit: &Audit, data_centre: usize, duration: Duration) {
+    let name = &cluster.data_centres[data_centre];
+    if !audit.begin_evacuation(name) {
+        return;
+    }
+    cluster.store.evacuate(name, true);
+    tokio::time::sleep(duration).await;
+    audit.end_evacuation(name);
+    cluster.store.evacuate(name, false);
 }
 
 /// Crashes workers at short intervals; they restart at once. Returns the number of crashes.
--- a/crates/crosspath_soak/src/main.rs
+++ b/crates/crosspath_soak/src/main.rs
@@ -52,6 +52,9 @@
     /// Crash workers often, and let crashed workers restart under the same identifier.
     #[bpaf(long("reborn"))]
     reuse_worker_ids: bool,
+    /// Number of data centres; from 2 on, links between them break, and they are lost and evacuated.
+    #[bpaf(long("data-centres"), argument("N"), fallback(1))]
+    data_centres: usize,
     /// Path of the daemon; by default `crosspathd` in the directory of this program.
     #[bpaf(long, argument("FILE"))]
     daemon: Option<PathBuf>,
@@ -82,6 +85,7 @@
             workers: options.workers.max(1),
             crashing_jobs: options.crashing_jobs,
             reuse_worker_ids: options.reuse_worker_ids,
+            data_centres: options.data_centres.max(1),
             program: program.clone(),
         };
         match runtime.block_on(run_or_interrupt(&plan)) {
--- a/crates/crosspath_soak/src/proxy.rs
+++ b/crates/crosspath_soak/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy that can impair the connections through it.
 
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -36,11 +37,19 @@
 #[derive(Debug)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
-    impairment: Arc<Mutex<Impairment>>,
+    state: Arc<Mutex<State>>,
     connections: Arc<Connections>,
     task: JoinHandle<()>,
 }
 
+/// Faults of the connections through a proxy.
+#[derive(Debug, Default)]
+struct State {
+    impairment: Impairment,
+    /// Clients whose connections are silent, whatever the impairment.
+    blocked: BTreeSet<IpAddr>,
+}
+
 /// Connections through a proxy, numbered in order of acceptance.
 #[derive(Debug, Default)]
 struct Connections {
@@ -55,20 +64,21 @@
     }
 }
 
-fn current(impairment: &Mutex<Impairment>) -> Impairment {
-    *impairment.lock().unwrap_or_else(PoisonError::into_inner)
+/// Impairment of the connections from `client`.
+fn current(state: &Mutex<State>, client: IpAddr) -> Impairment {
+    let state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    if state.blocked.contains(&client) { Impairment::Silence } else { state.impairment }
 }
 
 impl Proxy {
     pub(crate) async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let impairment = Arc::<Mutex<Impairment>>::default();
+        let state = Arc::<Mutex<State>>::default();
         let connections = Arc::<Connections>::default();
-        let accept_loop =
-            accept(listener, target, Arc::clone(&impairment), Arc::clone(&connections));
+        let accept_loop = accept(listener, target, Arc::clone(&state), Arc::clone(&connections));
         let task = tokio::spawn(accept_loop);
-        Ok(Self { address, impairment, connections, task })
+        Ok(Self { address, state, connections, task })
     }
 
     /// Silences all open connections for good. New connections work.
@@ -85,22 +95,32 @@
     }
 
     pub(crate) fn set_impairment(&self, impairment: Impairment) {
-        *self.impairment.lock().unwrap_or_else(PoisonError::into_inner) = impairment;
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).impairment = impairment;
+    }
+
+    /// Silences the connections of a client until it is unblocked.
+    pub(crate) fn set_blocked(&self, client: IpAddr, is_blocked: bool) {
+        let blocked = &mut self.state.lock().unwrap_or_else(PoisonError::into_inner).blocked;
+        if is_blocked {
+            blocked.insert(client)
+        } else {
+            blocked.remove(&client)
+        };
     }
 }
 
 async fn accept(
     listener: TcpListener,
     target: SocketAddr,
-    impairment: Arc<Mutex<Impairment>>,
+    state: Arc<Mutex<State>>,
     connections: Arc<Connections>,
 ) {
     loop {
-        let Ok((client, _)) = listener.accept().await else { continue };
+        let Ok((client, source)) = listener.accept().await else { continue };
         let number = connections.accepted.fetch_add(1, Ordering::SeqCst);
-        let (impairment, connections) = (Arc::clone(&impairment), Arc::clone(&connections));
+        let (state, connections) = (Arc::clone(&state), Arc::clone(&connections));
         drop(tokio::spawn(async move {
-            let forwarded = pin!(forward(client, target, impairment));
+            let forwarded = pin!(forward(client, source.ip(), target, state));
             let silenced = pin!(connections.until_silenced(number));
             if let Either::Right(((), _connection)) = select(forwarded, silenced).await {
                 // Keeps the sockets open, so that neither side sees the connection end.
@@ -119,8 +139,9 @@
     }
 }
 
-async fn forward(client: TcpStream, target: SocketAddr, impairment: Arc<Mutex<Impairment>>) {
-    if current(&impairment) == Impairment::Reset {
+async fn forward(client: TcpStream, source: IpAddr, target: SocketAddr, state: Arc<Mutex<State>>) {
+    let impairment = || current(&state, source);
+    if impairment() == Impairment::Reset {
         return;
     }
     let Ok(server) = TcpStream::connect(target).await else { return };
@@ -137,13 +158,13 @@
 async fn relay(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    impairment: &Mutex<Impairment>,
+    impairment: &impl Fn() -> Impairment,
     is_response: bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let read = tokio::time::timeout(POLL_INTERVAL, from.read(&mut buffer)).await;
-        if current(impairment) == Impairment::Reset {
+        if impairment() == Impairment::Reset {
             return;
         }
         let length = match read {
@@ -152,7 +173,7 @@
             Ok(Ok(length)) => length,
         };
         loop {
-            match current(impairment) {
+            match impairment() {
                 Impairment::None => break,
                 Impairment::Delay(delay) => {
                     tokio::time::sleep(delay).await;
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -44,6 +44,8 @@
     pub(crate) crashing_jobs: bool,
     /// Whether workers crash often, and crashed workers restart under the same identifier.
     pub(crate) reuse_worker_ids: bool,
+    /// Number of data centres; from 2 on they are cut from each other, lost and evacuated.
+    pub(crate) data_centres: usize,
     pub(crate) program: PathBuf,
 }
 
@@ -74,6 +76,8 @@
     pub(crate) store: Arc<Store>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_proxies: Vec<Proxy>,
+    /// Names of the data centres. Daemons and workers are dealt to them in turn.
+    pub(crate) data_centres: Vec<String>,
     pub(crate) daemons: Vec<Mutex<Daemon>>,
     /// Between each daemon and the store, in the order of the daemons.
     pub(crate) store_proxies: Vec<Proxy>,
@@ -92,6 +96,7 @@
             store,
             workers: Vec::new(),
             worker_proxies: Vec::new(),
+            data_centres: (0..plan.data_centres).map(|number| format!("dc{number}")).collect(),
             daemons: Vec::new(),
             store_proxies: Vec::new(),
         };
@@ -99,7 +104,9 @@
             let pool = format!("{}-pool", QUEUES[number % QUEUES.len()]);
             let vm = format!("vm{number}");
             let observer = Arc::new(audit.clone());
-            let worker = Worker::start(observer, &pool, &vm).await;
+            let data_centre = &cluster.data_centres[cluster.data_centre_of_worker(number)];
+            audit.add_vm(&vm, data_centre);
+            let worker = Worker::start(observer, &pool, &vm, data_centre).await;
             let mut worker = worker.context(SetupSnafu { what: "worker" })?;
             let proxy = Proxy::start(worker.address()).await;
             let proxy = proxy.context(SetupSnafu { what: "proxy" })?;
@@ -113,13 +120,39 @@
         for number in 0..plan.daemons {
             let proxy = Proxy::start(cluster.store.address()).await;
             let proxy = proxy.context(SetupSnafu { what: "proxy" })?;
-            let daemon = Daemon::new(number, &plan.program, directory, proxy.address, PARTITIONS);
+            let daemon = Daemon::new(
+                number,
+                &plan.program,
+                directory,
+                proxy.address,
+                PARTITIONS,
+                &cluster.data_centres,
+            );
             cluster.daemons.push(Mutex::new(daemon.context(SetupSnafu { what: "settings" })?));
             cluster.store_proxies.push(proxy);
         }
         Ok(cluster)
     }
 
+    /// Index of the data centre of a worker. Consecutive workers are of different pools, so that
+    /// each data centre gets workers of all pools.
+    pub(crate) fn data_centre_of_worker(&self, number: usize) -> usize {
+        number / QUEUES.len() % self.data_centres.len()
+    }
+
+    /// Proxies in front of the workers of a data centre.
+    pub(crate) fn worker_proxies_in(&self, data_centre: usize) -> impl Iterator<Item = &Proxy> {
+        let proxies = self.worker_proxies.iter().enumerate();
+        let inside =
+            move |(number, _): &(usize, &Proxy)| self.data_centre_of_worker(*number) == data_centre;
+        proxies.filter(inside).map(|(_, proxy)| proxy)
+    }
+
+    /// Indices of the daemons of a data centre.
+    pub(crate) fn daemons_in(&self, data_centre: usize) -> impl Iterator<Item = usize> {
+        (data_centre..self.daemons.len()).step_by(self.data_centres.len())
+    }
+
     /// Starts a daemon unless it is running.
     pub(crate) async fn start(&self, daemon: usize) {
         if let Err(error) = self.daemons[daemon].lock().await.start() {
@@ -155,7 +188,7 @@
     }
     let traffic = Traffic::new(addresses.into_iter(), &audit, plan.crashing_jobs);
     let submissions = tokio::spawn(traffic.clone().run(plan.seed, plan.duration, SUBMIT_INTERVAL));
-    let faults = faults::inject(&cluster, plan).await;
+    let faults = faults::inject(&cluster, &audit, plan).await;
     if let Err(error) = submissions.await {
         audit.report_violation(format!("the task that submits jobs failed: {error}"));
     }
--- a/crates/crosspathd/src/commands/platform.rs
+++ b/crates/crosspathd/src/commands/platform.rs
@@ -53,7 +53,7 @@
     let advisor = |address| Arc::new(HttpAdvisor::new(address, ADVICE_TIMEOUT)) as Arc<dyn Advisor>;
     Ports {
         store: Arc::new(LogStore::new(settings.log, LOG_TIMEOUT)),
-        runner: Arc::new(HttpRunner::new(WORKER_TIMEOUT)),
+        runner: Arc::new(HttpRunner::new(WORKER_TIMEOUT).with_source(settings.source)),
         fleet: settings.vms.map(fleet),
         advisor: settings.advice.map(advisor),
         serve_callers: |listener, limits, stop, handler| {
