Place tasks by failure domain: long-running ones spread, finite steps together

Placement knew data centres only as evacuated or not. Long-running tasks went to the fullest worker, so one data centre or rack could hold most of a step, and the tasks of a finite step went wherever a worker was fullest, so the loss of a data centre took a task of nearly every job that ran.

With failure_domains, each task of a long-running step goes to the data centre, then the rack, with the fewest of its siblings; finite steps stay within one data centre while it has room, since a step ends with its last task: eight tasks spread over three data centres are hit by the loss of any of them, while a step that is in one is hit by one loss in three. Ruled out: a fixed home data centre for each job, which leaves room elsewhere unused.

--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -7,6 +7,7 @@
 use crosspath_border::worker::{Entry, Target};
 use crosspath_job::TaskId;
 use crosspath_job::spec::Resources;
+use crosspath_spread::Domain;
 
 use crate::incarnations;
 use crate::losses;
@@ -16,6 +17,8 @@
 pub(crate) struct Worker {
     /// Newest entry of the worker list, with the incarnation that answers polls.
     pub(crate) entry: Entry,
+    /// Failure domains of the VM, which do not change with the worker's entry.
+    pub(crate) domain: Domain,
     /// Whether the worker list still has an entry of the worker.
     pub(crate) listed: bool,
     /// Whether the worker has answered a poll with this owner's fencing token.
@@ -58,8 +61,10 @@
 
 impl Worker {
     pub(crate) fn new(entry: Entry) -> Self {
+        let domain = Domain::of(&entry.data_centre, &entry.labels);
         Self {
             entry,
+            domain,
             listed: true,
             synced: false,
             incarnation_changed: None,
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -14,6 +14,7 @@
 mod random_faults;
 mod shares;
 mod simulation;
+mod spread;
 mod stall;
 mod takeover;
 mod unconfirmed;
--- a/crates/crosspath_spread/src/lib.rs
+++ b/crates/crosspath_spread/src/lib.rs
@@ -1,9 +1,11 @@
 //! Spread policy: how tasks and VMs are distributed over failure domains.
 //!
 //! A failure domain is a data centre or a rack, whose loss takes everything in it at once. The
-//! placement of long-running tasks, the selection of VMs to move and the count of what remains
-//! after a loss all use the one definition of spread in this crate. It reads no clock and does no
-//! I/O.
+//! placement of tasks, the selection of VMs to move and the count of what remains after a loss all
+//! use the one definition of spread in this crate. It reads no clock and does no I/O.
+//!
+//! Members go where the fewest others are, first by data centre, then by rack. While each domain
+//! has room, the largest of `d` data centres then holds at most `ceil(n / d)` of `n` members.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,6 +19,16 @@
     pub rack: Option<Arc<str>>,
 }
 
+impl Domain {
+    /// Domain of a VM by its data centre and its labels, which are its kind and its rack, in this
+    /// order. A VM with fewer than two labels has no known rack.
+    #[must_use]
+    pub fn of(data_centre: &Arc<str>, labels: &[Arc<str>]) -> Self {
+        let rack = labels.get(1..).and_then(<[_]>::last).cloned();
+        Self { data_centre: Arc::clone(data_centre), rack }
+    }
+}
+
 /// Number of members, such as tasks of a step or VMs of a pool, in each failure domain.
 #[derive(Debug, Clone, Default)]
 pub struct Occupancy {
@@ -61,6 +73,18 @@
         }
     }
 
+    /// Whether the data centre has a member.
+    #[must_use]
+    pub fn has_data_centre(&self, data_centre: &str) -> bool {
+        self.by_data_centre.get(data_centre).is_some_and(|members| *members > 0)
+    }
+
+    /// Whether there are no members.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_data_centre.values().all(|members| *members == 0)
+    }
+
     /// Members in the data centre with the most of them: what the loss of one data centre can take.
     #[must_use]
     pub fn largest_data_centre(&self) -> u32 {
