Choose VMs for pools by failure domain

Spare VMs were taken by name, and names sort by data centre, so a pool's VMs bunched. VMs of evacuated data centres do not count. Selecting one goes over the domains, not over all VMs: the visits in tests/fleet/size.rs are unchanged. Among busy VMs of other pools the least used one is still taken first, whatever its domain: what runs there has to end before it can move.

--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use crosspath_border::vm::{Order, State, Vm};
+use crosspath_spread::Occupancy;
 
 use crate::allocation::{Request, allocate};
-use crate::donor::Donors;
+use crate::donor::{Donors, Leavers, domain};
 use crate::index::Index;
 use crate::intent::Intent;
 use crate::planner::{Planner, View};
@@ -19,20 +20,36 @@
 const LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Current and target number of VMs of a pool.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Balance {
     size: u32,
     target: u32,
+    /// Failure domains of its VMs; empty without a spread.
+    occupied: Occupancy,
 }
 
 impl Balance {
-    fn deficit(self) -> u32 {
+    fn deficit(&self) -> u32 {
         self.target.saturating_sub(self.size)
     }
 
-    fn surplus(self) -> u32 {
+    fn surplus(&self) -> u32 {
         self.size.saturating_sub(self.target)
     }
+
+    fn add(&mut self, vm: &Vm, spread: bool) {
+        self.size += 1;
+        if spread {
+            self.occupied.add(&domain(vm));
+        }
+    }
+
+    fn remove(&mut self, vm: &Vm, spread: bool) {
+        self.size = self.size.saturating_sub(1);
+        if spread {
+            self.occupied.remove(&domain(vm));
+        }
+    }
 }
 
 impl Planner {
@@ -46,8 +63,9 @@
         let mut balances = self.balances(index);
         self.log_pools(now, view, &balances);
         let mut remaining = max_moves - self.fill_deficits(now, index, max_moves, &mut balances);
-        let total_deficit = balances.values().copied().map(Balance::deficit).sum();
+        let total_deficit = balances.values().map(Balance::deficit).sum();
         let Some(spare) = &view.spare else { return total_deficit };
+        let mut leavers: BTreeMap<&Arc<str>, Leavers<'_>> = BTreeMap::new();
         for vm in index.vms() {
             if remaining == 0 {
                 break;
@@ -55,8 +73,24 @@
             let oversized = balances.get(&vm.pool).is_some_and(|balance| balance.surplus() > 0);
             // A VM of an evacuated data centre gets no work and counts towards no pool, so no pool
             // loses capacity.
-            let unneeded = oversized || (view.is_evacuated(vm) && !view.is_spare(vm));
+            let uncounted = view.is_evacuated(vm) && !view.is_spare(vm);
+            let unneeded = oversized || uncounted;
             if unneeded && self.is_free(now, vm) && self.is_long_idle(now, &vm.name) {
+                if self.settings.spread && !uncounted {
+                    leavers.entry(&vm.pool).or_default().push(vm);
+                    continue;
+                }
+                self.move_vm(now, vm, spare, view, &mut balances);
+                remaining -= 1;
+            }
+        }
+        for (pool, mut leavers) in leavers {
+            while remaining > 0 {
+                let Some(balance) = balances.get(pool) else { break };
+                if balance.surplus() == 0 {
+                    break;
+                }
+                let Some(vm) = leavers.take(&balance.occupied) else { break };
                 self.move_vm(now, vm, spare, view, &mut balances);
                 remaining -= 1;
             }
@@ -83,7 +117,7 @@
         };
         let is_long_idle = |vm: &Vm| self.is_long_idle(now, &vm.name);
         let movable = index.vms().iter().filter(is_movable);
-        let mut donors = Donors::new(index, movable, is_long_idle);
+        let mut donors = Donors::new(index, movable, is_long_idle, self.settings.spread);
         for planned in 0..max_moves {
             let largest_deficit = balances.iter().max_by_key(|(_, balance)| balance.deficit());
             let Some((pool, balance)) = largest_deficit else { return planned };
@@ -95,7 +129,9 @@
             let oversized_pools = balances.iter().filter(|(_, balance)| balance.surplus() > 0);
             let oversized = oversized_pools.map(|(donor, _)| donor).collect();
             let pool = Arc::clone(pool);
-            let Some(vm) = donors.take(&oversized, is_large_deficit) else { return planned };
+            let Some(vm) = donors.take(&balance.occupied, &oversized, is_large_deficit) else {
+                return planned;
+            };
             self.move_vm(now, vm, &pool, index.view, balances);
         }
         max_moves
@@ -108,7 +144,8 @@
         }
         self.logged_at = now;
         for (name, pool) in &view.pools {
-            let Balance { size, target } = balances.get(name).copied().unwrap_or_default();
+            let balance = balances.get(name).cloned().unwrap_or_default();
+            let Balance { size, target, .. } = balance;
             log::info!(
                 "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={}",
                 pool.running_millis,
@@ -129,10 +166,10 @@
         log::info!("event=move_chosen vm={} from={} to={pool}", vm.name, vm.pool);
         let counted = !view.is_evacuated(vm);
         if let Some(balance) = balances.get_mut(&vm.pool).filter(|_| counted) {
-            balance.size = balance.size.saturating_sub(1);
+            balance.remove(vm, self.settings.spread);
         }
         if let Some(balance) = balances.get_mut(pool) {
-            balance.size += 1;
+            balance.add(vm, self.settings.spread);
         }
         let order = Order::Move { pool: Arc::clone(pool) };
         self.intents.insert(Arc::clone(&vm.name), Intent::new(order, now, Duration::ZERO));
@@ -154,7 +191,7 @@
                 continue;
             }
             if let Some(balance) = balances.get_mut(pool) {
-                balance.size += 1;
+                balance.add(vm, self.settings.spread);
             }
         }
         balances
@@ -176,7 +213,7 @@
         let assignable = index.vms().iter().filter(|vm| self.is_assignable(vm, &requests, view));
         let total = u32::try_from(assignable.count()).unwrap_or(u32::MAX);
         let allocated = allocate(&requests, total).into_iter();
-        allocated.map(|(pool, target)| (pool, Balance { size: 0, target })).collect()
+        allocated.map(|(pool, target)| (pool, Balance { target, ..Balance::default() })).collect()
     }
 
     /// Whether the VM counts towards the total that is allocated: it is in a pool with a request or
--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -94,6 +94,12 @@
         self.planner = Planner::new(settings, BTreeMap::new(), BTreeMap::new());
     }
 
+    /// Replaces the planner by one that spreads the VMs of pools over failure domains.
+    pub(crate) fn set_spread(&mut self) {
+        let settings = Settings { spread: true, ..settings() };
+        self.planner = Planner::new(settings, BTreeMap::new(), BTreeMap::new());
+    }
+
     /// Number of move orders to a pool so far.
     pub(crate) fn moves_ordered_to(&self, pool: &str) -> usize {
         let to = |order: &Order| matches!(order, Order::Move { pool: to } if &**to == pool);
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -4,4 +4,5 @@
 mod evacuation;
 mod moves;
 mod size;
+mod spread;
 mod wave;
