End workers of VMs that are down by the platform's list; the loss of a data centre as one event

When a data centre is lost, its workers are silent.

The platform's list of VMs tells the two apart: VMs without power are down from the first list on, those that are cut off stay up. The fleet's owner, which reads the list, sends each pool's owner the VMs that are down with its request for a report. Their workers' lives have ended, and their tasks start elsewhere at once. Earlier versions skip the field.

A list may be behind, and may arrive late, after the VM has returned with a new worker. Clocks of daemons are not compared: an owner stamps its reports by its own clock, and gets back the last stamp that had arrived when the list was requested. The list counts against a worker that this owner has known for longer than the list's lag before the stamp, and that has not answered a poll sent after it.

A data centre is lost once two thirds of its VMs are down that were not before. Runs there count as losses of no task: else two losses of data centres would isolate sound tasks and four fail them. A single VM that goes down still counts, since a task that crashes its workers looks the same.

Ruled out: refused or reset connections as proof (a partition resets, too), and shorter leases (they lapse in takeovers while the store is silent).

New random histories (schedule/random_faults.rs: up to three VMs down at once, lists up to 0.8 s behind and 3 s late, takeovers, cuts, lost and late orders) run no task twice.

--- a/crates/crosspath_fleet/src/lib.rs
+++ b/crates/crosspath_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod allocation;
 mod demand;
+pub mod domains;
 mod donor;
 mod index;
 mod intent;
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner through its public interface: views in, orders out.
 
 mod common;
+mod domains;
 mod evacuation;
 mod moves;
 mod size;
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -12,8 +12,10 @@
 use crosspath_border::operator::{Wave, WaveState};
 use crosspath_border::store::{NewRecord, Precondition, Topic};
 use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict, Vm};
+use crosspath_fleet::domains::{Domains, is_down};
 use crosspath_fleet::{Outcome, Planner, Settings, View};
 use crosspath_quota::Ledger;
+use crosspath_schedule::domains::Down;
 use futures::future::join_all;
 use tokio::time::MissedTickBehavior;
 
@@ -29,6 +31,7 @@
 use crate::pages::Pages;
 use crate::rpc::{self, Reply, Request};
 use crate::shard_log;
+use crate::stamps::Stamps;
 
 /// Time between two rounds. The demand of a pool changes within a second, and its deficit is known
 /// one round later.
@@ -67,6 +70,8 @@
         vms: Vec::new(),
         waves: Vec::new(),
         listed_at: Duration::ZERO,
+        domains: Domains::default(),
+        stamps: BTreeMap::new(),
         listing: Listing::new(Arc::clone(&fleet)),
         sequence: claimed.sequence,
         published: BTreeMap::new(),
@@ -183,6 +188,9 @@
     waves: Vec<(Arc<Wave>, Duration)>,
     /// Time at which the list in `vms` was requested.
     listed_at: Duration,
+    domains: Domains,
+    /// Stamps in the reports of the pools' owners.
+    stamps: BTreeMap<PoolSlice, Stamps>,
     listing: Listing,
     /// Last published state of each wave.
     published: BTreeMap<u64, WaveState>,
@@ -242,6 +250,9 @@
         if let Some(list) = self.listing.next(clock::now(), self.vms.len()).await {
             self.listed_at = list.requested_at;
             self.vms = list.vms;
+            if self.settings.spread {
+                self.domains.update(&self.vms);
+            }
         }
         self.waves = self.open_waves();
         while self.slices.len() < count as usize {
@@ -286,9 +297,10 @@
                 let pool_slice = PoolSlice { pool: Arc::clone(pool), slice: number };
                 let Some(shard) = map.shard(&pool_slice) else { continue };
                 let vacate = vacate.get(pool).cloned().unwrap_or_default();
+                let down = self.vms_down(&slice.view, &pool_slice);
                 let node = Arc::clone(&self.node);
                 requests.push(async move {
-                    let request = Request::Pool { shard, vacate };
+                    let request = Request::Pool { shard, vacate, down };
                     let reply = rpc::call_holder(&node, shard, request).await;
                     (pool_slice, reply)
                 });
@@ -299,12 +311,29 @@
         }
         for (pool_slice, reply) in join_all(requests).await {
             if let Some(Reply::Pool(report)) = reply {
+                if let Some(stamp) = report.stamp {
+                    let stamps = self.stamps.entry(pool_slice.clone()).or_default();
+                    stamps.add(clock::now(), stamp);
+                }
                 let slice = &mut self.slices[pool_slice.slice as usize];
                 slice.view.pools.insert(pool_slice.pool, report);
             }
         }
     }
 
+    /// VMs of a pool that the last list shows as down, if there are any and the list's age can be
+    /// told.
+    fn vms_down(&self, view: &View, pool_slice: &PoolSlice) -> Option<Down> {
+        if !self.settings.spread {
+            return None;
+        }
+        let stamp = self.stamps.get(pool_slice)?.last_before(self.listed_at)?;
+        let down = view.vms.iter().filter(|vm| vm.pool == pool_slice.pool && is_down(vm));
+        let vms: BTreeSet<_> = down.map(|vm| Arc::clone(&vm.name)).collect();
+        let lost_data_centres = self.domains.lost().clone();
+        (!vms.is_empty()).then_some(Down { stamp, vms, lost_data_centres })
+    }
+
     /// Plans each slice. The concurrency limit of a wave is shared by all slices.
     async fn plan(&mut self, now: Duration) -> (Vec<(Arc<str>, Order)>, Vec<u64>) {
         let mut orders = Vec::new();
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod settings;
 mod shard;
 mod shard_log;
+pub mod stamps;
 pub mod vm_count;
 mod watch;
 pub mod workers;
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -14,6 +14,7 @@
 use crosspath_job::progress::State;
 use crosspath_job::record::{Record, Requester};
 use crosspath_quota::{Grant as QuotaGrant, Request as QuotaRequest};
+use crosspath_schedule::domains::Down;
 use crosspath_schedule::report;
 use http::{Request as HttpRequest, Response, StatusCode};
 use hyper::body::Incoming;
@@ -54,7 +55,13 @@
     #[serde(rename = "waiting")]
     QueuedJobs { shard: u32, queue: Arc<str> },
     /// Sets the VMs that are to become vacant, and queries the state of the pool.
-    Pool { shard: u32, vacate: BTreeSet<Arc<str>> },
+    Pool {
+        shard: u32,
+        vacate: BTreeSet<Arc<str>>,
+        /// VMs that are down; earlier versions skip it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        down: Option<Down>,
+    },
     /// Appends records for another daemon. Goes to the shard's owner, which batches the records of
     /// all daemons since the store may be slow, or to any daemon if the store refuses the sender.
     Append { shard: u32, records: Vec<(String, String)> },
@@ -255,9 +262,9 @@
             let queued = owned.get(&shard).and_then(|handle| handle.queued_jobs(&queue));
             queued.map_or(Reply::NotOwner, Reply::QueuedJobs)
         }
-        Request::Pool { shard, vacate } => {
+        Request::Pool { shard, vacate, down } => {
             let owned = node.owned();
-            let pool = owned.get(&shard).and_then(|handle| handle.report(vacate));
+            let pool = owned.get(&shard).and_then(|handle| handle.report(vacate, down));
             pool.map_or(Reply::NotOwner, Reply::Pool)
         }
         Request::Append { shard, records } => handle_append(node, shard, records).await,
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -12,6 +12,7 @@
 use crosspath_job::progress::State;
 use crosspath_job::record::{Record, Requester};
 use crosspath_schedule::admission::Rules;
+use crosspath_schedule::domains::Down;
 use crosspath_schedule::lease::Terms;
 use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
 use tokio::sync::mpsc;
@@ -128,14 +129,21 @@
         scheduler(&self.scheduler).as_ref().is_some_and(Scheduler::lacks_workers)
     }
 
-    /// Sets the VMs that are to become vacant, and reports the state of the pool slice. `None`
-    /// while the shard is being taken over.
-    pub(crate) fn report(&self, vacate: BTreeSet<Arc<str>>) -> Option<report::Pool> {
+    /// Sets the VMs that are to become vacant, ends the workers of those that are down, and reports
+    /// the state of the pool slice. `None` while the shard is being taken over.
+    pub(crate) fn report(
+        &self,
+        vacate: BTreeSet<Arc<str>>,
+        down: Option<Down>,
+    ) -> Option<report::Pool> {
         let mut shared = scheduler(&self.scheduler);
         let scheduler = shared.as_mut()?;
         let now = clock::now();
         // Takes effect before the report, so that no task is placed on a VM reported as vacant.
         scheduler.handle(now, clock::wall_ms(), Event::Vacate(vacate));
+        if let Some(down) = down {
+            scheduler.handle(now, clock::wall_ms(), Event::VmsDown(down));
+        }
         Some(scheduler.report(now))
     }
 
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod outage;
 mod pending;
 mod reachability;
+mod stamps;
 mod standby;
 mod storm;
 mod vm_count;
--- a/crates/crosspath_schedule/src/event.rs
+++ b/crates/crosspath_schedule/src/event.rs
@@ -10,6 +10,8 @@
 use crosspath_job::{JobId, TaskId};
 use crosspath_quota::{Grant, Limits, Weights};
 
+use crate::domains::Down;
+
 /// One observation that may change the scheduler's state.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -76,6 +78,8 @@
     Committed,
     /// The set of VMs that are to be vacated, replacing the previous set.
     Vacate(BTreeSet<Arc<str>>),
+    /// The platform's list of VMs shows VMs of the shard as down.
+    VmsDown(Down),
     /// The set of data centres that get no new work, replacing the previous set.
     Evacuated(Arc<BTreeSet<Arc<str>>>),
     /// Whether the set of evacuated data centres is recent enough to start tasks by it.
--- a/crates/crosspath_schedule/src/incarnations.rs
+++ b/crates/crosspath_schedule/src/incarnations.rs
@@ -116,6 +116,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.entry = entry;
         worker.incarnation_changed = Some(now);
+        worker.known_since = now;
         worker.ends_seen = 0;
         worker.ends_acknowledged = 0;
         worker.synced = false;
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -25,6 +25,8 @@
 //! that job at once, whatever `max_unavailable` says. A finite task is cleared only by its
 //! successful end, since it may crash its worker late in its run.
 //!
+//! The loss of a whole data centre is nobody's fault: runs that end with it are not counted.
+//!
 //! A silent worker that is still listed may merely be cut off from the network. Its runs count as
 //! lost until it answers again, but such losses alone do not fail a job.
 
@@ -134,8 +136,9 @@
     ) {
         let Some(run) = self.run(id, number) else { return };
         let never_sent = run.phase == Phase::Planned;
-        let draining = self.workers.get(worker).is_some_and(|worker| worker.entry.draining);
-        if never_sent || draining || self.is_ruled_out_as_cause(id, number) {
+        let known = self.workers.get(worker);
+        let exempt = known.is_some_and(|worker| worker.entry.draining || worker.is_domain_lost);
+        if never_sent || exempt || self.is_ruled_out_as_cause(id, number) {
             return;
         }
         let Colocation { others, alone } = colocation;
@@ -152,8 +155,9 @@
     /// ended or its leases have expired.
     pub(crate) fn record_unreported_losses(&mut self, now: Duration, incarnation: &Arc<str>) {
         let (worker, _) = incarnations::parse(incarnation);
-        let draining = self.workers.get(worker).is_some_and(|worker| worker.entry.draining);
-        if draining && self.is_current_incarnation(incarnation) {
+        let known = self.workers.get(worker);
+        let exempt = known.is_some_and(|worker| worker.entry.draining || worker.is_domain_lost);
+        if exempt && self.is_current_incarnation(incarnation) {
             return;
         }
         let mut lost = Vec::new();
--- a/crates/crosspath_schedule/src/polls.rs
+++ b/crates/crosspath_schedule/src/polls.rs
@@ -60,7 +60,7 @@
         );
         let (id, clock_ms) = (Arc::clone(&entry.id), entry.clock_ms);
         let new_worker = Arc::clone(&id);
-        let mut worker = Worker::new(entry);
+        let mut worker = Worker::new(entry, now);
         // Previous owners may have granted leases on this worker.
         worker.inherit_lease(self.recovery.pending_until());
         self.actions.push(Action::StartPolling { worker: worker.target(), clock_ms });
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -6,6 +6,7 @@
 use crosspath_job::spec::Resources;
 use serde::{Deserialize, Serialize};
 
+use crate::domains::Stamp;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -95,6 +96,9 @@
     /// What the tasks lack that found no worker.
     #[serde(default)]
     pub lacks: Lacks,
+    /// Reading of the owner's clock; `None` in reports of daemons that do not tell it.
+    #[serde(default)]
+    pub stamp: Option<Stamp>,
 }
 
 impl Vm {
@@ -109,7 +113,7 @@
     /// Current load of the shard, for the owner of the fleet.
     #[must_use]
     pub fn report(&self, now: Duration) -> Pool {
-        let mut pool = Pool::default();
+        let mut pool = Pool { stamp: Some(self.stamp(now)), ..Pool::default() };
         for worker in self.workers.values().filter(|worker| !self.is_replaced_incarnation(worker)) {
             let is_long_running = |task| self.step_of(task).is_some_and(|step| step.long_running);
             let long_running = worker.runs.iter().filter(|((task, _), _)| is_long_running(*task));
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -208,6 +208,7 @@
                 self.review_due |= vms != self.vms_to_vacate;
                 self.vms_to_vacate = vms;
             }
+            Event::VmsDown(down) => self.vms_down(now, &down),
             Event::Evacuated(evacuated) => {
                 self.placement_due = true;
                 self.review_due = true;
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -23,6 +23,10 @@
     pub(crate) listed: bool,
     /// Whether the worker has answered a poll with this owner's fencing token.
     pub(crate) synced: bool,
+    /// When this owner learnt of the current incarnation.
+    pub(crate) known_since: Duration,
+    /// Whether the worker has ended because its whole data centre is lost.
+    pub(crate) is_domain_lost: bool,
     /// When this owner learnt that a new incarnation has started under the identifier, if it has.
     pub(crate) incarnation_changed: Option<Duration>,
     /// Send time of the last poll that was answered.
@@ -60,13 +64,15 @@
 const SUSPICION_HALF_LIFE: Duration = Duration::from_secs(3);
 
 impl Worker {
-    pub(crate) fn new(entry: Entry) -> Self {
+    pub(crate) fn new(entry: Entry, now: Duration) -> Self {
         let domain = Domain::of(&entry.data_centre, &entry.labels);
         Self {
             entry,
             domain,
             listed: true,
             synced: false,
+            known_since: now,
+            is_domain_lost: false,
             incarnation_changed: None,
             last_answered_poll: Duration::ZERO,
             failures: 0,
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod common;
 mod customer;
+mod domains;
 mod evacuation;
 mod failed_runs;
 mod incarnations;
--- a/crates/crosspath_schedule/tests/schedule/random_faults.rs
+++ b/crates/crosspath_schedule/tests/schedule/random_faults.rs
@@ -16,6 +16,7 @@
     late_delivery: 30,
     task_failure: 8,
     crash: 0,
+    outage: 0,
 };
 
 fn simulate(first: u64, faults: Faults) -> u64 {
@@ -64,10 +65,27 @@
         late_delivery: 30,
         task_failure: 2,
         restart: 0,
+        outage: 0,
     };
     assert!(simulate(first_seed() + 2_000, faults) > 5_000);
 }
 
+/// The list of VMs is behind and arrives late: it must not end a worker that has begun since.
+#[test]
+fn vms_that_are_listed_as_down_run_no_task_twice_and_lose_none() {
+    let faults = Faults {
+        takeover: 1,
+        crash: 0,
+        outage: 4,
+        partition: 2,
+        reply_loss: 3,
+        late_delivery: 30,
+        task_failure: 2,
+        restart: 0,
+    };
+    assert!(simulate(first_seed() + 4_000, faults) > 5_000);
+}
+
 #[test]
 fn incarnations_under_one_identifier_run_no_task_twice_and_lose_none() {
     assert!(simulate(first_seed() + 3_000, RESTARTS) > 5_000);
