Reserve for the loss of a data centre, off by default

With failure_domains.reserve, a pool's target is the smallest size, spread evenly, of which what its work needs remains once the tolerated data centres are lost. Where some are lost or evacuated already, the reserve has been used, and none is kept for them.

--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -1,11 +1,11 @@
 //! Selection of VMs to move between pools.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_border::vm::{Order, State, Vm};
-use crosspath_spread::Occupancy;
+use crosspath_spread::{Occupancy, with_reserve};
 
 use crate::allocation::{Request, allocate};
 use crate::donor::{Donors, Leavers, domain};
@@ -201,10 +201,12 @@
     fn target_sizes(&self, index: &Index<'_>) -> BTreeMap<Arc<str>, Balance> {
         let view = index.view;
         let largest = index.vms().iter().map(|vm| vm.capacity.cpu_millis).max().unwrap_or(1);
+        let (data_centres, tolerated) = self.tolerated_data_centres(index);
         let request = |pool: &Arc<str>| {
             let demand = self.demands.get(pool)?;
             let awaits_maintenance = index.has_pending_maintenance(pool);
-            let target = demand.target_vms(largest, awaits_maintenance);
+            let needed = demand.target_vms(largest, awaits_maintenance);
+            let target = with_reserve(needed, data_centres, tolerated);
             Some(Request { minimum: demand.minimum(), target, priority: demand.priority })
         };
         let answering = view.serving.iter().filter(|pool| view.pools.contains_key(*pool));
@@ -216,6 +218,21 @@
         allocated.map(|(pool, target)| (pool, Balance { target, ..Balance::default() })).collect()
     }
 
+    /// Number of data centres that pools can use, and of those whose loss they keep VMs for: fewer
+    /// once some are lost or evacuated, since that is what the reserve was for.
+    fn tolerated_data_centres(&self, index: &Index<'_>) -> (u32, u32) {
+        if self.settings.tolerated_data_centres == 0 {
+            return (0, 0);
+        }
+        let vms = index.vms().iter();
+        let all: BTreeSet<_> = vms.clone().map(|vm| &vm.data_centre).collect();
+        let usable = vms.filter(|vm| vm.state != State::Down && !index.view.is_evacuated(vm));
+        let usable: BTreeSet<_> = usable.map(|vm| &vm.data_centre).collect();
+        let count = |set: &BTreeSet<_>| u32::try_from(set.len()).unwrap_or(u32::MAX);
+        let missing = count(&all) - count(&usable);
+        (count(&usable), self.settings.tolerated_data_centres.saturating_sub(missing))
+    }
+
     /// Whether the VM counts towards the total that is allocated: it is in a pool with a request or
     /// in the spare pool, not down, not planned for maintenance, and not in an evacuated data
     /// centre.
--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -96,7 +96,12 @@
 
     /// Replaces the planner by one that spreads the VMs of pools over failure domains.
     pub(crate) fn set_spread(&mut self) {
-        let settings = Settings { spread: true, ..settings() };
+        self.set_reserve(0);
+    }
+
+    /// The same, with VMs kept for the loss of some data centres.
+    pub(crate) fn set_reserve(&mut self, tolerated_data_centres: u32) {
+        let settings = Settings { spread: true, tolerated_data_centres, ..settings() };
         self.planner = Planner::new(settings, BTreeMap::new(), BTreeMap::new());
     }
 
--- a/crates/crosspath_fleet/tests/fleet/spread.rs
+++ b/crates/crosspath_fleet/tests/fleet/spread.rs
@@ -86,3 +86,34 @@
     assert!(data_centres["x"].abs_diff(data_centres["z"]) <= 1, "{data_centres:?}");
     assert!(data_centres["x"] >= 9, "{data_centres:?}");
 }
+
+/// VMs that remain in the pool if its largest data centre is lost.
+fn remaining_after_a_loss(harness: &Harness) -> usize {
+    let (data_centres, _) = by_domain(harness);
+    harness.pool_size("counter") - data_centres.values().max().unwrap_or(&0)
+}
+
+#[test]
+fn with_a_reserve_the_present_work_fits_on_what_remains() {
+    let sizes = [0, 1].map(|tolerated| {
+        let mut harness = harness();
+        harness.set_reserve(tolerated);
+        grow(&mut harness, 12);
+        (harness.pool_size("counter"), remaining_after_a_loss(&harness))
+    });
+    let [(without, _), (with, remaining)] = sizes;
+    assert!(with > without && remaining >= without, "{sizes:?}");
+}
+
+/// The reserve is for that loss, and VMs are scarce after it.
+#[test]
+fn no_reserve_is_kept_beyond_the_data_centres_that_may_be_lost() {
+    let sizes = [0, 1].map(|tolerated| {
+        let mut harness = harness();
+        harness.set_reserve(tolerated);
+        harness.view.evacuated = std::sync::Arc::new(["y".into()].into());
+        grow(&mut harness, 12);
+        harness.pool_size("counter")
+    });
+    assert_eq!(sizes[0], sizes[1]);
+}
--- a/crates/crosspath_spread/src/lib.rs
+++ b/crates/crosspath_spread/src/lib.rs
@@ -10,6 +10,20 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Number of members, spread over `data_centres`, of which `needed` remain once `tolerated` data
+/// centres are lost. Returns `needed` if no data centre would remain.
+#[must_use]
+pub fn with_reserve(needed: u32, data_centres: u32, tolerated: u32) -> u32 {
+    let remaining = data_centres.saturating_sub(tolerated);
+    if remaining == 0 {
+        return needed;
+    }
+    let (rows, rest) = (needed / remaining, needed % remaining);
+    // An incomplete row may be lost up to the number of lost data centres.
+    let incomplete = if rest > 0 { tolerated + rest } else { 0 };
+    rows.saturating_mul(data_centres).saturating_add(incomplete)
+}
+
 /// Failure domains that a VM or a daemon is in.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Domain {
--- a/crates/crosspath_spread/tests/spread.rs
+++ b/crates/crosspath_spread/tests/spread.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crosspath_spread::{Domain, Occupancy};
+use crosspath_spread::{Domain, Occupancy, with_reserve};
 use proptest::prelude::*;
 
 const RACKS: usize = 3;
@@ -46,6 +46,17 @@
         prop_assert_eq!(occupied.largest_data_centre() as usize, in_data_centre);
     }
 
+    #[test]
+    fn with_a_reserve_enough_remain_after_a_loss(needed in 0_u32..80, data_centres in 2_usize..6) {
+        let size = with_reserve(needed, u32::try_from(data_centres).expect("few"), 1);
+        let (mut occupied, mut members) = (Occupancy::default(), Vec::new());
+        for _ in 0..size {
+            add_one(&mut occupied, &mut members, &domains(data_centres));
+        }
+        let remain = size - occupied.largest_data_centre();
+        prop_assert_eq!(remain, needed);
+    }
+
     /// Members leave from the most occupied domain, and come to the least occupied.
     #[test]
     fn data_centres_stay_level_over_a_random_history(
@@ -69,6 +80,13 @@
     }
 }
 
+#[test]
+fn no_reserve_is_kept_where_none_could_help() {
+    assert_eq!(with_reserve(10, 1, 1), 10);
+    assert_eq!(with_reserve(10, 2, 3), 10);
+    assert_eq!(with_reserve(10, 3, 0), 10);
+}
+
 #[test]
 fn the_rack_is_the_label_after_the_kind() {
     let data_centre: Arc<str> = "dc".into();
