--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -103,6 +103,7 @@
 impl Drop for LedgerTerm {
     fn drop(&mut self) {
         self.node.clear_ledger(self.term);
+        self.node.metrics.clear_vms();
     }
 }
 
@@ -252,6 +253,7 @@
             self.vms = list.vms;
             if self.settings.spread {
                 self.domains.update(&self.vms);
+                self.node.metrics.set_vms(&self.vms);
             }
         }
         self.waves = self.open_waves();
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -1,11 +1,16 @@
 //! Metrics of the daemon in the OpenMetrics text format.
 
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use crosspath_border::vm::{State, Vm};
+use crosspath_spread::{Domain, Occupancy};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
@@ -40,11 +45,24 @@
     queue: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VmLabels {
+    data_centre: String,
+    state: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabels {
+    pool: String,
+}
+
 /// All metrics of the daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     latency: Family<Labels, Histogram, fn() -> Histogram>,
+    vms: Family<VmLabels, Gauge>,
+    largest_share: Family<PoolLabels, Gauge<f64, AtomicU64>>,
 }
 
 fn histogram() -> Histogram {
@@ -57,7 +75,13 @@
         let mut registry = Registry::with_prefix("crosspath");
         let help = "Time from a caller's request to its answer, by call and queue";
         registry.register_with_unit("call_latency", help, Unit::Seconds, latency.clone());
-        Self { registry: Mutex::new(registry), latency }
+        let vms = Family::default();
+        let help = "VMs of the platform's list, by data centre and state; none unless this daemon owns the fleet";
+        registry.register("vms", help, vms.clone());
+        let largest_share = Family::default();
+        let help = "Share of a pool's VMs that are up in the data centre with the most of them; none unless this daemon owns the fleet";
+        registry.register("pool_largest_data_centre_share", help, largest_share.clone());
+        Self { registry: Mutex::new(registry), latency, vms, largest_share }
     }
 }
 
@@ -68,6 +92,38 @@
         self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
     }
 
+    /// Sets the gauges of the fleet from a list of VMs.
+    pub(crate) fn set_vms(&self, vms: &[Vm]) {
+        self.clear_vms();
+        let mut pools: BTreeMap<&str, (Occupancy, u32)> = BTreeMap::new();
+        for vm in vms {
+            let state = match vm.state {
+                State::Up => "up",
+                State::Moving => "moving",
+                State::Maintenance => "maintenance",
+                State::Down => "down",
+            };
+            let labels = VmLabels { data_centre: vm.data_centre.to_string(), state };
+            self.vms.get_or_create(&labels).inc();
+            if vm.state == State::Up {
+                let (occupied, total) = pools.entry(&vm.pool).or_default();
+                occupied.add(&Domain::of(&vm.data_centre, &vm.labels));
+                *total += 1;
+            }
+        }
+        for (pool, (occupied, total)) in pools {
+            let share = f64::from(occupied.largest_data_centre()) / f64::from(total);
+            let labels = PoolLabels { pool: pool.to_owned() };
+            self.largest_share.get_or_create(&labels).set(share);
+        }
+    }
+
+    /// Removes the gauges of the fleet, once another daemon owns it.
+    pub(crate) fn clear_vms(&self) {
+        self.vms.clear();
+        self.largest_share.clear();
+    }
+
     /// Encodes all metrics; on an error, the text ends where encoding failed.
     pub(crate) fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
