A lost owner does not delay what the others learn of a lost data centre

The fleet's owner waits for the reports of all pools' owners in each round. Of two owners that were lost with a data centre at 6.0 s, each call lasted its 0.5 s, so the others learned only at 7.1 s which VMs were down (0.2 s when no owner was lost). With failure domains a round waits 0.2 s; every fourth round without a report it waits for the whole call, so that the pool of a slow owner is still planned for. A late report is dropped and not used in the next round: it could name a VM as vacant that was selected in between.

No test covers the wait: it needs a fleet's owner with a lost peer, for which there is no harness.

--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -40,6 +40,14 @@
 /// Peers answer within milliseconds.
 const INCARNATION_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time for which a round waits for a pool's report where failure domains are lost: an owner that is
+/// lost with its data centre must not delay what the others have to know of it. Reports take some
+/// milliseconds.
+const REPORT_WAIT: Duration = Duration::from_millis(200);
+/// Every so many rounds, an owner whose reports come late is given the full time of a call, so that
+/// the pool of a slow owner is still planned for.
+const PATIENT_ROUNDS: u32 = 4;
+
 /// Runs the planning rounds while this daemon owns the fleet's shard. Without access to the VM
 /// platform it only runs the quota ledger.
 pub(crate) async fn run(node: Arc<Node>) {
@@ -72,6 +80,7 @@
         listed_at: Duration::ZERO,
         domains: Domains::default(),
         stamps: BTreeMap::new(),
+        unreported_rounds: BTreeMap::new(),
         listing: Listing::new(Arc::clone(&fleet)),
         sequence: claimed.sequence,
         published: BTreeMap::new(),
@@ -192,6 +201,8 @@
     domains: Domains,
     /// Stamps in the reports of the pools' owners.
     stamps: BTreeMap<PoolSlice, Stamps>,
+    /// Number of rounds in a row without a report, by pool slice.
+    unreported_rounds: BTreeMap<PoolSlice, u32>,
     listing: Listing,
     /// Last published state of each wave.
     published: BTreeMap<u64, WaveState>,
@@ -301,10 +312,16 @@
                 let vacate = vacate.get(pool).cloned().unwrap_or_default();
                 let down = self.vms_down(&slice.view, &pool_slice);
                 let node = Arc::clone(&self.node);
+                let wait = self.report_wait(&pool_slice);
                 requests.push(async move {
                     let request = Request::Pool { shard, vacate, down };
-                    let reply = rpc::call_holder(&node, shard, request).await;
-                    (pool_slice, reply)
+                    let call = rpc::call_holder(&node, shard, request);
+                    // A later report could name a VM as vacant that this round selects.
+                    let reply = tokio::time::timeout(wait, call).await;
+                    if reply.is_err() {
+                        node.holders_stale.notify_one();
+                    }
+                    (pool_slice, reply.ok().flatten())
                 });
             }
         }
@@ -312,6 +329,11 @@
             slice.view.pools.clear();
         }
         for (pool_slice, reply) in join_all(requests).await {
+            if matches!(reply, Some(Reply::Pool(_))) {
+                self.unreported_rounds.remove(&pool_slice);
+            } else {
+                *self.unreported_rounds.entry(pool_slice.clone()).or_default() += 1;
+            }
             if let Some(Reply::Pool(report)) = reply {
                 if let Some(stamp) = report.stamp {
                     let stamps = self.stamps.entry(pool_slice.clone()).or_default();
@@ -323,6 +345,13 @@
         }
     }
 
+    /// Time for which this round waits for the report on a pool slice.
+    fn report_wait(&self, pool_slice: &PoolSlice) -> Duration {
+        let unreported = self.unreported_rounds.get(pool_slice).copied().unwrap_or(0);
+        let is_patient = unreported % PATIENT_ROUNDS == PATIENT_ROUNDS - 1;
+        if !self.settings.spread || is_patient { Duration::MAX } else { REPORT_WAIT }
+    }
+
     /// VMs of a pool that the last list shows as down, if there are any and the list's age can be
     /// told.
     fn vms_down(&self, view: &View, pool_slice: &PoolSlice) -> Option<Down> {
