--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -421,8 +421,9 @@
                 }
             }
         }
-        let ranks = candidates.iter().map(|worker| siblings.rank(&worker.domain));
-        let best = ranks.min().unwrap_or_default();
+        // Finite steps need no ranks, and are placed some thousand times a second.
+        let ranked = candidates.iter().filter(|_| step.long_running);
+        let best = ranked.map(|worker| siblings.rank(&worker.domain)).min().unwrap_or_default();
         StepSpread { siblings, best, long_running: step.long_running }
     }
 
