--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -94,6 +94,17 @@
         self.planner = Planner::new(settings, BTreeMap::new(), BTreeMap::new());
     }
 
+    /// Replaces the planner by one that spreads the VMs of pools over failure domains.
+    pub(crate) fn set_spread(&mut self) {
+        self.set_reserve(0);
+    }
+
+    /// The same, with VMs kept for the loss of some data centres.
+    pub(crate) fn set_reserve(&mut self, tolerated_data_centres: u32) {
+        let settings = Settings { spread: true, tolerated_data_centres, ..settings() };
+        self.planner = Planner::new(settings, BTreeMap::new(), BTreeMap::new());
+    }
+
     /// Number of move orders to a pool so far.
     pub(crate) fn moves_ordered_to(&self, pool: &str) -> usize {
         let to = |order: &Order| matches!(order, Order::Move { pool: to } if &**to == pool);
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the planner through its public interface: views in, orders out.
 
 mod common;
+mod domains;
 mod evacuation;
 mod moves;
 mod size;
+mod spread;
 mod wave;
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -12,8 +12,10 @@
 use crosspath_border::operator::{Wave, WaveState};
 use crosspath_border::store::{NewRecord, Precondition, Topic};
 use crosspath_border::vm::{Authority, Error, Fleet, Order, Verdict, Vm};
+use crosspath_fleet::domains::{Domains, is_down};
 use crosspath_fleet::{Outcome, Planner, Settings, View};
 use crosspath_quota::Ledger;
+use crosspath_schedule::domains::Down;
 use futures::future::join_all;
 use tokio::time::MissedTickBehavior;
 
@@ -29,6 +31,7 @@
 use crate::pages::Pages;
 use crate::rpc::{self, Reply, Request};
 use crate::shard_log;
+use crate::stamps::Stamps;
 
 /// Time between two rounds. The demand of a pool changes within a second, and its deficit is known
 /// one round later.
@@ -37,6 +40,14 @@
 /// Peers answer within milliseconds.
 const INCARNATION_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time for which a round waits for a pool's report where failure domains are lost: an owner that is
+/// lost with its data centre must not delay what the others have to know of it. Reports take some
+/// milliseconds.
+const REPORT_WAIT: Duration = Duration::from_millis(200);
+/// Every so many rounds, an owner whose reports come late is given the full time of a call, so that
+/// the pool of a slow owner is still planned for.
+const PATIENT_ROUNDS: u32 = 4;
+
 /// Runs the planning rounds while this daemon owns the fleet's shard. Without access to the VM
 /// platform it only runs the quota ledger.
 pub(crate) async fn run(node: Arc<Node>) {
@@ -67,6 +78,9 @@
         vms: Vec::new(),
         waves: Vec::new(),
         listed_at: Duration::ZERO,
+        domains: Domains::default(),
+        stamps: BTreeMap::new(),
+        unreported_rounds: BTreeMap::new(),
         listing: Listing::new(Arc::clone(&fleet)),
         sequence: claimed.sequence,
         published: BTreeMap::new(),
@@ -98,6 +112,7 @@
 impl Drop for LedgerTerm {
     fn drop(&mut self) {
         self.node.clear_ledger(self.term);
+        self.node.metrics.clear_vms();
     }
 }
 
@@ -183,6 +198,11 @@
     waves: Vec<(Arc<Wave>, Duration)>,
     /// Time at which the list in `vms` was requested.
     listed_at: Duration,
+    domains: Domains,
+    /// Stamps in the reports of the pools' owners.
+    stamps: BTreeMap<PoolSlice, Stamps>,
+    /// Number of rounds in a row without a report, by pool slice.
+    unreported_rounds: BTreeMap<PoolSlice, u32>,
     listing: Listing,
     /// Last published state of each wave.
     published: BTreeMap<u64, WaveState>,
@@ -242,6 +262,10 @@
         if let Some(list) = self.listing.next(clock::now(), self.vms.len()).await {
             self.listed_at = list.requested_at;
             self.vms = list.vms;
+            if self.settings.spread {
+                self.domains.update(&self.vms);
+                self.node.metrics.set_vms(&self.vms);
+            }
         }
         self.waves = self.open_waves();
         while self.slices.len() < count as usize {
@@ -286,11 +310,18 @@
                 let pool_slice = PoolSlice { pool: Arc::clone(pool), slice: number };
                 let Some(shard) = map.shard(&pool_slice) else { continue };
                 let vacate = vacate.get(pool).cloned().unwrap_or_default();
+                let down = self.vms_down(&slice.view, &pool_slice);
                 let node = Arc::clone(&self.node);
+                let wait = self.report_wait(&pool_slice);
                 requests.push(async move {
-                    let request = Request::Pool { shard, vacate };
-                    let reply = rpc::call_holder(&node, shard, request).await;
-                    (pool_slice, reply)
+                    let request = Request::Pool { shard, vacate, down };
+                    let call = rpc::call_holder(&node, shard, request);
+                    // A later report could name a VM as vacant that this round selects.
+                    let reply = tokio::time::timeout(wait, call).await;
+                    if reply.is_err() {
+                        node.holders_stale.notify_one();
+                    }
+                    (pool_slice, reply.ok().flatten())
                 });
             }
         }
@@ -298,13 +329,42 @@
             slice.view.pools.clear();
         }
         for (pool_slice, reply) in join_all(requests).await {
+            if matches!(reply, Some(Reply::Pool(_))) {
+                self.unreported_rounds.remove(&pool_slice);
+            } else {
+                *self.unreported_rounds.entry(pool_slice.clone()).or_default() += 1;
+            }
             if let Some(Reply::Pool(report)) = reply {
+                if let Some(stamp) = report.stamp {
+                    let stamps = self.stamps.entry(pool_slice.clone()).or_default();
+                    stamps.add(clock::now(), stamp);
+                }
                 let slice = &mut self.slices[pool_slice.slice as usize];
                 slice.view.pools.insert(pool_slice.pool, report);
             }
         }
     }
 
+    /// Time for which this round waits for the report on a pool slice.
+    fn report_wait(&self, pool_slice: &PoolSlice) -> Duration {
+        let unreported = self.unreported_rounds.get(pool_slice).copied().unwrap_or(0);
+        let is_patient = unreported % PATIENT_ROUNDS == PATIENT_ROUNDS - 1;
+        if !self.settings.spread || is_patient { Duration::MAX } else { REPORT_WAIT }
+    }
+
+    /// VMs of a pool that the last list shows as down, if there are any and the list's age can be
+    /// told.
+    fn vms_down(&self, view: &View, pool_slice: &PoolSlice) -> Option<Down> {
+        if !self.settings.spread {
+            return None;
+        }
+        let stamp = self.stamps.get(pool_slice)?.last_before(self.listed_at)?;
+        let down = view.vms.iter().filter(|vm| vm.pool == pool_slice.pool && is_down(vm));
+        let vms: BTreeSet<_> = down.map(|vm| Arc::clone(&vm.name)).collect();
+        let lost_data_centres = self.domains.lost().clone();
+        (!vms.is_empty()).then_some(Down { stamp, vms, lost_data_centres })
+    }
+
     /// Plans each slice. The concurrency limit of a wave is shared by all slices.
     async fn plan(&mut self, now: Duration) -> (Vec<(Arc<str>, Order)>, Vec<u64>) {
         let mut orders = Vec::new();
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -7,6 +7,7 @@
 use crosspath_border::worker::{Entry, Target};
 use crosspath_job::TaskId;
 use crosspath_job::spec::Resources;
+use crosspath_spread::Domain;
 
 use crate::incarnations;
 use crate::losses;
@@ -16,10 +17,16 @@
 pub(crate) struct Worker {
     /// Newest entry of the worker list, with the incarnation that answers polls.
     pub(crate) entry: Entry,
+    /// Failure domains of the VM, which do not change with the worker's entry.
+    pub(crate) domain: Domain,
     /// Whether the worker list still has an entry of the worker.
     pub(crate) listed: bool,
     /// Whether the worker has answered a poll with this owner's fencing token.
     pub(crate) synced: bool,
+    /// When this owner learnt of the current incarnation.
+    pub(crate) known_since: Duration,
+    /// Whether the worker has ended because its whole data centre is lost.
+    pub(crate) is_domain_lost: bool,
     /// When this owner learnt that a new incarnation has started under the identifier, if it has.
     pub(crate) incarnation_changed: Option<Duration>,
     /// Send time of the last poll that was answered.
@@ -57,11 +64,15 @@
 const SUSPICION_HALF_LIFE: Duration = Duration::from_secs(3);
 
 impl Worker {
-    pub(crate) fn new(entry: Entry) -> Self {
+    pub(crate) fn new(entry: Entry, now: Duration) -> Self {
+        let domain = Domain::of(&entry.data_centre, &entry.labels);
         Self {
             entry,
+            domain,
             listed: true,
             synced: false,
+            known_since: now,
+            is_domain_lost: false,
             incarnation_changed: None,
             last_answered_poll: Duration::ZERO,
             failures: 0,
