--- /dev/null
+++ b/crates/crosspath_path/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the choice of paths.
+
+mod link;
+mod links;
