Calls to peers and workers go around a broken link

While the link to a data centre is broken, calls of daemons to peers and to workers there take one relay, a daemon in a third data centre. A relayed call has a type of its own that contains only direct calls, so there is no second hop; the relay makes it once and bounds how many it passes on. Orders carry the incarnation, the fencing token and the deadline on the worker's clock unchanged. Daemons that tell no data centre are sent none.

On with the setting relays; off, calls are as before.

--- a/crates/crosspath_border/src/worker.rs
+++ b/crates/crosspath_border/src/worker.rs
@@ -52,7 +52,7 @@
 }
 
 /// Address and incarnation of the worker that a request is meant for.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Target {
     /// Address at which the worker accepts requests, as [`Entry::address`].
     pub address: SocketAddr,
@@ -60,10 +60,12 @@
     pub id: Arc<str>,
     /// Start of the incarnation, as [`Entry::started_ms`].
     pub started_ms: u64,
+    /// Data centre of the worker's VM, as [`Entry::data_centre`].
+    pub data_centre: Arc<str>,
 }
 
 /// Request to start a run of a task.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Start {
     /// Task that the run belongs to.
     pub task: TaskId,
@@ -82,7 +84,7 @@
 }
 
 /// Answer of a worker to a [`Start`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Started {
     /// The worker accepted the start of the run.
     Yes,
@@ -103,7 +105,7 @@
 }
 
 /// Run that is in progress, as reported by its worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// Task that the run belongs to.
     pub task: TaskId,
@@ -119,7 +121,7 @@
 }
 
 /// Outcome of a run, as reported by its worker. The names of the variants appear in log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The run ended successfully.
     Done,
@@ -136,7 +138,7 @@
 }
 
 /// Run that has ended, as reported by its worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Sequence number of this report within the worker's incarnation, counted from 1.
     pub number: u64,
@@ -151,7 +153,7 @@
 }
 
 /// Request for a worker's runs, which can also extend their leases.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Poll {
     /// Fencing token of the shard owner.
     pub token: u64,
@@ -166,7 +168,7 @@
 }
 
 /// Answer of a worker to a [`Poll`].
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct PollReply {
     /// The worker's clock, in ms.
     pub clock_ms: u64,
@@ -179,7 +181,7 @@
 }
 
 /// Answer of a worker, with a reading of its clock.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Timestamped<T> {
     /// Answer without the clock reading.
     pub value: T,
@@ -188,7 +190,7 @@
 }
 
 /// Failed request to a worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Snafu)]
 pub enum Error {
     /// The worker could not be reached; the request had no effect.
     #[snafu(display("worker could not be reached"))]
--- a/crates/crosspath_job/src/id.rs
+++ b/crates/crosspath_job/src/id.rs
@@ -106,3 +106,16 @@
         Ok(Self { job, occurrence, step, index })
     }
 }
+
+impl Serialize for TaskId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -3,9 +3,12 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use crosspath_path::link::State;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
@@ -40,11 +43,50 @@
     queue: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LinkLabels {
+    state: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RelayLabels {
+    outcome: &'static str,
+}
+
+/// Metrics of the paths to other data centres.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PathMetrics {
+    links: Family<LinkLabels, Gauge>,
+    relayed: Family<RelayLabels, Counter>,
+}
+
+impl PathMetrics {
+    /// Sets the number of links in a state.
+    pub(crate) fn set_links(&self, state: State, count: usize) {
+        let labels = LinkLabels { state: state.name() };
+        self.links.get_or_create(&labels).set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts an attempt of a call by a relay.
+    pub(crate) fn count_relayed(&self, outcome: &'static str) {
+        self.relayed.get_or_create(&RelayLabels { outcome }).inc();
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let help = "Links to other data centres, by state";
+        registry.register("links", help, self.links.clone());
+        let help = "Attempts of calls by a relay, by outcome";
+        registry.register("relayed_calls", help, self.relayed.clone());
+    }
+}
+
 /// All metrics of the daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     latency: Family<Labels, Histogram, fn() -> Histogram>,
+    /// Metrics of the paths to other data centres.
+    pub(crate) paths: PathMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -57,7 +99,9 @@
         let mut registry = Registry::with_prefix("crosspath");
         let help = "Time from a caller's request to its answer, by call and queue";
         registry.register_with_unit("call_latency", help, Unit::Seconds, latency.clone());
-        Self { registry: Mutex::new(registry), latency }
+        let paths = PathMetrics::default();
+        paths.register(&mut registry);
+        Self { registry: Mutex::new(registry), latency, paths }
     }
 }
 
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -24,7 +24,10 @@
 use crate::map::{Map, PoolSlice};
 use crate::member::Member;
 use crate::metrics::Metrics;
+use crate::paths::Paths;
 use crate::reachability::Reachability;
+use crate::relay::Relay;
+use crate::routed_runner::RoutedRunner;
 use crate::routing::Table;
 use crate::rpc::Peers;
 use crate::settings::Settings;
@@ -66,7 +69,8 @@
     pub(crate) runner: Arc<dyn Runner>,
     pub(crate) fleet: Option<Arc<dyn Fleet>>,
     pub(crate) advisor: Option<Arc<dyn Advisor>>,
-    pub(crate) peers: Peers,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) relay: Relay,
     pub(crate) appenders: Appenders,
     pub(crate) metrics: Metrics,
     /// Stage of the callers' listener.
@@ -127,6 +131,12 @@
     pub(crate) fn new(parts: Parts) -> Self {
         let Parts { settings, member, store, runner, fleet, advisor } = parts;
         let evacuations = Mutex::new(Evacuations::new(settings.data_centres.clone()));
+        let metrics = Metrics::default();
+        let data_centre = Arc::clone(&settings.data_centre);
+        let paths = Paths::new(settings.relays, data_centre, metrics.paths.clone());
+        let peers = Arc::new(Peers::new(paths));
+        let relay = Relay::new(Arc::clone(&runner), settings.millicores);
+        let runner = Arc::new(RoutedRunner::new(runner, Arc::clone(&peers)));
         Self {
             settings,
             member,
@@ -134,9 +144,10 @@
             runner,
             fleet,
             advisor,
-            peers: Peers::default(),
+            peers,
+            relay,
             appenders: Appenders::default(),
-            metrics: Metrics::default(),
+            metrics,
             stage: watch::Sender::new(Stage::Serving),
             stopping: watch::Sender::new(false),
             internal_stage: watch::Sender::new(Stage::Serving),
@@ -226,6 +237,7 @@
     }
 
     pub(crate) fn set_holders(&self, holders: HashMap<u32, Member>) {
+        self.peers.paths().set_members(holders.values());
         *lock(&self.holders) = Some(holders);
         self.routing_changed.notify_waiters();
     }
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -28,7 +28,9 @@
 use crate::evacuation::Evacuated;
 use crate::map::PoolSlice;
 use crate::node::Node;
+use crate::paths::{Miss, Paths, Relayed};
 use crate::pending::Outcome;
+use crate::relay::{self, Call, Forward, Forwarded};
 use crate::workers;
 
 /// Timeout of a call to a peer. The network takes at most some ms.
@@ -137,13 +139,24 @@
     NotOwner,
 }
 
-/// HTTP clients for the peers, by their addresses.
-#[derive(Debug, Default)]
-pub(crate) struct Peers(Mutex<HashMap<SocketAddr, Client>>);
+/// Calls to the peers, directly or by a relay, with an HTTP client for each address.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    clients: Mutex<HashMap<SocketAddr, Client>>,
+    paths: Paths,
+}
 
 impl Peers {
+    pub(crate) fn new(paths: Paths) -> Self {
+        Self { clients: Mutex::default(), paths }
+    }
+
+    pub(crate) fn paths(&self) -> &Paths {
+        &self.paths
+    }
+
     fn client(&self, address: SocketAddr) -> Client {
-        let mut clients = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         let client = clients.entry(address);
         let make = || Client::with_connect_timeout(address, CONNECT_TIMEOUT, TIMEOUT);
         client.or_insert_with(make).clone()
@@ -155,7 +168,12 @@
         address: SocketAddr,
         request: &Request,
     ) -> Result<Reply, CallError> {
-        self.client(address).call_idempotent(Method::POST, PATH, Some(request)).await
+        let Some(to) = self.paths.peer(address) else {
+            return self.call_directly(address, request).await;
+        };
+        let direct = |_| async { attempt(self.call_directly(address, request).await) };
+        let relayed = |relay, timeout| self.call_by_relay(relay, address, request, false, timeout);
+        peer_reply(address, self.paths.call_idempotent(&to, TIMEOUT, direct, relayed).await)
     }
 
     /// Calls a peer without hedging, for an append: the reply must describe the only attempt.
@@ -164,9 +182,83 @@
         address: SocketAddr,
         request: &Request,
         timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let Some(to) = self.paths.peer(address) else {
+            return self.call_once_directly(address, request, timeout).await;
+        };
+        let direct = async { attempt(self.call_once_directly(address, request, timeout).await) };
+        let relayed = |relay, timeout| self.call_by_relay(relay, address, request, true, timeout);
+        peer_reply(address, self.paths.call_once(&to, timeout, direct, relayed).await)
+    }
+
+    /// As [`Self::call`], by no relay.
+    pub(crate) async fn call_directly(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+    ) -> Result<Reply, CallError> {
+        self.client(address).call_idempotent(Method::POST, PATH, Some(request)).await
+    }
+
+    /// As [`Self::call_once`], by no relay.
+    pub(crate) async fn call_once_directly(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        timeout: Duration,
     ) -> Result<Reply, CallError> {
         self.client(address).call_within(Method::POST, PATH, Some(request), timeout).await
     }
+
+    /// Has a peer make a call, once.
+    pub(crate) async fn forward(
+        &self,
+        relay: SocketAddr,
+        call: Call<&Request>,
+        timeout: Duration,
+    ) -> Result<Forwarded, CallError> {
+        let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let forward = Forward { timeout_ms, call };
+        self.client(relay).call_within(Method::POST, relay::PATH, Some(&forward), timeout).await
+    }
+
+    async fn call_by_relay(
+        &self,
+        relay: SocketAddr,
+        address: SocketAddr,
+        request: &Request,
+        once: bool,
+        timeout: Duration,
+    ) -> Relayed<Result<Reply, CallError>> {
+        let reply = self.forward(relay, Call::Peer { address, once, request }, timeout).await;
+        relay::outcome(reply, |reply| match reply {
+            Forwarded::Peer(reply) => Some(Ok(reply)),
+            Forwarded::PeerRejected { status } => {
+                let status = StatusCode::from_u16(status).ok()?;
+                Some(Err(CallError::Status { address, status, body: String::new() }))
+            }
+            _ => None,
+        })
+    }
+}
+
+/// Separates replies of the peer, which may be errors, from calls without one.
+fn attempt(reply: Result<Reply, CallError>) -> Result<Result<Reply, CallError>, Miss> {
+    match reply {
+        Err(CallError::NotSent { .. }) => Err(Miss::NotReached),
+        Err(CallError::NoAnswer { .. }) => Err(Miss::NoAnswer),
+        reply => Ok(reply),
+    }
+}
+
+fn peer_reply(
+    address: SocketAddr,
+    result: Result<Result<Reply, CallError>, Miss>,
+) -> Result<Reply, CallError> {
+    result.unwrap_or_else(|miss| match miss {
+        Miss::NotReached => Err(CallError::NotSent { address }),
+        Miss::NoAnswer => Err(CallError::NoAnswer { address }),
+    })
 }
 
 /// Reason why a relayed append is not confirmed.
@@ -226,6 +318,7 @@
 }
 
 async fn handle_request(node: &Arc<Node>, request: HttpRequest<Incoming>) -> Response<Body> {
+    let is_relayed = node.peers.paths().is_enabled() && request.uri().path() == relay::PATH;
     let payload = match body::read(request.into_body(), MAX_BODY, TIMEOUT).await {
         Ok(payload) => payload,
         Err(error) => {
@@ -233,13 +326,21 @@
             return body::json(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
-    match serde_json::from_slice::<Request>(&payload) {
-        Ok(request) => body::json(StatusCode::OK, &handle(node, request).await),
-        Err(error) => {
-            log::warn!("event=peer_question_unreadable error=\"{error}\"");
-            body::json(StatusCode::BAD_REQUEST, &error.to_string())
+    let error = if is_relayed {
+        match serde_json::from_slice(&payload) {
+            Ok(forward) => {
+                return body::json(StatusCode::OK, &node.relay.handle(&node.peers, forward).await);
+            }
+            Err(error) => error,
         }
-    }
+    } else {
+        match serde_json::from_slice(&payload) {
+            Ok(request) => return body::json(StatusCode::OK, &handle(node, request).await),
+            Err(error) => error,
+        }
+    };
+    log::warn!("event=peer_question_unreadable error=\"{error}\"");
+    body::json(StatusCode::BAD_REQUEST, &error.to_string())
 }
 
 /// Handles a request of a peer, or of this daemon to itself.
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -80,8 +80,8 @@
     }
 
     pub(crate) fn target(&self) -> Target {
-        let Entry { address, ref id, started_ms, .. } = self.entry;
-        Target { address, id: Arc::clone(id), started_ms }
+        let Entry { address, ref id, started_ms, ref data_centre, .. } = self.entry;
+        Target { address, id: Arc::clone(id), started_ms, data_centre: Arc::clone(data_centre) }
     }
 
     /// Name of the worker's incarnation, see [`incarnations::name`].
