Tests of relayed orders and of the paths of one call

Several daemons on one log, whose workers are behind a cut for one of them; and the paths by themselves. The tests' worker entries are now read, and a daemon's data centre, client of workers and relays can be set.

--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -30,7 +30,7 @@
 mod order;
 pub mod outage;
 pub mod pages;
-mod paths;
+pub mod paths;
 pub mod pending;
 pub mod reachability;
 mod relay;
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -55,20 +55,20 @@
 
 /// Metrics of the paths to other data centres.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct PathMetrics {
+pub struct PathMetrics {
     links: Family<LinkLabels, Gauge>,
     relayed: Family<RelayLabels, Counter>,
 }
 
 impl PathMetrics {
     /// Sets the number of links in a state.
-    pub(crate) fn set_links(&self, state: State, count: usize) {
+    pub fn set_links(&self, state: State, count: usize) {
         let labels = LinkLabels { state: state.name() };
         self.links.get_or_create(&labels).set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
     /// Counts an attempt of a call by a relay.
-    pub(crate) fn count_relayed(&self, outcome: &'static str) {
+    pub fn count_relayed(&self, outcome: &'static str) {
         self.relayed.get_or_create(&RelayLabels { outcome }).inc();
     }
 
--- a/crates/crosspath_node/src/paths.rs
+++ b/crates/crosspath_node/src/paths.rs
@@ -17,7 +17,7 @@
 
 use crate::clock;
 use crate::member::Member;
-use crate::metrics::PathMetrics;
+pub use crate::metrics::PathMetrics;
 
 /// Delay without an answer after which an idempotent call over a suspect link also takes a relay.
 const HEDGING_DELAY: Duration = Duration::from_millis(100);
@@ -31,7 +31,7 @@
 
 /// Reason why a call has no answer from its destination.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Miss {
+pub enum Miss {
     /// The call surely did not leave, on any path.
     NotReached,
     /// The call may have taken effect or may still do so.
@@ -46,7 +46,7 @@
 
 /// Result of an attempt by a relay.
 #[derive(Debug)]
-pub(crate) enum Relayed<A> {
+pub enum Relayed<A> {
     /// The destination answered.
     Answered(A),
     /// The relay answered that it did not reach the destination, or got no answer from it.
@@ -59,7 +59,8 @@
 
 impl<A> Relayed<A> {
     /// Name in log lines.
-    pub(crate) fn name(&self) -> &'static str {
+    #[must_use]
+    pub fn name(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
             Self::Unreached(_) => "unreached",
@@ -71,7 +72,7 @@
 
 /// Destination in another data centre.
 #[derive(Debug, Clone)]
-pub(crate) struct Destination {
+pub struct Destination {
     address: SocketAddr,
     data_centre: Arc<str>,
 }
@@ -85,7 +86,7 @@
 
 /// Paths from this daemon to other data centres.
 #[derive(Debug)]
-pub(crate) struct Paths {
+pub struct Paths {
     is_enabled: bool,
     own: Arc<str>,
     known: Mutex<Known>,
@@ -96,7 +97,8 @@
 
 impl Paths {
     /// Creates the paths of a daemon in the data centre `own`. If not enabled, all calls are direct.
-    pub(crate) fn new(is_enabled: bool, own: Arc<str>, metrics: PathMetrics) -> Self {
+    #[must_use]
+    pub fn new(is_enabled: bool, own: Arc<str>, metrics: PathMetrics) -> Self {
         let links = Links::new(Arc::clone(&own));
         let known = Mutex::new(Known { links, data_centres: HashMap::new() });
         Self { is_enabled, own, known, changed: Notify::new(), metrics }
@@ -107,12 +109,13 @@
     }
 
     /// Whether calls may take relays, and whether this daemon serves as one.
-    pub(crate) fn is_enabled(&self) -> bool {
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
         self.is_enabled
     }
 
     /// Sets the members of the group. Those that tell their data centre can relay calls.
-    pub(crate) fn set_members<'a>(&self, members: impl Iterator<Item = &'a Member>) {
+    pub fn set_members<'a>(&self, members: impl Iterator<Item = &'a Member>) {
         let relay = |member: &Member| {
             let data_centre = Arc::clone(member.data_centre.as_ref()?);
             Some(Relay { address: member.address, data_centre, millicores: member.millicores })
@@ -127,17 +130,15 @@
     }
 
     /// Destination for calls to a peer; `None` if calls to it are always direct.
-    pub(crate) fn peer(&self, address: SocketAddr) -> Option<Destination> {
+    #[must_use]
+    pub fn peer(&self, address: SocketAddr) -> Option<Destination> {
         let data_centre = self.known().data_centres.get(&address).cloned()?;
         self.destination(address, &data_centre)
     }
 
     /// Destination in a data centre; `None` if calls to it are always direct.
-    pub(crate) fn destination(
-        &self,
-        address: SocketAddr,
-        data_centre: &Arc<str>,
-    ) -> Option<Destination> {
+    #[must_use]
+    pub fn destination(&self, address: SocketAddr, data_centre: &Arc<str>) -> Option<Destination> {
         let is_remote = self.is_enabled && *data_centre != self.own;
         is_remote.then(|| Destination { address, data_centre: Arc::clone(data_centre) })
     }
@@ -145,7 +146,11 @@
     /// Makes an idempotent call, which may arrive several times. All attempts together take at most
     /// `timeout`, if `direct` does. `direct` is passed whether it probes the link, and then should
     /// be answered at once. `relayed` is passed the relay and its remaining time.
-    pub(crate) async fn call_idempotent<A, D, R>(
+    ///
+    /// # Errors
+    ///
+    /// [`Miss`] if no path has an answer.
+    pub async fn call_idempotent<A, D, R>(
         &self,
         to: &Destination,
         timeout: Duration,
@@ -182,7 +187,11 @@
 
     /// Makes a call that must not be repeated: by a relay if the link is broken, or else directly.
     /// `relayed` is passed the relay and its remaining time.
-    pub(crate) async fn call_once<A, R>(
+    ///
+    /// # Errors
+    ///
+    /// [`Miss`] if the path has no answer.
+    pub async fn call_once<A, R>(
         &self,
         to: &Destination,
         timeout: Duration,
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -33,7 +33,7 @@
 /// Processor capacity of a VM whose daemon is a candidate for ownership, and of one whose daemon is
 /// not while there are larger ones.
 const LARGE_MILLICORES: u32 = 250;
-const SMALL_MILLICORES: u32 = 120;
+pub(crate) const SMALL_MILLICORES: u32 = 120;
 /// Timeout of the callers' requests.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between checks whether a daemon is ready, and pause of reads that return no records.
@@ -135,7 +135,11 @@
     }
 
     fn decode_worker(&self, record: &Stored) -> Result<worker::Entry, DecodeError> {
-        self.log.decode_worker(record)
+        serde_json::from_slice(&record.value).map_err(|error| DecodeError {
+            key: record.key.clone(),
+            offset: record.offset,
+            detail: error.to_string(),
+        })
     }
 
     fn encode_wave_status(&self, wave: u64, state: WaveState) -> NewRecord {
@@ -270,16 +274,41 @@
 pub(crate) struct Daemon {
     store: Arc<FaultyStore>,
     handler: Arc<dyn Handler>,
+    /// Address for peers.
+    pub(crate) peers: SocketAddr,
+}
+
+/// What distinguishes a daemon from others of its test.
+#[derive(Debug)]
+pub(crate) struct Site {
+    pub(crate) fleet: Option<Arc<dyn Fleet>>,
+    pub(crate) millicores: u32,
+    pub(crate) data_centre: &'static str,
+    pub(crate) runner: Arc<dyn Runner>,
+    pub(crate) relays: bool,
+}
+
+impl Default for Site {
+    fn default() -> Self {
+        Self {
+            fleet: Some(Arc::new(FakeFleet::healthy(30))),
+            millicores: LARGE_MILLICORES,
+            data_centre: "a",
+            runner: Arc::new(NoWorkers),
+            relays: false,
+        }
+    }
 }
 
 impl Daemon {
     pub(crate) async fn start(name: &str, log: &Arc<MemoryStore>) -> Self {
-        Self::start_with(name, log, Some(Arc::new(FakeFleet::healthy(30)))).await
+        Self::start_on(name, log, Site::default()).await
     }
 
     /// Starts a daemon on a VM that is too small to own shards while there are large ones.
     pub(crate) async fn start_small(name: &str, log: &Arc<MemoryStore>) -> Self {
-        Self::start_on(name, log, Some(Arc::new(FakeFleet::healthy(30))), SMALL_MILLICORES).await
+        let site = Site { millicores: SMALL_MILLICORES, ..Site::default() };
+        Self::start_on(name, log, site).await
     }
 
     /// Starts a daemon with the given VM list; `None` if VMs are not managed.
@@ -288,19 +317,15 @@
         log: &Arc<MemoryStore>,
         fleet: Option<Arc<dyn Fleet>>,
     ) -> Self {
-        Self::start_on(name, log, fleet, LARGE_MILLICORES).await
+        Self::start_on(name, log, Site { fleet, ..Site::default() }).await
     }
 
-    async fn start_on(
-        name: &str,
-        log: &Arc<MemoryStore>,
-        fleet: Option<Arc<dyn Fleet>>,
-        millicores: u32,
-    ) -> Self {
+    pub(crate) async fn start_on(name: &str, log: &Arc<MemoryStore>, site: Site) -> Self {
+        let Site { fleet, millicores, data_centre, runner, relays } = site;
         let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
         let settings = Settings {
             name: name.into(),
-            data_centre: "a".into(),
+            data_centre: data_centre.into(),
             data_centres: BTreeSet::new(),
             millicores,
             callers: addresses[0],
@@ -320,7 +345,7 @@
             stop_grace: Duration::from_secs(6),
             costs: Costs::default(),
             failure_domains: FailureDomains::default(),
-            relays: false,
+            relays,
             admission: Admission::default(),
             entry: None,
         };
@@ -335,7 +360,7 @@
         });
         let ports = Ports {
             store: Arc::clone(&store) as Arc<dyn Store>,
-            runner: Arc::new(NoWorkers),
+            runner,
             fleet,
             advisor: None,
             serve_callers: register_handler,
@@ -350,7 +375,7 @@
                 .get(&addresses[0])
                 .cloned();
             if let Some(handler) = handler.filter(|handler| handler.is_ready()) {
-                return Self { store, handler };
+                return Self { store, handler, peers: addresses[2] };
             }
         }
     }
