Count what waiting tasks lack, in reports and in event=pool

Pools are sized by processor time alone, and nothing told whether a task that waits lacks cores, memory, accelerators, one worker with all of them, or a worker that may run it. The owner of a shard now counts it in each report, and the planner logs the counts with the free resources of the pool and the number of its usable VMs.

Counted when the report is made and not in the round of placement: rounds end early after 96 tasks without a worker, and skip tasks that a smaller one has covered, so that their counts would be those of the first tasks alone. The largest free amount of each resource settles most tasks by one comparison; the others search the workers once for all tasks with equal requirements, at most 64 searches a report. Members of a gang count as if placed alone.

Taken out one by one, each of these turns a test red: the filter of workers in service, the bound of searches, eligibility, the fit of all resources on one worker, memory, tasks blocked on quota.

--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -109,11 +109,24 @@
         self.logged_at = now;
         for (name, pool) in &view.pools {
             let Balance { size, target } = balances.get(name).copied().unwrap_or_default();
+            let usable = pool.vms.iter().filter(|vm| vm.usable);
+            let free = usable.clone().map(|vm| vm.capacity.minus(&vm.used));
+            let free = free.reduce(|sum, free| sum.plus(&free)).unwrap_or_default();
+            let lacks = pool.lacks;
             log::info!(
-                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={}",
+                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={} usable={} free_millis={} free_mb={} waiting_mb={} lacks_cpu={} lacks_memory={} lacks_gpus={} fragmented={} ineligible={}",
                 pool.running_millis,
                 pool.waiting_millis,
-                pool.blocked_millis
+                pool.blocked_millis,
+                usable.count(),
+                free.cpu_millis,
+                free.mem_mb,
+                pool.waiting.mem_mb,
+                lacks.cpu,
+                lacks.memory,
+                lacks.gpus,
+                lacks.fragmented,
+                lacks.ineligible
             );
         }
     }
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -19,6 +19,7 @@
 mod incarnations;
 pub mod job;
 mod jobs;
+mod lacks;
 pub mod lease;
 mod limits;
 mod losses;
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -39,7 +39,7 @@
     /// Resources that the task reserves on its worker.
     pub(crate) resources: Resources,
     /// Whether the task may run on any worker with enough free resources.
-    unconstrained: bool,
+    pub(crate) unconstrained: bool,
     gang: bool,
     /// Whether the job is over its customer's share, so that the task is placed after all tasks
     /// within their customers' shares.
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -38,21 +38,22 @@
     pub used: Resources,
 }
 
-/// What the tasks lacked for which the last placement round found no worker: number of tasks by the
-/// first reason that applies to all workers of the shard.
+/// What waiting tasks lack that no worker of the shard can take now: number of tasks by the first
+/// reason that applies. The workers are those that answer and are not to be vacated; members of a
+/// gang count as if each were placed alone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Lacks {
-    /// No usable worker has enough processor time left.
+    /// No worker has enough processor time left.
     pub cpu: u32,
-    /// Some usable worker has the processor time, but none of these has the memory.
+    /// Some worker has the processor time, but none has the memory.
     pub memory: u32,
-    /// No usable worker has enough accelerators left.
+    /// Some worker has the processor time and some has the memory, but none has the accelerators.
     pub gpus: u32,
-    /// Each resource is left on some usable worker, but all of them on none.
+    /// Each resource is left on some worker, but all of them on none.
     pub fragmented: u32,
     /// Workers with enough resources left may not run the task: because of its label, its maximum
-    /// of tasks per worker, or a worker that is quarantined, leaving or isolated.
+    /// of tasks per worker, or a worker that is quarantined or isolated.
     pub ineligible: u32,
 }
 
@@ -92,7 +93,7 @@
     /// not tell them.
     #[serde(default)]
     pub waiting: Resources,
-    /// What the tasks lack that found no worker.
+    /// What the tasks lack that no worker can take; zero in reports of daemons that do not tell it.
     #[serde(default)]
     pub lacks: Lacks,
 }
@@ -143,6 +144,7 @@
         pool.unplaced_millis = if self.waiting.is_empty() { 0 } else { self.unplaced_millis };
         pool.unplaced_long_running =
             if self.waiting.is_empty() { 0 } else { self.unplaced_long_running };
+        pool.lacks = self.count_lacks(now);
         pool.min_vms = self.min_vms();
         pool.priority = self.priority();
         pool
--- a/crates/crosspath_schedule/tests/schedule/limits.rs
+++ b/crates/crosspath_schedule/tests/schedule/limits.rs
@@ -7,6 +7,7 @@
 use crosspath_job::record::{Accepted, Record};
 use crosspath_job::spec::Resources;
 use crosspath_quota::{Ledger, Limits, Request};
+use crosspath_schedule::report::Lacks;
 use crosspath_schedule::{Action, Event};
 
 use crate::common::{Harness, JOB, Order, accepted, committed_records, ended, ms, step};
@@ -122,6 +123,17 @@
     assert_eq!((report.waiting_millis, report.unplaced_millis), (0, 0));
 }
 
+#[test]
+fn tasks_blocked_on_quota_lack_no_resource() {
+    let mut harness = harness(4);
+    harness.send(Event::Accepted(JOB, job_of("water", 5)));
+    // The tasks of the higher identifier are placed after those that are blocked.
+    harness.send(Event::Accepted(JobId(u64::MAX), accepted(vec![step(16, 4)])));
+    assert_eq!(harness.take_starts().len(), 16, "both workers are full");
+    let lacks = harness.scheduler.report(harness.now).lacks;
+    assert_eq!(lacks, Lacks::default());
+}
+
 /// A new owner may take over the shard before it has read the configuration.
 #[test]
 fn nothing_of_a_customer_starts_before_maxima_are_known() {
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -8,6 +8,7 @@
 mod failed_runs;
 mod incarnations;
 mod job_spec;
+mod lacks;
 mod limits;
 mod long_running;
 mod losses;
