Place brief tasks on warm workers first, and size pools by what cold ones give

Workers tell how long they are still slow after their start, and nothing read it; after an evacuation all workers of a data centre may be cold at once. The owner of a shard now keeps the end of each worker's warm-up, corrected by the worker's clock in replies to polls. Finite tasks go to warm workers; a cold one takes them if the job can still end in time there, if it is late already, or if no warm worker serves the shard. Long-running tasks start anywhere. Reports tell the part of each VM that is not given yet, and the planner counts a pool without it. A worker that tells no warm-up is warm, so that nothing changes where workers say nothing.

An entry of which only the remaining time has passed is no change any more, else each write of a cold worker would reach all owners.

Weighed: a smaller free capacity of cold workers, which would differ from what the platform accounts for; a setting for how slow they are, left out until a deployment shows it. The assumed half of the capacity at the start is chosen, not measured.

The metric has no test.

--- a/crates/crosspath_border/src/worker.rs
+++ b/crates/crosspath_border/src/worker.rs
@@ -43,11 +43,33 @@
     pub warm_up_ms: u64,
 }
 
+/// Difference up to which the ends of the warm-up in two entries of a worker are the same: a worker
+/// reads its clock and the remaining time at slightly different moments.
+const WARM_UP_END_TOLERANCE_MS: u64 = 500;
+
 impl Entry {
-    /// Whether both entries are equal apart from the time at which they were written.
+    /// Whether both entries are equal apart from the time at which they were written. The remaining
+    /// time of the warm-up is compared by its end.
     #[must_use]
     pub fn eq_ignoring_clock(&self, other: &Self) -> bool {
-        Self { clock_ms: other.clock_ms, ..self.clone() } == *other
+        let (clock_ms, warm_up_ms) = (other.clock_ms, other.warm_up_ms);
+        self.has_same_warm_up(other) && Self { clock_ms, warm_up_ms, ..self.clone() } == *other
+    }
+
+    /// End of the warm-up on the worker's clock in ms; `None` if the worker is warm.
+    #[must_use]
+    pub fn warm_up_end_ms(&self) -> Option<u64> {
+        (self.warm_up_ms > 0).then(|| self.clock_ms.saturating_add(self.warm_up_ms))
+    }
+
+    fn has_same_warm_up(&self, other: &Self) -> bool {
+        match (self.warm_up_end_ms(), other.warm_up_end_ms()) {
+            (None, None) => true,
+            // Without a clock the end is not known; that the worker is cold has not changed.
+            (Some(_), Some(_)) if self.clock_ms == 0 || other.clock_ms == 0 => true,
+            (Some(end), Some(other)) => end.abs_diff(other) <= WARM_UP_END_TOLERANCE_MS,
+            _ => false,
+        }
     }
 }
 
--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -21,8 +21,11 @@
 /// Current and target number of VMs of a pool.
 #[derive(Debug, Clone, Copy, Default)]
 struct Balance {
+    /// Number of VMs, less what their workers do not give yet while they are warming up.
     size: u32,
     target: u32,
+    /// Sum of the percentages that the workers of the pool do not give yet.
+    cold_percent: u32,
 }
 
 impl Balance {
@@ -108,13 +111,14 @@
         }
         self.logged_at = now;
         for (name, pool) in &view.pools {
-            let Balance { size, target } = balances.get(name).copied().unwrap_or_default();
+            let Balance { size, target, cold_percent } =
+                balances.get(name).copied().unwrap_or_default();
             let usable = pool.vms.iter().filter(|vm| vm.usable);
             let free = usable.clone().map(|vm| vm.capacity.minus(&vm.used));
             let free = free.reduce(|sum, free| sum.plus(&free)).unwrap_or_default();
             let lacks = pool.lacks;
             log::info!(
-                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={} usable={} free_millis={} free_mb={} waiting_mb={} lacks_cpu={} lacks_memory={} lacks_gpus={} fragmented={} ineligible={}",
+                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={} usable={} free_millis={} free_mb={} waiting_mb={} cold_percent={cold_percent} lacks_cpu={} lacks_memory={} lacks_gpus={} fragmented={} ineligible={}",
                 pool.running_millis,
                 pool.waiting_millis,
                 pool.blocked_millis,
@@ -168,8 +172,12 @@
             }
             if let Some(balance) = balances.get_mut(pool) {
                 balance.size += 1;
+                balance.cold_percent += index.reported(vm).map_or(0, |vm| vm.cold_percent);
             }
         }
+        for balance in balances.values_mut() {
+            balance.size = balance.size.saturating_sub(balance.cold_percent / 100);
+        }
         balances
     }
 
@@ -189,7 +197,7 @@
         let assignable = index.vms().iter().filter(|vm| self.is_assignable(vm, &requests, view));
         let total = u32::try_from(assignable.count()).unwrap_or(u32::MAX);
         let allocated = allocate(&requests, total).into_iter();
-        allocated.map(|(pool, target)| (pool, Balance { size: 0, target })).collect()
+        allocated.map(|(pool, target)| (pool, Balance { target, ..Balance::default() })).collect()
     }
 
     /// Whether the VM counts towards the total that is allocated: it is in a pool with a request or
--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -57,6 +57,8 @@
     pub(crate) long_running_millis: BTreeMap<Arc<str>, u64>,
     down_until: BTreeMap<Arc<str>, Duration>,
     pub(crate) orders: Vec<(Duration, Arc<str>, Order)>,
+    /// Percentage of its capacity that each cold VM does not give yet.
+    pub(crate) cold_percent: BTreeMap<Arc<str>, u32>,
     /// Whether orders are carried out but their answers are lost.
     pub(crate) drop_answers: bool,
     /// VMs examined in the last round, counting repeats.
@@ -83,6 +85,7 @@
             long_running_millis: BTreeMap::new(),
             down_until: BTreeMap::new(),
             orders: Vec::new(),
+            cold_percent: BTreeMap::new(),
             drop_answers: false,
             vm_visits: 0,
         }
@@ -119,6 +122,7 @@
                 long_running: self.long_running.get(&vm.name).copied().unwrap_or(0),
                 usable: true,
                 confirmed: true,
+                cold_percent: self.cold_percent.get(&vm.name).copied().unwrap_or(0),
                 ..report::Vm::default()
             }
         });
--- a/crates/crosspath_fleet/tests/fleet/moves.rs
+++ b/crates/crosspath_fleet/tests/fleet/moves.rs
@@ -218,3 +218,21 @@
         assert!(ordered as f64 <= rate, "{ordered} orders within a second of {at:?}");
     }
 }
+
+/// After an evacuation all workers of a data centre are cold at once, and a pool on them does not
+/// do the work of as many warm ones.
+#[test]
+fn a_pool_on_cold_vms_gets_vms_for_what_they_do_not_give_yet() {
+    let sizes = [0, 50].map(|cold_percent| {
+        let mut harness = harness();
+        for n in 0..8 {
+            harness.cold_percent.insert(format!("c{n}").as_str().into(), cold_percent);
+            harness.tasks.insert(format!("c{n}").as_str().into(), 20);
+        }
+        for _ in 0..30 {
+            harness.round();
+        }
+        harness.pool_size("counter")
+    });
+    assert_eq!(sizes, [8, 12], "eight VMs at half their capacity lack four");
+}
--- a/crates/crosspath_node/src/daemon.rs
+++ b/crates/crosspath_node/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::member::Member;
 use crate::node::{Node, Parts};
 use crate::settings::Settings;
+use crate::shard::Handle;
 use crate::{clock, config_sync, feed, map, membership, rpc, workers};
 
 /// Time from reporting unready until no more connections are accepted. The balancer probes
@@ -147,6 +148,8 @@
 
 async fn serve_metrics(listener: TcpListener, stop: watch::Receiver<Stage>, node: Arc<Node>) {
     server::serve(listener, Limits::default(), stop, move |_, _| {
+        let cold_workers = node.owned().values().map(Handle::cold_workers).sum();
+        node.metrics.set_cold_workers(cold_workers);
         let text = node.metrics.encode();
         async move { Response::new(body::full(text)) }
     })
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
@@ -45,6 +46,7 @@
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     latency: Family<Labels, Histogram, fn() -> Histogram>,
+    cold_workers: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -57,7 +59,10 @@
         let mut registry = Registry::with_prefix("crosspath");
         let help = "Time from a caller's request to its answer, by call and queue";
         registry.register_with_unit("call_latency", help, Unit::Seconds, latency.clone());
-        Self { registry: Mutex::new(registry), latency }
+        let cold_workers = Gauge::default();
+        let help = "Listed workers of this daemon's shards that are warming up";
+        registry.register("cold_workers", help, cold_workers.clone());
+        Self { registry: Mutex::new(registry), latency, cold_workers }
     }
 }
 
@@ -68,6 +73,11 @@
         self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
     }
 
+    /// Sets the number of workers of this daemon's shards that are warming up.
+    pub(crate) fn set_cold_workers(&self, workers: usize) {
+        self.cold_workers.set(i64::try_from(workers).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics; on an error, the text ends where encoding failed.
     pub(crate) fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -123,6 +123,12 @@
         scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.queued_jobs(queue))
     }
 
+    /// Number of listed workers that are warming up; 0 while the shard is being taken over.
+    pub(crate) fn cold_workers(&self) -> usize {
+        let now = clock::now();
+        scheduler(&self.scheduler).as_ref().map_or(0, |scheduler| scheduler.cold_workers(now))
+    }
+
     /// Whether some task waits for a worker with enough free resources.
     pub(crate) fn lacks_workers(&self) -> bool {
         scheduler(&self.scheduler).as_ref().is_some_and(Scheduler::lacks_workers)
--- a/crates/crosspath_node/tests/node/directory.rs
+++ b/crates/crosspath_node/tests/node/directory.rs
@@ -68,3 +68,29 @@
     apply(&mut directory, &[stored("i-1", VALID)], true);
     assert!(apply(&mut directory, &[stored("i-1", VALID)], false).is_empty());
 }
+
+/// Otherwise each write of each cold worker would reach all owners as a change.
+#[test]
+fn a_warm_up_that_passes_is_no_change_and_its_end_is_one() {
+    let entry = |clock_ms, warm_up_ms| {
+        let read = move |record: &Stored| Ok(Entry { clock_ms, warm_up_ms, ..read(record)? });
+        move |directory: &mut Directory| {
+            directory.apply_records(&[stored("i-1", VALID)], false, read).len()
+        }
+    };
+    let mut directory = Directory::default();
+    let writes = [
+        (1_000, 5_000, 1, "the worker is new"),
+        (2_500, 3_500, 0, "the same end"),
+        (4_000, 2_300, 0, "the same end but for the tolerance"),
+        (4_500, 4_500, 1, "a later end"),
+        (6_000, 3_000, 0, "the same end"),
+        (9_000, 0, 1, "warm"),
+        (10_500, 0, 0, "still warm"),
+        (0, 3_000, 1, "cold again, without a clock"),
+        (0, 1_500, 0, "the end is not known"),
+    ];
+    for (clock_ms, warm_up_ms, changes, case) in writes {
+        assert_eq!(entry(clock_ms, warm_up_ms)(&mut directory), changes, "{case}");
+    }
+}
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -35,6 +35,7 @@
 mod throttle;
 mod tickets;
 mod vacate;
+pub mod warm_up;
 mod worker;
 
 pub use action::Action;
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -11,6 +11,7 @@
 use crate::job::{Job, Phase, Run, Task};
 use crate::losses;
 use crate::scheduler::Scheduler;
+use crate::warm_up::cold_cost;
 use crate::worker::{QUARANTINE_THRESHOLD, Worker};
 
 /// Maximum fraction of the shard's workers that may be quarantined for what they did to earlier
@@ -133,6 +134,7 @@
         self.update_quarantine(now);
         self.recount_usage(now);
         self.reserve_for_isolation(now);
+        self.count_cold_workers(now);
         let (over_share, within_share): (Vec<_>, Vec<Key>) =
             self.waiting.iter().copied().partition(|key| key.over_share);
         let (late, timely): (Vec<_>, Vec<Key>) =
@@ -298,6 +300,7 @@
             .filter(|worker| {
                 resources.fits(&worker.free()) && self.is_eligible(now, worker, id, step)
             })
+            .filter(|worker| !self.should_wait_for_warm_up(now, worker, id, step))
             .filter(|worker| {
                 if isolated {
                     self.can_isolate(worker)
@@ -363,6 +366,7 @@
             + worker.suspicion_at(now) * 2.0
             + if separate { 1.0 - free } else { free }
             + SUSPECT_WEIGHT * worker.suspect_runs.len() as f64
+            + cold_cost(now, worker, step)
     }
 
     /// Whether the step would put best-effort runs and runs with a tail latency target on the same
--- a/crates/crosspath_schedule/src/polls.rs
+++ b/crates/crosspath_schedule/src/polls.rs
@@ -50,6 +50,7 @@
             worker.listed = true;
             let started_ms = entry.started_ms.max(worker.entry.started_ms);
             worker.entry = Entry { started_ms, ..entry };
+            worker.read_warm_up(now);
             return;
         }
         log::info!(
@@ -61,6 +62,7 @@
         let (id, clock_ms) = (Arc::clone(&entry.id), entry.clock_ms);
         let new_worker = Arc::clone(&id);
         let mut worker = Worker::new(entry);
+        worker.read_warm_up(now);
         // Previous owners may have granted leases on this worker.
         worker.inherit_lease(self.recovery.pending_until());
         self.actions.push(Action::StartPolling { worker: worker.target(), clock_ms });
@@ -205,6 +207,7 @@
         worker.failures = 0;
         worker.synced = true;
         worker.last_answered_poll = worker.last_answered_poll.max(sent);
+        worker.correct_warm_up(now, reply.clock_ms);
         if extended {
             worker.extend_lease(terms.latest_expiry(sent, terms.extension));
         }
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -36,6 +36,10 @@
     /// Resources reserved by runs; zero in reports of daemons that do not tell them.
     #[serde(default)]
     pub used: Resources,
+    /// Percentage of the capacity that the worker does not give yet, as it is warming up; 0 if it is
+    /// warm, and in reports of daemons that do not tell it.
+    #[serde(default)]
+    pub cold_percent: u32,
 }
 
 /// What waiting tasks lack that no worker of the shard can take now: number of tasks by the first
@@ -129,6 +133,7 @@
                 confirmed: worker.is_answering() && worker.ends_seen == worker.ends_acknowledged,
                 capacity: worker.entry.capacity,
                 used: worker.reserved,
+                cold_percent: worker.cold_percent(now),
             });
         }
         for key in &self.waiting {
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::shares::Shares;
 use crate::takeover::Recovery;
 use crate::tickets::Tickets;
+use crate::warm_up::Temperature;
 use crate::worker::Worker;
 
 /// Number of waiting tasks above which there is a backlog.
@@ -69,6 +70,8 @@
     pub(crate) evacuated: Arc<BTreeSet<Arc<str>>>,
     /// Whether the set of evacuated data centres is recent enough to start tasks by it.
     pub(crate) may_start: bool,
+    /// Cold workers in the last placement round.
+    pub(crate) temperature: Temperature,
     /// Workers that accept only isolated tasks.
     pub(crate) reserved_for_isolation: BTreeSet<Arc<str>>,
     /// Whether an isolated task was waiting in the last placement round.
@@ -115,6 +118,7 @@
             vms_to_vacate: BTreeSet::new(),
             evacuated: Arc::default(),
             may_start: true,
+            temperature: Temperature::default(),
             reserved_for_isolation: BTreeSet::new(),
             isolation_pending: false,
             may_act: true,
@@ -230,7 +234,7 @@
                 self.review_due = true;
                 // Runs leave probation as time passes, and an isolated task starts only beside runs
                 // that have left it.
-                self.placement_due |= self.isolation_pending;
+                self.placement_due |= self.isolation_pending || self.may_wait_for_warm_up();
                 self.unblock_due_steps(now, wall_ms);
                 self.release_expired(now);
                 self.remove_ended_jobs(now);
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -10,6 +10,7 @@
 
 use crate::incarnations;
 use crate::losses;
+use crate::warm_up::WarmUp;
 
 /// Worker: one incarnation of a VM.
 #[derive(Debug)]
@@ -46,6 +47,8 @@
     pub(crate) suspicion_updated: Duration,
     /// Runs on probation of tasks that are to be separated, and whether each is to be isolated.
     pub(crate) suspect_runs: BTreeMap<(TaskId, u64), bool>,
+    /// Warm-up after the start of the worker.
+    pub(crate) warm_up: WarmUp,
     /// Runs with an order that got no answer, until its effect is ruled out.
     pub(crate) unanswered: BTreeSet<(TaskId, u64)>,
 }
@@ -75,6 +78,7 @@
             suspicion: 0.0,
             suspicion_updated: Duration::ZERO,
             suspect_runs: BTreeMap::new(),
+            warm_up: WarmUp::default(),
             unanswered: BTreeSet::new(),
         }
     }
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -18,3 +18,4 @@
 mod stall;
 mod takeover;
 mod unconfirmed;
+mod warm_up;
