--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod paths;
+mod shards;
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 
 use self::fleet::FleetMetrics;
 pub use self::paths::PathMetrics;
+use self::shards::ShardMetrics;
 
 /// Number of latency buckets. Their bounds double from 1 ms to about 8 s.
 const BUCKET_COUNT: u16 = 14;
@@ -55,6 +57,8 @@
     pub(crate) paths: PathMetrics,
     /// Metrics of the fleet; none unless this daemon owns it.
     pub(crate) fleet: FleetMetrics,
+    /// Metrics of the shards that this daemon owns.
+    pub(crate) shards: ShardMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -71,7 +75,9 @@
         paths.register(&mut registry);
         let fleet = FleetMetrics::default();
         fleet.register(&mut registry);
-        Self { registry: Mutex::new(registry), latency, paths, fleet }
+        let shards = ShardMetrics::default();
+        shards.register(&mut registry);
+        Self { registry: Mutex::new(registry), latency, paths, fleet, shards }
     }
 }
 
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -20,6 +20,7 @@
 mod incarnations;
 pub mod job;
 mod jobs;
+mod lacks;
 pub mod lease;
 mod limits;
 mod losses;
@@ -35,6 +36,7 @@
 mod throttle;
 mod tickets;
 mod vacate;
+pub mod warm_up;
 mod worker;
 
 pub use action::Action;
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -12,6 +12,7 @@
 use crate::job::{Job, Phase, Run, Task};
 use crate::losses;
 use crate::scheduler::Scheduler;
+use crate::warm_up::cold_cost;
 use crate::worker::{QUARANTINE_THRESHOLD, Worker};
 
 /// Maximum fraction of the shard's workers that may be quarantined for what they did to earlier
@@ -78,7 +79,7 @@
     /// Resources that the task reserves on its worker.
     pub(crate) resources: Resources,
     /// Whether the task may run on any worker with enough free resources.
-    unconstrained: bool,
+    pub(crate) unconstrained: bool,
     gang: bool,
     /// Whether the job is over its customer's share, so that the task is placed after all tasks
     /// within their customers' shares.
@@ -172,6 +173,7 @@
         self.update_quarantine(now);
         self.recount_usage(now);
         self.reserve_for_isolation(now);
+        self.count_cold_workers(now);
         let (over_share, within_share): (Vec<_>, Vec<Key>) =
             self.waiting.iter().copied().partition(|key| key.over_share);
         let (late, timely): (Vec<_>, Vec<Key>) =
@@ -337,6 +339,7 @@
             .filter(|worker| {
                 resources.fits(&worker.free()) && self.is_eligible(now, worker, id, step)
             })
+            .filter(|worker| !self.should_wait_for_warm_up(now, worker, id, step))
             .filter(|worker| {
                 if isolated {
                     self.can_isolate(worker)
@@ -407,6 +410,7 @@
             + worker.suspicion_at(now) * 2.0
             + if separate { 1.0 - free } else { free }
             + SUSPECT_WEIGHT * worker.suspect_runs.len() as f64
+            + cold_cost(now, worker, step)
     }
 
     /// Where the other runs of the task's step are, and the best domain among the candidates.
