--- a/crates/crosspath/src/commands/trace/summary.rs
+++ b/crates/crosspath/src/commands/trace/summary.rs
@@ -39,6 +39,8 @@
     other: u64,
     longest_run_ms: u64,
     longest_wait: Option<Wait>,
+    /// Number of starts that went by each relay.
+    relays: BTreeMap<String, u64>,
 }
 
 /// Summary of a job.
@@ -80,16 +82,19 @@
 
 impl Step {
     fn text(&self) -> String {
-        let Self { name, placed, done, other, longest_run_ms, .. } = self;
+        let Self { name, placed, done, other, longest_run_ms, relays, .. } = self;
         let wait = match self.longest_wait {
             Some(Wait { ms, cause }) if ms >= NOTABLE_WAIT_MS => {
                 format!("longest wait {ms} ms ({})", cause.text())
             }
             _ => "no wait".to_owned(),
         };
+        let by_relay =
+            |(relay, starts): (&String, &u64)| format!("; {starts} starts by relay {relay}");
+        let relayed: String = relays.iter().map(by_relay).collect();
         format!(
             "step {name}: {placed} runs placed, {done} done, {other} otherwise; {wait}; longest run \
-             {longest_run_ms} ms"
+             {longest_run_ms} ms{relayed}"
         )
     }
 }
@@ -123,6 +128,10 @@
                 step.longest_wait = Some(Wait { ms, cause: wait_cause(lines, line, ms) });
             }
         }
+        if line.is_event("start_relayed") {
+            let relay = line.value("relay").unwrap_or("unknown").to_owned();
+            *step.relays.entry(relay).or_default() += 1;
+        }
         if line.is_event("run_ended") && line.value("how") == Some("Done") {
             step.done += 1;
             step.longest_run_ms = step.longest_run_ms.max(line.number("took_ms"));
--- a/crates/crosspath/tests/cli/trace.rs
+++ b/crates/crosspath/tests/cli/trace.rs
@@ -98,3 +98,16 @@
                    taken over)";
     assert_eq!(text.lines().next(), Some(verdict));
 }
+
+#[test]
+fn a_summary_names_the_relays_by_which_starts_went() {
+    let output = trace("00000000000000e5", &["entry-e.log"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(
+        text.lines().nth(1),
+        Some(
+            "step 0.0: 2 runs placed, 1 done, 0 otherwise; no wait; longest run 500 ms; 1 starts by \
+             relay 10.2.0.4:7740"
+        )
+    );
+}
