A link counts as broken only once a relay reached a silent address

Calls to two addresses without an answer had been enough. Now such an address only raises suspicion, and the next idempotent call, or the one that failed, also takes a relay. If that is answered for the address, the link is broken; if relays reach nothing there for 1.2 s either, the data centre is lost.

--- a/crates/crosspath_path/src/link.rs
+++ b/crates/crosspath_path/src/link.rs
@@ -1,16 +1,21 @@
 //! State of the link from this daemon's data centre to another one.
 //!
-//! The evidence is passive: the results of calls that are made anyway. One address that fails may
-//! be down itself, so a link counts as broken only if calls to two addresses failed without an
-//! answer from any other, or if a relay reached an address that did not answer directly. If relays
-//! reach nothing in the data centre either, it is lost as a whole, and relays are not used.
+//! The evidence is passive: the results of calls that are made anyway. An address that does not
+//! answer may be down itself, so it only raises suspicion. A link counts as broken once a relay has
+//! reached an address that did not answer directly. If relays reach nothing in the data centre
+//! either, it is lost as a whole, and relays are not used.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Number of addresses without an answer that show a fault of more than one VM.
-const MIN_FAILED_ADDRESSES: usize = 2;
+/// Number of addresses unreached by relays that show a fault of more than one VM.
+const MIN_UNREACHED_ADDRESSES: usize = 2;
+/// Time without any answer from a data centre, directly or by a relay, after which it is lost.
+/// Workers that are polled answer once a second.
+const LOSS_DELAY: Duration = Duration::from_millis(1_200);
+/// Maximum number of addresses that are remembered for a link.
+const MAX_ADDRESSES: usize = 16;
 /// Interval between direct attempts while the link is broken, so that its recovery is noticed
 /// within a second.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -70,9 +75,11 @@
     state: State,
     /// Time of the latest answer to a direct call.
     answered_at: Duration,
+    /// Time of the latest answer by a relay.
+    relay_answered_at: Duration,
     /// Addresses whose direct calls had no answer, all sent after `answered_at`.
     failed: BTreeSet<SocketAddr>,
-    /// Addresses that relays did not reach since one last reached any.
+    /// Addresses that relays did not reach since any address was reached.
     unreached: BTreeSet<SocketAddr>,
     /// Time of the last break.
     broken_at: Duration,
@@ -114,42 +121,42 @@
         if self.state == State::Suspect || shows_recovery {
             self.state = State::Up;
             self.failed.clear();
+            self.unreached.clear();
         }
     }
 
     /// Records that a direct call to `address` had no answer.
-    pub fn direct_failed(&mut self, now: Duration, sent: Duration, address: SocketAddr) {
+    pub fn direct_failed(&mut self, sent: Duration, address: SocketAddr) {
         // If another call was answered meanwhile, the fault is one of the address.
         let is_isolated = sent <= self.answered_at;
         if is_isolated || matches!(self.state, State::Broken | State::Lost) {
             return;
         }
         self.state = State::Suspect;
-        self.failed.insert(address);
-        if self.failed.len() >= MIN_FAILED_ADDRESSES {
-            self.break_off(now);
-        }
+        remember(&mut self.failed, address);
     }
 
     /// Records that a relay reached `address`.
     pub fn relay_answered(&mut self, now: Duration, address: SocketAddr) {
+        self.relay_answered_at = now;
         self.unreached.clear();
         match self.state {
             State::Suspect if self.failed.contains(&address) => self.break_off(now),
-            State::Lost => self.state = State::Broken,
+            State::Lost => self.break_off(now),
             State::Up | State::Suspect | State::Broken => {}
         }
     }
 
     /// Records that a relay, which itself answered, did not reach `address`.
-    pub fn relay_failed(&mut self, address: SocketAddr) {
-        if self.state != State::Broken {
+    pub fn relay_failed(&mut self, now: Duration, address: SocketAddr) {
+        if !matches!(self.state, State::Suspect | State::Broken) {
             return;
         }
-        self.unreached.insert(address);
-        if self.unreached.len() >= MIN_FAILED_ADDRESSES {
-            self.unreached.clear();
+        remember(&mut self.unreached, address);
+        let is_silent = now >= self.answered_at.max(self.relay_answered_at) + LOSS_DELAY;
+        if is_silent && self.unreached.len() >= MIN_UNREACHED_ADDRESSES {
             self.state = State::Lost;
+            self.next_probe = now + LOST_PROBE_INTERVAL;
         }
     }
 
@@ -159,7 +166,6 @@
         self.breaks = self.breaks.saturating_sub(decayed) + 1;
         self.state = State::Broken;
         self.failed.clear();
-        self.unreached.clear();
         self.broken_at = now;
         self.next_probe = now + PROBE_INTERVAL;
     }
@@ -170,3 +176,9 @@
         MIN_HOLD_DOWN * 2_u32.pow(doublings)
     }
 }
+
+fn remember(addresses: &mut BTreeSet<SocketAddr>, address: SocketAddr) {
+    if addresses.len() < MAX_ADDRESSES {
+        addresses.insert(address);
+    }
+}
--- a/crates/crosspath_path/src/links.rs
+++ b/crates/crosspath_path/src/links.rs
@@ -129,7 +129,7 @@
             if answered {
                 link.direct_answered(now, sent);
             } else {
-                link.direct_failed(now, sent, address);
+                link.direct_failed(sent, address);
             }
         })
     }
@@ -146,7 +146,7 @@
             if answered {
                 link.relay_answered(now, address);
             } else {
-                link.relay_failed(address);
+                link.relay_failed(now, address);
             }
         })
     }
