An owner that reaches only the store gives its shards back

A daemon that is cut off from all peers and workers, directly and by relays, goes on joining the group, which leaves it its shards. It now leaves the group once nobody has answered for 1 s and then, while the group keeps its members, for the TTL and 0.4 s more; it joins again once a peer answers, after 3 s at least, doubled with each recent departure. If nobody is left in the group it joins after that time.

Weighed: counting from the last answer alone (after the end of all other owners at once the remaining one would leave before the group removes them). On with the setting relays.

--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -21,6 +21,7 @@
 mod gateway;
 pub mod handover;
 mod inputs;
+pub mod isolation;
 pub mod listing;
 pub mod map;
 pub mod member;
--- a/crates/crosspath_node/src/membership.rs
+++ b/crates/crosspath_node/src/membership.rs
@@ -14,6 +14,7 @@
 use crate::candidacy::Candidacy;
 use crate::clock;
 use crate::handover;
+use crate::isolation::{Isolation, Observation, Step};
 use crate::member::Member;
 use crate::node::Node;
 use crate::outage::Survey;
@@ -41,6 +42,8 @@
 /// group.
 const HOLDERS_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Interval between reads of the holders of shards by a daemon that is isolated from the others.
+const AWAY_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between reads of the holders of shards by a daemon that is no candidate. Long, since
 /// there are many such daemons. A former holder says that it is not the owner, or does not answer,
 /// and either triggers a read.
@@ -60,12 +63,18 @@
         suspect_backoff: Backoff::new(backoff::OWNER_CALLS),
         node: Arc::clone(&node),
     };
+    let mut isolation = Isolation::new(session.ttl);
     while !node.is_stopping() {
-        if candidacy.is_candidate() {
+        if isolation.is_away() {
+            session.stay_away().await;
+        } else if candidacy.is_candidate() {
             session.join().await;
         } else {
             session.follow_holders().await;
         }
+        if node.settings.relays {
+            session.review_isolation(&mut isolation).await;
+        }
         let Some(owners) = node.owners() else { continue };
         if !candidacy.observe(clock::now(), &owners) {
             continue;
@@ -171,6 +180,45 @@
         }
     }
 
+    /// Reads the holders of shards while this daemon is out of the group, and pauses.
+    async fn stay_away(&mut self) {
+        let reading = refresh_holders(Arc::clone(&self.node));
+        if tokio::time::timeout(CALL_TIMEOUT, reading).await.is_err() {
+            log::info!("event=holders_unread error=\"no answer within {CALL_TIMEOUT:?}\"");
+        }
+        tokio::time::sleep(AWAY_INTERVAL).await;
+    }
+
+    /// Gives the shards back if this daemon reaches nobody but the store.
+    async fn review_isolation(&mut self, isolation: &mut Isolation) {
+        let node = Arc::clone(&self.node);
+        let others = node.other_owners();
+        // During an outage of the store nobody can take the shards over.
+        let is_member = clock::now() < node.member_status().member_until;
+        let mut seen = Observation {
+            answered_at: node.peers.answered_at(),
+            peers_silent: false,
+            others: others.len(),
+            generation: self.generation,
+            owns_shards: is_member && !node.owned().is_empty(),
+        };
+        if isolation.needs_survey(clock::now(), &seen) {
+            let calls =
+                others.iter().map(|address| node.peers.call(*address, &Request::Incarnation));
+            seen.peers_silent = join_all(calls).await.iter().all(Result::is_err);
+            seen.answered_at = node.peers.answered_at();
+        }
+        let quiet = clock::now().saturating_sub(seen.answered_at);
+        match isolation.observe(clock::now(), &seen) {
+            Some(Step::Leave) => {
+                log::info!("event=isolated others={} quiet_ms={}", seen.others, quiet.as_millis());
+                self.resign().await;
+            }
+            Some(Step::Rejoin) => log::info!("event=isolation_ended others={}", seen.others),
+            None => {}
+        }
+    }
+
     /// Leaves the group, so that others take over the shards that this daemon owned.
     async fn resign(&mut self) {
         self.node.update_member_status(|status| status.member_until = Duration::ZERO);
--- a/crates/crosspath_node/src/routed_runner.rs
+++ b/crates/crosspath_node/src/routed_runner.rs
@@ -34,6 +34,19 @@
         Self { direct, peers }
     }
 
+    /// Separates answers of the worker, which may be errors, from calls without an answer.
+    fn attempt<T>(&self, answer: Result<T, Error>) -> Result<Result<T, Error>, Miss> {
+        let miss = match answer {
+            Err(Error::NotReached) => Miss::NotReached,
+            Err(Error::NoAnswer) => Miss::NoAnswer,
+            answer => {
+                self.peers.record_answer();
+                return Ok(answer);
+            }
+        };
+        Err(miss)
+    }
+
     async fn forward<T>(
         &self,
         relay: SocketAddr,
@@ -48,15 +61,6 @@
     }
 }
 
-/// Separates answers of the worker, which may be errors, from calls without an answer.
-fn attempt<T>(answer: Result<T, Error>) -> Result<Result<T, Error>, Miss> {
-    match answer {
-        Err(Error::NotReached) => Err(Miss::NotReached),
-        Err(Error::NoAnswer) => Err(Miss::NoAnswer),
-        answer => Ok(answer),
-    }
-}
-
 fn answer<T>(result: Result<Result<T, Error>, Miss>) -> Result<T, Error> {
     result.unwrap_or_else(|miss| match miss {
         Miss::NotReached => Err(Error::NotReached),
@@ -71,7 +75,7 @@
 #[async_trait]
 impl Runner for RoutedRunner {
     async fn start(&self, target: &Target, start: &Start) -> Result<Timestamped<Started>, Error> {
-        let direct = async { attempt(self.direct.start(target, start).await) };
+        let direct = async { self.attempt(self.direct.start(target, start).await) };
         let paths = self.peers.paths();
         let Some(to) = paths.destination(target.address, &target.data_centre) else {
             return answer(direct.await);
@@ -101,7 +105,7 @@
         run: u64,
         token: u64,
     ) -> Result<Timestamped<()>, Error> {
-        let direct = async { attempt(self.direct.stop(target, task, run, token).await) };
+        let direct = async { self.attempt(self.direct.stop(target, task, run, token).await) };
         let paths = self.peers.paths();
         let Some(to) = paths.destination(target.address, &target.data_centre) else {
             return answer(direct.await);
@@ -116,7 +120,7 @@
     async fn poll(&self, target: &Target, poll: &Poll) -> Result<PollReply, Error> {
         let direct = |is_probe: bool| async move {
             let wait = if is_probe { Duration::ZERO } else { poll.wait };
-            attempt(self.direct.poll(target, &Poll { wait, ..*poll }).await)
+            self.attempt(self.direct.poll(target, &Poll { wait, ..*poll }).await)
         };
         let paths = self.peers.paths();
         let Some(to) = paths.destination(target.address, &target.data_centre) else {
@@ -143,7 +147,7 @@
         token: u64,
     ) -> Result<Timestamped<()>, Error> {
         let direct =
-            async { attempt(self.direct.throttle(target, task, run, percent, token).await) };
+            async { self.attempt(self.direct.throttle(target, task, run, percent, token).await) };
         let paths = self.peers.paths();
         let Some(to) = paths.destination(target.address, &target.data_centre) else {
             return answer(direct.await);
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -144,17 +145,38 @@
 pub(crate) struct Peers {
     clients: Mutex<HashMap<SocketAddr, Client>>,
     paths: Paths,
+    /// Time of the last answer of a peer or a worker, in ms of the daemon's clock.
+    answered_at_ms: AtomicU64,
 }
 
 impl Peers {
     pub(crate) fn new(paths: Paths) -> Self {
-        Self { clients: Mutex::default(), paths }
+        Self { clients: Mutex::default(), paths, answered_at_ms: AtomicU64::new(0) }
     }
 
     pub(crate) fn paths(&self) -> &Paths {
         &self.paths
     }
 
+    /// Time of the last answer of a peer or a worker, by any path.
+    pub(crate) fn answered_at(&self) -> Duration {
+        Duration::from_millis(self.answered_at_ms.load(Ordering::Relaxed))
+    }
+
+    /// Records that a peer or a worker has answered.
+    pub(crate) fn record_answer(&self) {
+        let now_ms = u64::try_from(clock::now().as_millis()).unwrap_or(u64::MAX);
+        self.answered_at_ms.fetch_max(now_ms, Ordering::Relaxed);
+    }
+
+    /// Records the answer, if the call has one.
+    fn observe<T>(&self, reply: Result<T, CallError>) -> Result<T, CallError> {
+        if !matches!(reply, Err(CallError::NotSent { .. } | CallError::NoAnswer { .. })) {
+            self.record_answer();
+        }
+        reply
+    }
+
     fn client(&self, address: SocketAddr) -> Client {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         let client = clients.entry(address);
@@ -197,7 +219,8 @@
         address: SocketAddr,
         request: &Request,
     ) -> Result<Reply, CallError> {
-        self.client(address).call_idempotent(Method::POST, PATH, Some(request)).await
+        let client = self.client(address);
+        self.observe(client.call_idempotent(Method::POST, PATH, Some(request)).await)
     }
 
     /// As [`Self::call_once`], by no relay.
@@ -207,7 +230,8 @@
         request: &Request,
         timeout: Duration,
     ) -> Result<Reply, CallError> {
-        self.client(address).call_within(Method::POST, PATH, Some(request), timeout).await
+        let client = self.client(address);
+        self.observe(client.call_within(Method::POST, PATH, Some(request), timeout).await)
     }
 
     /// Has a peer make a call, once.
@@ -219,7 +243,8 @@
     ) -> Result<Forwarded, CallError> {
         let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
         let forward = Forward { timeout_ms, call };
-        self.client(relay).call_within(Method::POST, relay::PATH, Some(&forward), timeout).await
+        let client = self.client(relay);
+        self.observe(client.call_within(Method::POST, relay::PATH, Some(&forward), timeout).await)
     }
 
     async fn call_by_relay(
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod evacuation;
 mod handover;
+mod isolation;
 mod keys;
 mod listing;
 mod map;
