Tests: the load on workers in virtual time as a module of its own

The model in the tests of customers' shares plays jobs of one task on one worker. The tests of the overload policy need jobs of several steps, sizes and durations on several workers, so the model takes these as arguments and moves to a file of its own.

--- /dev/null
+++ b/crates/crosspath_schedule/tests/schedule/load.rs
@@ -0,0 +1,144 @@
+//! Workers under a load of jobs, in virtual time: each task runs for a given time and then ends
+//! successfully.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crosspath_border::worker::{Ended, Outcome};
+use crosspath_job::progress::State;
+use crosspath_job::record::Accepted;
+use crosspath_job::{JobId, TaskId};
+use crosspath_schedule::Event;
+
+use crate::common::{Harness, Order, WALL_MS, ended, ms, running};
+
+/// Simulated time between two polls of each worker.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Job that was sent.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    pub(crate) accepted: Arc<Accepted>,
+    pub(crate) at: Duration,
+    /// Actual duration of each step's tasks.
+    pub(crate) durations: Vec<Duration>,
+    /// Time from acceptance to the end; `None` while the job has not ended.
+    pub(crate) took: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Worker {
+    running: BTreeMap<TaskId, (u64, Duration)>,
+    ends: u64,
+}
+
+/// Workers, and the jobs that were sent to them.
+#[derive(Debug)]
+pub(crate) struct Load {
+    pub(crate) harness: Harness,
+    started_at: Duration,
+    workers: BTreeMap<Arc<str>, Worker>,
+    pub(crate) jobs: BTreeMap<JobId, Sent>,
+    unfinished: BTreeSet<JobId>,
+    last_id: u64,
+}
+
+impl Load {
+    pub(crate) fn new(harness: Harness, workers: &[&str]) -> Self {
+        let started_at = harness.now;
+        let workers = workers.iter().map(|id| (Arc::from(*id), Worker::default())).collect();
+        Self {
+            harness,
+            started_at,
+            workers,
+            jobs: BTreeMap::new(),
+            unfinished: BTreeSet::new(),
+            last_id: 0,
+        }
+    }
+
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        let elapsed = self.harness.now - self.started_at;
+        u64::try_from(elapsed.as_millis()).expect("a time that fits in 64 bits")
+    }
+
+    /// Number of tasks that run.
+    pub(crate) fn running(&self) -> usize {
+        self.workers.values().map(|worker| worker.running.len()).sum()
+    }
+
+    /// Number of jobs that have not ended.
+    pub(crate) fn unfinished(&self) -> usize {
+        self.unfinished.len()
+    }
+
+    /// Leaves out the next identifier.
+    pub(crate) fn skip_id(&mut self) {
+        self.last_id += 1;
+    }
+
+    /// Submits a job whose tasks take `durations`, by step.
+    pub(crate) fn send(&mut self, mut accepted: Accepted, durations: Vec<Duration>) -> JobId {
+        self.last_id += 1;
+        let id = JobId(self.last_id);
+        accepted.at_ms = WALL_MS + self.elapsed_ms();
+        let accepted = Arc::new(accepted);
+        let at = self.harness.now;
+        let sent = Sent { accepted: Arc::clone(&accepted), at, durations, took: None };
+        self.jobs.insert(id, sent);
+        self.unfinished.insert(id);
+        self.harness.send(Event::Accepted(id, accepted));
+        id
+    }
+
+    /// Lets some time pass: tasks end, each worker is polled, and ordered tasks are started.
+    pub(crate) fn step(&mut self) {
+        self.harness.now += STEP;
+        let ids: Vec<_> = self.workers.keys().cloned().collect();
+        for id in ids {
+            self.poll(&id);
+        }
+        self.harness.advance(ms(1));
+        for order in self.harness.take_starts() {
+            self.start(&order);
+        }
+        let (now, scheduler, jobs) = (self.harness.now, &self.harness.scheduler, &mut self.jobs);
+        self.unfinished.retain(|id| {
+            let completed = scheduler.state(*id) == Some(State::Completed);
+            if let Some(sent) = jobs.get_mut(id).filter(|_| completed) {
+                sent.took = Some(now - sent.at);
+            }
+            !completed
+        });
+    }
+
+    fn poll(&mut self, id: &Arc<str>) {
+        let now = self.harness.now;
+        let worker = self.workers.get_mut(id).expect("a worker of this load");
+        let jobs = &self.jobs;
+        let is_over = |task: &TaskId, since: Duration| {
+            now >= since + jobs[&task.job].durations[task.step as usize]
+        };
+        let finished: Vec<_> = worker
+            .running
+            .iter()
+            .filter(|(task, (_, since))| is_over(task, *since))
+            .map(|(task, (run, _))| (*task, *run))
+            .collect();
+        let mut ends: Vec<Ended> = Vec::new();
+        for (task, run) in finished {
+            worker.running.remove(&task);
+            worker.ends += 1;
+            ends.push(ended(worker.ends, task, run, Outcome::Done));
+        }
+        let rows = worker.running.iter().map(|(task, (run, _))| running(*task, *run)).collect();
+        self.harness.polled(id, rows, ends);
+    }
+
+    fn start(&mut self, order: &Order) {
+        self.harness.started(order);
+        let worker = self.workers.get_mut(&order.worker).expect("a worker of this load");
+        worker.running.insert(order.task, (order.run, self.harness.now));
+    }
+}
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -9,6 +9,7 @@
 mod incarnations;
 mod job_spec;
 mod limits;
+mod load;
 mod long_running;
 mod losses;
 mod random_faults;
