Overload: serve first the jobs that can still end in time

Cause: with more work than room, the order of latest starts gives each job its turn about when it becomes late.

Deferred jobs go after the chosen ones, with those that are late, and take no worker while a chosen job lacks one. Without a shortage there is no plan.

--- a/crates/crosspath_job/src/spec.rs
+++ b/crates/crosspath_job/src/spec.rs
@@ -253,9 +253,16 @@
     /// estimates along dependent steps, including the step itself, in ms.
     #[must_use]
     pub fn critical_paths_ms(&self) -> Vec<u64> {
+        self.longest_paths_ms(|number| self.steps[number].estimate_ms)
+    }
+
+    /// The same by other durations of the steps' tasks, in ms; `duration_ms` gets the index of a
+    /// step.
+    #[must_use]
+    pub fn longest_paths_ms(&self, duration_ms: impl Fn(usize) -> u64) -> Vec<u64> {
         let mut remaining = vec![0; self.steps.len()];
         for (number, step) in self.steps.iter().enumerate().rev() {
-            remaining[number] += step.estimate_ms;
+            remaining[number] += duration_ms(number);
             let through = remaining[number];
             for after in &step.after {
                 let before = &mut remaining[*after as usize];
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
@@ -40,11 +41,18 @@
     queue: String,
 }
 
+/// Labels of a shard's metrics.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShardLabels {
+    unit: String,
+}
+
 /// All metrics of the daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     latency: Family<Labels, Histogram, fn() -> Histogram>,
+    deferred_jobs: Family<ShardLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -57,7 +65,10 @@
         let mut registry = Registry::with_prefix("crosspath");
         let help = "Time from a caller's request to its answer, by call and queue";
         registry.register_with_unit("call_latency", help, Unit::Seconds, latency.clone());
-        Self { registry: Mutex::new(registry), latency }
+        let deferred_jobs = Family::<ShardLabels, Gauge>::default();
+        let help = "Jobs that wait so that others end in time, by pool slice";
+        registry.register("jobs_deferred", help, deferred_jobs.clone());
+        Self { registry: Mutex::new(registry), latency, deferred_jobs }
     }
 }
 
@@ -68,6 +79,13 @@
         self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
     }
 
+    /// Sets the number of jobs that the owner of a pool slice defers.
+    pub(crate) fn set_deferred_jobs(&self, unit: &str, jobs: usize) {
+        let labels = ShardLabels { unit: unit.to_owned() };
+        let jobs = i64::try_from(jobs).unwrap_or(i64::MAX);
+        self.deferred_jobs.get_or_create(&labels).set(jobs);
+    }
+
     /// Encodes all metrics; on an error, the text ends where encoding failed.
     pub(crate) fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -169,6 +169,13 @@
     events: mpsc::UnboundedSender<Event>,
 }
 
+impl Drop for Owner {
+    /// The next owner counts the jobs on another daemon.
+    fn drop(&mut self) {
+        self.set_deferred_jobs(0);
+    }
+}
+
 /// State of the owner besides its scheduler.
 #[derive(Debug)]
 struct Ownership {
@@ -314,9 +321,16 @@
         }
         let actions = scheduler.decide(now, wall_ms);
         *decides_soon = scheduler.decides_soon();
+        self.set_deferred_jobs(scheduler.overload().deferred);
         Some(actions)
     }
 
+    fn set_deferred_jobs(&self, jobs: usize) {
+        if self.node.settings.admission.prefer_feasible {
+            self.node.metrics.set_deferred_jobs(&self.pool_slice.to_string(), jobs);
+        }
+    }
+
     /// Creates an order to a worker under the fencing token of the shard's claim.
     fn order(&self, watch: &Arc<Watch>, ownership: &Ownership) -> Order {
         Order::new(&self.node, watch, &self.events, ownership.terms, ownership.claimed.token)
--- a/crates/crosspath_schedule/src/ended_runs.rs
+++ b/crates/crosspath_schedule/src/ended_runs.rs
@@ -39,6 +39,9 @@
         );
         let Some(step) = self.step_of(task) else { return };
         let long_running = step.long_running;
+        if let (Outcome::Done, false, Some(run)) = (outcome, long_running, &dropped) {
+            self.learn_duration(now, task, run);
+        }
         self.save_checkpoint(now, ended);
         match outcome {
             Outcome::Done if !long_running => self.task_done(now, id, task),
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -35,6 +35,7 @@
         }
         self.insert(now, wall_ms, id, accepted);
         self.charge_share(id);
+        self.note_accepted(id);
         if let Some(by) = self.early_cancellations.remove(&id) {
             self.cancel(now, id, by);
         }
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 mod answers;
 mod commit;
+mod durations;
 mod ended_runs;
 mod event;
 mod incarnations;
--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -1,11 +1,56 @@
 //! Overload policy: which jobs can still end in time, and how long a new one would wait.
+//!
+//! If all tasks are served in the order of their latest starts while there is more work than room,
+//! each job gets its turn about when it becomes late, and nearly all end late. Here, jobs whose
+//! work does not fit before the latest starts are deferred, so that the others end in time.
+//!
+//! The work of a job is the sum over its tasks of the expected duration times the share of the
+//! shard's resources that the task reserves; it is the time for which the job would occupy all of
+//! them. Jobs are taken in the order of their latest starts. Whenever the work up to a job exceeds
+//! the time until its latest start, those with the lowest worth for their work are deferred
+//! (Moore and Hodgson's rule for the fewest late jobs, with worth and a pool of workers).
+//!
+//! A deferred job waits behind the chosen ones and is considered again with every plan, so it is
+//! chosen as soon as there is room. While the last round of placement found a worker for each task,
+//! there is no plan, and the order is that of [`crate::place::Key`] alone.
 
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_job::record::Accepted;
+use crosspath_job::spec::Resources;
+use crosspath_job::{JobId, TaskId};
 
+use crate::durations::Durations;
+use crate::job::{Job, Run, Task};
 use crate::scheduler::Scheduler;
 
+/// Maximum age of a plan. Runs end all the time, and each end changes little.
+const PLAN_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum time between two plans, also if jobs were accepted since the last one.
+const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(10);
+/// Minimum interval between two log lines of a shard.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Part of the resources that running tasks fill while others wait: what is left on a worker is
+/// often too small for the next task.
+const FILL: f64 = 0.85;
+/// Part of the resources that chosen jobs may take. Below [`FILL`], because a chosen job that turns
+/// out longer than expected makes those behind it late, and room that stays free is given to
+/// deferred jobs.
+const CHOSEN_SHARE: f64 = 0.5;
+/// A job counts if it ends by so many times its objective, although it is late then.
+const LATE_FACTOR: u32 = 3;
+/// Fixed part of a job's worth, relative to that of an average job; the rest grows with its work.
+const FIXED_WORTH: f64 = 0.3;
+/// Maximum worth of a job, relative to that of an average job.
+const MAX_WORTH: f64 = 4.0;
+/// Factor by which a job is preferred that has started: what was done for it would be in vain.
+const STARTED_PREFERENCE: f64 = 2.0;
+/// Weight of a job in the mean of its queue's work.
+const MEAN_WORK_WEIGHT: f64 = 0.02;
+
 /// Expected treatment of a job that would be accepted now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Backlog {
@@ -17,11 +62,417 @@
     pub completion: Duration,
 }
 
+/// Number of jobs with tasks to start, by how the current plan treats them. All are zero while
+/// there is room for all.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs that are expected to end in time.
+    pub chosen: usize,
+    /// Jobs that could end in time, but not together with the chosen ones.
+    pub deferred: usize,
+    /// Jobs that can no longer end in time.
+    pub late: usize,
+}
+
+/// How a job is served while there is more work than room; lower values go first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Rank {
+    /// Expected to end in time, and within its customer's share.
+    Chosen,
+    /// Expected to end in time, but over its customer's share.
+    ChosenOverShare,
+    /// Expected to end late, but while it still counts.
+    Late,
+    /// The same, over its customer's share.
+    LateOverShare,
+    /// Expected to end too late to count.
+    Worthless,
+}
+
+impl Rank {
+    /// Whether the job is expected to end in time.
+    pub(crate) fn is_chosen(self) -> bool {
+        self <= Self::ChosenOverShare
+    }
+}
+
+/// Place of a job in the current plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Turn {
+    pub(crate) rank: Rank,
+    /// Latest start by the learnt durations, in ms since the process started.
+    pub(crate) latest_start_ms: u64,
+}
+
+/// Unstarted work of a job.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    job: JobId,
+    /// Class of the job; all chosen work of lower classes is served first.
+    class: Class,
+    /// Latest start of the job's unstarted steps, in ms since the process started.
+    latest_start_ms: u64,
+    /// When the job stops to count, in ms since the process started.
+    worthless_ms: u64,
+    /// Work that has to be served by the latest start, in ms of all resources of the shard: that of
+    /// unblocked tasks which are too many to run at the same time.
+    before_start_ms: f64,
+    /// All unstarted work, in ms of all resources of the shard.
+    work_ms: f64,
+    /// Worth for each ms of unstarted work.
+    density: f64,
+}
+
+/// Order in which groups of jobs are served: whether over the customer's share, then the priority.
+type Class = (bool, u32);
+
+/// Work that was chosen, by class and latest start in ms; the base of forecasts for new jobs.
+type Chosen = BTreeMap<(Class, u64), f64>;
+
+/// State of the overload policy.
+#[derive(Debug, Default)]
+pub(crate) struct Overload {
+    pub(crate) durations: Durations,
+    /// Mean work of the jobs of each queue, in ms of one core, by expected durations.
+    mean_work: BTreeMap<Arc<str>, f64>,
+    /// Turns of the jobs with unstarted work; empty while there is room for all.
+    turns: BTreeMap<JobId, Turn>,
+    chosen: Chosen,
+    /// Unstarted work of all jobs that still count, in ms of all resources of the shard.
+    counting_ms: f64,
+    counts: Counts,
+    /// When the plan was made.
+    planned_at: Duration,
+    /// Whether a job was accepted since the plan was made.
+    stale: bool,
+    /// When the plan was last logged.
+    logged_at: Duration,
+}
+
+impl Overload {
+    /// Place of a job in the plan; `None` if it was accepted since, or if there is room for all.
+    pub(crate) fn turn(&self, job: JobId) -> Option<Turn> {
+        self.turns.get(&job).copied()
+    }
+
+    /// Whether there is a plan, which means that there is more work than room.
+    pub(crate) fn is_active(&self) -> bool {
+        !self.turns.is_empty()
+    }
+
+    fn clear(&mut self) {
+        self.turns.clear();
+        self.chosen.clear();
+        self.counting_ms = 0.0;
+        self.counts = Counts::default();
+    }
+}
+
+/// Share of `room` that `resources` take, by the scarcest of them.
+fn dominant_share(resources: &Resources, room: &Resources) -> f64 {
+    let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
+    share(resources.cpu_millis, room.cpu_millis)
+        .max(share(resources.mem_mb, room.mem_mb))
+        .max(share(resources.gpus, room.gpus))
+}
+
+/// Pseudo-random number from 0.5 to 1.5 that stays the same for a job. Worth for work alone would
+/// always defer the largest jobs first, whose callers would be served worst.
+fn lottery(job: JobId) -> f64 {
+    // The multiplier of Knuth's multiplicative hash, which spreads consecutive identifiers.
+    let hash = job.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    0.5 + hash as f64 / f64::from(u32::MAX)
+}
+
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Total order of densities, for the heap.
+#[derive(Debug, Clone, Copy)]
+struct Density(f64, usize);
+
+impl Ord for Density {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
+    }
+}
+impl PartialOrd for Density {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl PartialEq for Density {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+impl Eq for Density {}
+
+/// Chooses the candidates that together end in time, given that nothing else waits. Returns whether
+/// each is chosen, in the order of `candidates`, which are sorted by class and latest start.
+fn choose(now_ms: u64, candidates: &[Candidate]) -> Vec<bool> {
+    let mut chosen = vec![false; candidates.len()];
+    let mut earlier_classes_ms = 0.0;
+    let mut at = 0;
+    while let Some(first) = candidates.get(at) {
+        let class = candidates[at..].partition_point(|other| other.class == first.class) + at;
+        let mut kept = BinaryHeap::new();
+        let mut total_ms = earlier_classes_ms;
+        for (index, candidate) in candidates.iter().enumerate().take(class).skip(at) {
+            let available_ms =
+                CHOSEN_SHARE * candidate.latest_start_ms.saturating_sub(now_ms) as f64;
+            let after_start_ms = candidate.work_ms - candidate.before_start_ms;
+            chosen[index] = true;
+            kept.push(Reverse(Density(candidate.density, index)));
+            total_ms += candidate.work_ms;
+            // Without the candidate, the others end in time.
+            while chosen[index] && total_ms - after_start_ms > available_ms {
+                let Some(Reverse(Density(_, worst))) = kept.pop() else { break };
+                chosen[worst] = false;
+                total_ms -= candidates[worst].work_ms;
+            }
+        }
+        earlier_classes_ms = total_ms;
+        at = class;
+    }
+    chosen
+}
+
 impl Scheduler {
+    /// Number of jobs by how the current plan treats them.
+    #[must_use]
+    pub fn overload(&self) -> Counts {
+        self.overload.counts
+    }
+
     /// Expected treatment of a job that would be accepted now.
     #[must_use]
     pub fn backlog(&self, now: Duration, job: &Accepted) -> Backlog {
-        let _ = (now, job);
-        Backlog::default()
+        let expected = |estimate_ms| self.overload.durations.expected_ms(&job.queue, estimate_ms);
+        let steps = &job.spec.steps;
+        let paths = job.spec.longest_paths_ms(|number| expected(steps[number].estimate_ms));
+        let chain_ms = paths.iter().max().copied().unwrap_or_default();
+        let chain = Duration::from_millis(chain_ms);
+        if !self.lacks_workers() {
+            return Backlog { is_full: false, wait: Duration::ZERO, completion: chain };
+        }
+        let policy = &job.policy;
+        let slack_ms =
+            (stretched_ms(policy.stretch, chain_ms) + policy.target_ms).saturating_sub(chain_ms);
+        // A job within its customer's share; one over the share would wait longer.
+        let class = (false, policy.priority);
+        let ahead = self.overload.chosen.range(..=(class, as_ms(now) + slack_ms));
+        let ahead_ms: f64 = ahead.map(|(_, work_ms)| work_ms).sum();
+        let fits = ahead_ms <= CHOSEN_SHARE * slack_ms as f64;
+        // A job that does not fit waits behind all jobs that still count.
+        let ahead_ms = if fits { ahead_ms } else { self.overload.counting_ms };
+        let room = self.room(now);
+        let tasks = steps.iter().map(|step| {
+            let task = dominant_share(&step.reserved(), &room) * expected(step.estimate_ms) as f64;
+            f64::from(step.tasks) * task
+        });
+        let served_in = |work_ms: f64| Duration::from_secs_f64(work_ms / FILL / 1_000.0);
+        let wait = served_in(ahead_ms);
+        let completion = wait + chain.max(served_in(tasks.sum()));
+        Backlog { is_full: true, wait, completion }
+    }
+
+    /// Notes a job that was accepted, for the mean of its queue's work.
+    pub(crate) fn note_accepted(&mut self, id: JobId) {
+        if !self.settings.prefer_feasible {
+            return;
+        }
+        self.overload.stale = true;
+        let Some(job) = self.jobs.get(&id) else { return };
+        let work = self.total_work(job);
+        let queue = Arc::clone(&job.accepted.queue);
+        let mean = self.overload.mean_work.entry(queue).or_insert(work);
+        *mean += (work - *mean) * MEAN_WORK_WEIGHT;
+    }
+
+    /// Takes in the duration of a run that ended successfully, from its start order on.
+    pub(crate) fn learn_duration(&mut self, now: Duration, task: TaskId, run: &Run) {
+        if !self.settings.prefer_feasible {
+            return;
+        }
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let estimate_ms = job.accepted.spec.steps[task.step as usize].estimate_ms;
+        let actual = now.saturating_sub(run.start_sent);
+        self.overload.durations.record(&job.accepted.queue, estimate_ms, actual);
     }
+
+    /// Makes a new plan if the last one is too old, or drops it if there is room for all.
+    pub(crate) fn update_plan(&mut self, now: Duration) {
+        if !self.settings.prefer_feasible {
+            return;
+        }
+        if !self.lacks_workers() {
+            return self.overload.clear();
+        }
+        let interval = if self.overload.stale { MIN_PLAN_INTERVAL } else { PLAN_INTERVAL };
+        if self.overload.is_active() && now < self.overload.planned_at + interval {
+            return;
+        }
+        self.overload.planned_at = now;
+        self.overload.stale = false;
+        let room = self.room(now);
+        let jobs = self.jobs.values().filter(|job| !job.state.is_terminal());
+        let mut candidates: Vec<_> = jobs.filter_map(|job| self.candidate(job, &room)).collect();
+        candidates.sort_by_key(|one| (one.class, one.latest_start_ms, one.job));
+        self.overload.clear();
+        // Jobs that are late already cannot displace others.
+        let now_ms = as_ms(now);
+        let (late, timely): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|one| one.latest_start_ms < now_ms);
+        let chosen = choose(now_ms, &timely);
+        for (candidate, chosen) in timely.iter().zip(chosen) {
+            self.add_turn(now_ms, candidate, chosen);
+            self.overload.counts.chosen += usize::from(chosen);
+            self.overload.counts.deferred += usize::from(!chosen);
+        }
+        for candidate in &late {
+            self.add_turn(now_ms, candidate, false);
+        }
+        self.overload.counts.late = late.len();
+        self.log_plan(now);
+    }
+
+    fn add_turn(&mut self, now_ms: u64, candidate: &Candidate, chosen: bool) {
+        let (over_share, _) = candidate.class;
+        let rank = match (chosen, over_share) {
+            (true, false) => Rank::Chosen,
+            (true, true) => Rank::ChosenOverShare,
+            (false, _) if candidate.worthless_ms < now_ms => Rank::Worthless,
+            (false, false) => Rank::Late,
+            (false, true) => Rank::LateOverShare,
+        };
+        let latest_start_ms = candidate.latest_start_ms;
+        self.overload.turns.insert(candidate.job, Turn { rank, latest_start_ms });
+        if rank != Rank::Worthless {
+            self.overload.counting_ms += candidate.work_ms;
+        }
+        if chosen {
+            let key = (candidate.class, latest_start_ms);
+            *self.overload.chosen.entry(key).or_default() += candidate.work_ms;
+        }
+    }
+
+    fn log_plan(&mut self, now: Duration) {
+        let Counts { chosen, deferred, late } = self.overload.counts;
+        if deferred == 0 || now < self.overload.logged_at + LOG_INTERVAL {
+            return;
+        }
+        self.overload.logged_at = now;
+        let shard = self.settings.shard;
+        log::info!("event=overload shard={shard} chosen={chosen} deferred={deferred} late={late}");
+    }
+
+    /// Resources of the usable workers, without those that long-running tasks reserve.
+    fn room(&self, now: Duration) -> Resources {
+        let mut room = Resources::default();
+        for worker in self.workers.values() {
+            if !worker.is_usable(now) || self.must_be_vacated(worker) {
+                continue;
+            }
+            room.add(&worker.entry.capacity);
+            for ((task, _), reserved) in &worker.runs {
+                if self.step_of(*task).is_some_and(|step| step.long_running) {
+                    room = room.minus(reserved);
+                }
+            }
+        }
+        room
+    }
+
+    /// Unstarted work of a job; `None` if it has none, or a long-running step.
+    fn candidate(&self, job: &Job, room: &Resources) -> Option<Candidate> {
+        let accepted = &job.accepted;
+        let spec = &accepted.spec;
+        if spec.steps.iter().any(|step| step.long_running) {
+            return None;
+        }
+        let expected_ms: Vec<u64> = spec
+            .steps
+            .iter()
+            .map(|step| self.overload.durations.expected_ms(&accepted.queue, step.estimate_ms))
+            .collect();
+        let paths = spec.longest_paths_ms(|number| expected_ms[number]);
+        let chain_ms = paths.iter().max().copied().unwrap_or_default();
+        let allowed_ms =
+            stretched_ms(accepted.policy.stretch, chain_ms) + accepted.policy.target_ms;
+        let accepted_ms = as_ms(job.accepted_at);
+        let mut found = None;
+        let (mut before_start_ms, mut work_ms, mut started) = (0.0, 0.0, false);
+        for occurrence in job.occurrences.iter().filter(|occurrence| occurrence.due) {
+            for (number, step) in occurrence.steps.iter().enumerate() {
+                if step.remaining == 0 {
+                    started = true;
+                    continue;
+                }
+                let waiting = if step.unblocked {
+                    let waiting = |task: &&Task| !task.done && task.runs.is_empty();
+                    step.tasks.iter().filter(waiting).count()
+                } else {
+                    step.tasks.len()
+                };
+                started |= waiting < step.tasks.len();
+                if waiting == 0 {
+                    continue;
+                }
+                let share = dominant_share(&spec.steps[number].reserved(), room);
+                let width = waiting as f64 * share;
+                let duration_ms = expected_ms[number] as f64;
+                work_ms += width * duration_ms;
+                if step.unblocked {
+                    before_start_ms += (width - 1.0).max(0.0) * duration_ms;
+                }
+                let latest = (accepted_ms + allowed_ms).saturating_sub(paths[number]);
+                found = Some(found.map_or(latest, |other: u64| other.min(latest)));
+            }
+        }
+        let worth = self.worth(job);
+        let preference = if started { STARTED_PREFERENCE } else { 1.0 };
+        Some(Candidate {
+            job: job.id,
+            class: (!job.within_share, accepted.policy.priority),
+            latest_start_ms: found?,
+            worthless_ms: accepted_ms + u64::from(LATE_FACTOR) * allowed_ms,
+            before_start_ms,
+            work_ms,
+            density: worth * preference * lottery(job.id) / work_ms.max(f64::MIN_POSITIVE),
+        })
+    }
+
+    /// Worth of a job relative to an average job of its queue.
+    fn worth(&self, job: &Job) -> f64 {
+        let mean = self.overload.mean_work.get(&job.accepted.queue).copied().unwrap_or_default();
+        if mean <= 0.0 {
+            return 1.0;
+        }
+        let relative = self.total_work(job) / mean;
+        (FIXED_WORTH + (1.0 - FIXED_WORTH) * relative).min(MAX_WORTH)
+    }
+
+    /// Work of all tasks of a job, in ms of one core.
+    fn total_work(&self, job: &Job) -> f64 {
+        let accepted = &job.accepted;
+        let work = accepted.spec.steps.iter().map(|step| {
+            let ms = self.overload.durations.expected_ms(&accepted.queue, step.estimate_ms);
+            let cores = step.resources.cpu_millis as f64 / 1_000.0;
+            f64::from(step.tasks) * cores * ms as f64
+        });
+        work.sum()
+    }
+}
+
+/// Time allowed for a chain of work, in ms.
+fn stretched_ms(stretch: f64, chain_ms: u64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the time allowed for a job is some minutes"
+    )]
+    let allowed_ms = (stretch * chain_ms as f64) as u64;
+    allowed_ms
 }
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -10,6 +10,7 @@
 use crate::action::Action;
 use crate::job::{Job, Phase, Run, Task};
 use crate::losses;
+use crate::overload::Rank;
 use crate::scheduler::Scheduler;
 use crate::worker::{QUARANTINE_THRESHOLD, Worker};
 
@@ -126,23 +127,28 @@
 }
 
 impl Scheduler {
-    /// Runs one round of placement. Tasks within their customers' shares that can meet their
-    /// deadline go first, then late ones, then those over the share. The round ends early after
-    /// [`MAX_CONSECUTIVE_UNPLACED`] tasks without a fitting worker.
+    /// Runs one round of placement.
     pub(crate) fn place(&mut self, now: Duration) {
         self.update_quarantine(now);
         self.recount_usage(now);
         self.reserve_for_isolation(now);
-        let (over_share, within_share): (Vec<_>, Vec<Key>) =
-            self.waiting.iter().copied().partition(|key| key.over_share);
-        let (late, timely): (Vec<_>, Vec<Key>) =
-            within_share.into_iter().partition(|key| key.misses_deadline(now));
+        self.update_plan(now);
+        self.place_in_order(now);
+        // The round shows whether there is room for all.
+        self.update_plan(now);
+    }
+
+    /// Tries to place all waiting tasks. Tasks within their customers' shares that can meet their
+    /// deadline go first, then late ones, then those over the share. The round ends early after
+    /// [`MAX_CONSECUTIVE_UNPLACED`] tasks without a fitting worker.
+    fn place_in_order(&mut self, now: Duration) {
+        let mut held = false;
         let mut unplaceable = Unplaceable::default();
         let mut attempted_gang = None;
         let mut unplaced = 0;
         self.unplaced_millis = 0;
         self.unplaced_long_running = 0;
-        for key in timely.into_iter().chain(late).chain(over_share) {
+        for (rank, key) in self.placement_order(now) {
             if key.gang {
                 let gang = (key.task.job, key.task.occurrence, key.task.step);
                 if attempted_gang != Some(gang) {
@@ -151,7 +157,12 @@
                 }
                 continue;
             }
-            match self.place_task(now, key, &unplaceable) {
+            let attempt = if held && !rank.is_chosen() {
+                Attempt::NoCapacity
+            } else {
+                self.place_task(now, key, &unplaceable)
+            };
+            match attempt {
                 Attempt::Settled => {
                     unplaced = 0;
                     continue;
@@ -165,6 +176,8 @@
             }
             if key.unconstrained {
                 unplaceable.add(key.resources);
+                // Workers that become free are left to the chosen jobs.
+                held |= self.overload.is_active() && rank.is_chosen() && key.finite;
             }
             self.unplaced_millis += key.resources.cpu_millis;
             self.unplaced_long_running += u32::from(!key.finite);
@@ -175,6 +188,37 @@
         }
     }
 
+    /// Waiting tasks in the order in which they get workers. While there is more work than room,
+    /// jobs that are expected to end in time go first, see the module `overload`.
+    fn placement_order(&self, now: Duration) -> Vec<(Rank, Key)> {
+        let by_key = |key: &Key| {
+            if key.over_share {
+                Rank::LateOverShare
+            } else if key.misses_deadline(now) {
+                Rank::Late
+            } else {
+                Rank::Chosen
+            }
+        };
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|key| match self.overload.turn(key.task.job) {
+                Some(turn) => (turn.rank, turn.latest_start_ms, *key),
+                None => (by_key(key), key.latest_start_ms, *key),
+            })
+            .collect();
+        order.sort_by_key(|(rank, ..)| *rank);
+        if self.overload.is_active() {
+            // Only the order among chosen jobs decides who is in time.
+            let late = order.partition_point(|(rank, ..)| rank.is_chosen());
+            order[..late].sort_by_key(|(rank, latest_start_ms, key)| {
+                (*rank, key.priority, key.finite, *latest_start_ms, key.task)
+            });
+        }
+        order.into_iter().map(|(rank, _, key)| (rank, key)).collect()
+    }
+
     fn place_task(&mut self, now: Duration, key: Key, unplaceable: &Unplaceable) -> Attempt {
         let id = key.task;
         let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else {
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::job::{Job, Task};
 use crate::lease::Terms;
 use crate::limits::Quotas;
+use crate::overload::Overload;
 use crate::place::Key;
 use crate::polls::EndedIncarnation;
 use crate::shares::Shares;
@@ -64,6 +65,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) quotas: Quotas,
     pub(crate) shares: Shares,
+    pub(crate) overload: Overload,
     pub(crate) vms_to_vacate: BTreeSet<Arc<str>>,
     /// Data centres that get no new work.
     pub(crate) evacuated: Arc<BTreeSet<Arc<str>>>,
@@ -112,6 +114,7 @@
             tickets: Tickets::default(),
             quotas: Quotas::new(settings.shard, epoch),
             shares: Shares::default(),
+            overload: Overload::default(),
             vms_to_vacate: BTreeSet::new(),
             evacuated: Arc::default(),
             may_start: true,
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod long_running;
 mod losses;
+mod overload;
 mod random_faults;
 mod shares;
 mod simulation;
--- /dev/null
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -0,0 +1,319 @@
+//! More work than a pool has room for: jobs that can still end in time must not wait behind those
+//! that cannot, and no job may wait for ever. Without the policy nearly all jobs end late.
+
+use std::time::Duration;
+
+use crosspath_job::progress::State;
+use crosspath_job::record::{Accepted, Policy};
+use crosspath_job::spec::{Resources, Step};
+use crosspath_schedule::Settings;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+use crate::common::{Harness, accepted, ms, settings, step};
+use crate::load::{Load, Sent};
+
+/// Workers of 32 cores each.
+const WORKERS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+/// Jobs per second with about as much work as the workers do.
+const FULL_RATE: f64 = 3.4;
+/// A late job still has some worth until so many times its objective.
+const LATE_FACTOR: u32 = 3;
+const LATE_WORTH: f64 = 0.07;
+/// Number of plays that a result is the mean of.
+const SEEDS: u64 = 2;
+/// Time in which all jobs must have ended.
+const MAX_SIMULATED_MS: u64 = 200_000;
+
+/// Sizes of jobs around these means, with lognormal spreads.
+#[derive(Debug, Clone, Copy)]
+struct Mix {
+    /// Spread of the callers' estimates around the actual durations.
+    estimate_spread: f64,
+}
+
+const MIX: Mix = Mix { estimate_spread: 0.9 };
+
+fn lognormal(rng: &mut StdRng, mean: f64, spread: f64) -> f64 {
+    // The sum of 12 uniform numbers is close to normal, with variance 1.
+    let normal = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
+    mean * (spread * normal - spread * spread / 2.0).exp()
+}
+
+/// A job of a priority, with the actual durations of its steps.
+fn job(rng: &mut StdRng, mix: Mix, priority: u32) -> (Accepted, Vec<Duration>) {
+    let count = lognormal(rng, 1.6, 0.4).round().clamp(1.0, 4.0) as u32;
+    let tasks = lognormal(rng, 8.0, 0.6).round().clamp(1.0, 32.0) as u32;
+    let cpu_millis = lognormal(rng, 6_200.0, 0.45).clamp(500.0, 19_000.0) as u64;
+    let mut steps = Vec::new();
+    let mut durations = Vec::new();
+    for number in 0..count {
+        let actual = lognormal(rng, 800.0, 0.5).clamp(50.0, 2_000.0);
+        let estimate_ms = lognormal(rng, actual, mix.estimate_spread).max(1.0) as u64;
+        let resources = Resources { cpu_millis, mem_mb: 6_300, gpus: 0 };
+        let after = (0..number).rev().take(1).collect();
+        steps.push(Step { tasks, resources, estimate_ms, after, ..Step::default() });
+        durations.push(ms(actual as u64));
+    }
+    let job = (*accepted(steps)).clone();
+    (Accepted { policy: Policy { priority, ..job.policy }, ..job }, durations)
+}
+
+fn work(job: &Sent) -> f64 {
+    let steps = job.accepted.spec.steps.iter().zip(&job.durations);
+    let work = steps.map(|(step, duration)| {
+        f64::from(step.tasks) * step.resources.cpu_millis as f64 * duration.as_secs_f64()
+    });
+    work.sum()
+}
+
+fn objective(job: &Sent) -> Duration {
+    let chain: Duration = job.durations.iter().sum();
+    chain.mul_f64(job.accepted.policy.stretch) + ms(job.accepted.policy.target_ms)
+}
+
+/// Fractions of what was owed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Result {
+    /// Worth of jobs that ended, late ones with what is left of it.
+    worth: f64,
+    /// Jobs that ended in time.
+    in_time: f64,
+    /// The same among the largest tenth of the jobs.
+    largest_in_time: f64,
+}
+
+fn result<'a>(jobs: impl Iterator<Item = &'a Sent>) -> Result {
+    let mut jobs: Vec<_> = jobs.collect();
+    jobs.sort_by(|one, other| work(one).total_cmp(&work(other)));
+    let mean = jobs.iter().map(|job| work(job)).sum::<f64>() / jobs.len() as f64;
+    let is_in_time = |job: &Sent| job.took.is_some_and(|took| took <= objective(job));
+    let (mut owed, mut earned) = (0.0, 0.0);
+    for job in &jobs {
+        let worth = (0.3 + 0.7 * work(job) / mean).min(4.0);
+        let late = job.took.is_some_and(|took| took <= LATE_FACTOR * objective(job));
+        owed += worth;
+        earned += if is_in_time(job) {
+            worth
+        } else if late {
+            worth * LATE_WORTH
+        } else {
+            0.0
+        };
+    }
+    let fraction = |jobs: &[&Sent]| {
+        jobs.iter().filter(|job| is_in_time(job)).count() as f64 / jobs.len() as f64
+    };
+    let largest = &jobs[jobs.len() * 9 / 10..];
+    Result { worth: earned / owed, in_time: fraction(&jobs), largest_in_time: fraction(largest) }
+}
+
+/// Load over time: jobs per second relative to [`FULL_RATE`], and until when.
+type Phase = (u64, f64);
+
+/// Plays a load. All jobs end; returns the load at the end.
+fn play(
+    prefer_feasible: bool,
+    seed: u64,
+    phases: &[Phase],
+    mut next: impl FnMut(&mut StdRng, u64) -> (Accepted, Vec<Duration>),
+) -> Load {
+    let mut harness = Harness::with_settings(Settings { prefer_feasible, ..settings() });
+    harness.take_over(Vec::new(), &WORKERS);
+    for id in WORKERS {
+        harness.polled(id, Vec::new(), Vec::new());
+    }
+    let mut load = Load::new(harness, &WORKERS);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut due = 0.0;
+    let mut previous_ms = 0;
+    loop {
+        let elapsed_ms = load.elapsed_ms();
+        let rate = phases.iter().find(|(until_ms, _)| elapsed_ms < *until_ms);
+        let Some((_, rate)) = rate else { break };
+        due += rate * FULL_RATE * (elapsed_ms - previous_ms) as f64 / 1_000.0;
+        previous_ms = elapsed_ms;
+        while due >= 1.0 {
+            due -= 1.0;
+            let (job, durations) = next(&mut rng, elapsed_ms);
+            load.send(job, durations);
+        }
+        load.step();
+    }
+    while load.unfinished() > 0 {
+        load.step();
+        assert!(load.elapsed_ms() < MAX_SIMULATED_MS, "{} jobs do not end", load.unfinished());
+    }
+    load
+}
+
+/// Light load, then three times what fits for 4 s, then light load.
+const BURST: [Phase; 3] = [(12_000, 0.6), (16_000, 3.0), (24_000, 0.5)];
+
+/// Mean of the results of some seeds, for the jobs that `counts` accepts.
+fn mean(
+    prefer_feasible: bool,
+    phases: &[Phase],
+    next: impl Fn(&mut StdRng, u64) -> (Accepted, Vec<Duration>),
+    counts: impl Fn(&Sent) -> bool,
+) -> Result {
+    let mut sum = Result { worth: 0.0, in_time: 0.0, largest_in_time: 0.0 };
+    for seed in 1..=SEEDS {
+        let load = play(prefer_feasible, seed, phases, &next);
+        let one = result(load.jobs.values().filter(|job| counts(job)));
+        sum.worth += one.worth / SEEDS as f64;
+        sum.in_time += one.in_time / SEEDS as f64;
+        sum.largest_in_time += one.largest_in_time / SEEDS as f64;
+    }
+    sum
+}
+
+fn with_and_without(
+    phases: &[Phase],
+    next: impl Fn(&mut StdRng, u64) -> (Accepted, Vec<Duration>),
+    counts: impl Fn(&Sent) -> bool,
+) -> (Result, Result) {
+    let without = mean(false, phases, &next, &counts);
+    let with = mean(true, phases, &next, &counts);
+    (with, without)
+}
+
+#[test]
+fn more_jobs_end_in_time_in_a_burst_of_three_times_the_room() {
+    let mix = Mix { estimate_spread: 0.0 };
+    let (with, without) = with_and_without(&BURST, |rng, _| job(rng, mix, 0), |_| true);
+    assert!(with.worth > without.worth + 0.05, "{with:?} {without:?}");
+    assert!(with.largest_in_time >= without.largest_in_time, "{with:?} {without:?}");
+}
+
+#[test]
+fn more_jobs_end_in_time_though_estimates_are_far_off() {
+    // One in 70 estimates is off by a factor of nine.
+    let (with, without) = with_and_without(&BURST, |rng, _| job(rng, MIX, 0), |_| true);
+    assert!(with.worth > without.worth + 0.05, "{with:?} {without:?}");
+    assert!(with.largest_in_time >= without.largest_in_time, "{with:?} {without:?}");
+}
+
+#[test]
+fn estimates_of_a_ninth_do_not_make_all_jobs_look_feasible() {
+    let off = |rng: &mut StdRng, _| {
+        let (mut job, durations) = job(rng, Mix { estimate_spread: 0.0 }, 0);
+        for step in &mut job.spec.steps {
+            step.estimate_ms /= 9;
+        }
+        (job, durations)
+    };
+    let (with, without) = with_and_without(&BURST, off, |_| true);
+    assert!(with.worth > without.worth + 0.05, "{with:?} {without:?}");
+}
+
+#[test]
+fn less_urgent_jobs_take_no_room_from_more_urgent_ones() {
+    let two = |rng: &mut StdRng, elapsed_ms| {
+        let priority = u32::from(elapsed_ms > 6_000 && rng.random_range(0..4) > 0);
+        job(rng, MIX, priority)
+    };
+    let phases = [(6_000, 0.5), (14_000, 2.0), (20_000, 0.3)];
+    let urgent = |job: &Sent| job.accepted.policy.priority == 0;
+    let (with, without) = with_and_without(&phases, two, urgent);
+    assert!(with.in_time > 0.9 && with.in_time > without.in_time - 0.02, "{with:?} {without:?}");
+    let (with, without) = with_and_without(&phases, two, |job| !urgent(job));
+    assert!(with.worth > without.worth, "{with:?} {without:?}");
+}
+
+#[test]
+fn the_same_load_is_served_alike_each_time() {
+    let ends = || {
+        let load = play(true, 7, &BURST, |rng, _| job(rng, MIX, 0));
+        load.jobs.values().map(|job| job.took).collect::<Vec<_>>()
+    };
+    assert_eq!(ends(), ends());
+}
+
+#[test]
+fn nothing_is_reordered_while_there_is_room_for_all() {
+    let small = |rng: &mut StdRng, _| {
+        let (mut job, durations) = job(rng, MIX, 0);
+        for step in &mut job.spec.steps {
+            step.tasks = step.tasks.min(4);
+        }
+        (job, durations)
+    };
+    let ends = |prefer_feasible| {
+        let load = play(prefer_feasible, 3, &[(20_000, 1.0)], small);
+        load.jobs.values().map(|job| job.took).collect::<Vec<_>>()
+    };
+    assert_eq!(ends(true), ends(false));
+}
+
+/// Owner of one worker of 32 cores, on which all is taken by a job that runs for long.
+fn full_worker() -> Load {
+    let mut harness = Harness::with_settings(Settings { prefer_feasible: true, ..settings() });
+    harness.take_over(Vec::new(), &["a"]);
+    harness.polled("a", Vec::new(), Vec::new());
+    let mut load = Load::new(harness, &["a"]);
+    load.send((*accepted(vec![step(4, 8)])).clone(), vec![ms(800)]);
+    load.step();
+    assert_eq!(load.running(), 4);
+    load
+}
+
+/// Job of two steps in a row that each take all cores of one worker for 800 ms.
+fn two_steps() -> Accepted {
+    let second = Step { after: vec![0], ..step(4, 8) };
+    (*accepted(vec![step(4, 8), second])).clone()
+}
+
+#[test]
+fn a_job_whose_first_step_has_run_goes_before_others_like_it() {
+    for skipped in 0..8 {
+        let mut load = full_worker();
+        // The preference among like jobs depends on their identifiers.
+        for _ in 0..skipped {
+            load.skip_id();
+        }
+        let first = load.send(two_steps(), vec![ms(800); 2]);
+        while load.harness.scheduler.state(first) != Some(State::Running) {
+            load.step();
+        }
+        for _ in 0..6 {
+            load.send(two_steps(), vec![ms(800); 2]);
+        }
+        while load.unfinished() > 0 {
+            load.step();
+        }
+        let took = load.jobs[&first].took.expect("an ended job");
+        assert!(took <= objective(&load.jobs[&first]), "{skipped}: {took:?}");
+    }
+}
+
+#[test]
+fn there_is_no_backlog_while_there_is_room() {
+    let load = full_worker();
+    let job = (*accepted(vec![step(4, 8)])).clone();
+    let backlog = load.harness.scheduler.backlog(load.harness.now, &job);
+    // All cores are taken, but nobody waits.
+    assert!(!backlog.is_full);
+    assert_eq!((backlog.wait, backlog.completion), (Duration::ZERO, ms(800)));
+}
+
+#[test]
+fn a_new_job_is_told_how_long_it_would_wait() {
+    let mut load = full_worker();
+    let job = (*accepted(vec![step(4, 8)])).clone();
+    let mut forecasts = Vec::new();
+    for _ in 0..6 {
+        let id = load.send(job.clone(), vec![ms(800)]);
+        load.step();
+        let backlog = load.harness.scheduler.backlog(load.harness.now, &job);
+        assert!(backlog.is_full);
+        assert!(backlog.completion >= backlog.wait + ms(800));
+        forecasts.push((id, backlog.wait));
+    }
+    // Each job takes all cores for 800 ms.
+    let waits: Vec<_> = forecasts.iter().map(|(_, wait)| wait.as_millis()).collect();
+    for (number, wait) in (1..).zip(&waits) {
+        let expected = 800 * number;
+        assert!((expected / 2..expected * 2).contains(wait), "{waits:?}");
+    }
+}
--- a/crates/crosspath_schedule/tests/schedule/random_faults.rs
+++ b/crates/crosspath_schedule/tests/schedule/random_faults.rs
@@ -68,6 +68,29 @@
     assert!(simulate(first_seed() + 2_000, faults) > 5_000);
 }
 
+#[test]
+fn owners_that_defer_jobs_run_no_task_twice_and_lose_none() {
+    let faults = Faults {
+        takeover: 2,
+        partition: 1,
+        late_delivery: 30,
+        task_failure: 2,
+        ..Faults::default()
+    };
+    let simulate = |seed| {
+        let mut simulation = Simulation::new(seed, faults);
+        simulation.prefer_feasible = true;
+        for _ in 0..STEPS {
+            simulation.maybe_submit();
+            simulation.step();
+        }
+        simulation.settle();
+        simulation.starts
+    };
+    let first = first_seed() + 4_000;
+    assert!((first..first + SIMULATIONS / 3).map(simulate).sum::<u64>() > 5_000);
+}
+
 #[test]
 fn incarnations_under_one_identifier_run_no_task_twice_and_lose_none() {
     assert!(simulate(first_seed() + 3_000, RESTARTS) > 5_000);
--- a/crates/crosspath_schedule/tests/schedule/simulation.rs
+++ b/crates/crosspath_schedule/tests/schedule/simulation.rs
@@ -19,7 +19,7 @@
 use crosspath_job::record::{Accepted, Record};
 use crosspath_job::{JobId, TaskId};
 use crosspath_schedule::lease::Clock;
-use crosspath_schedule::{Action, Event, Scheduler};
+use crosspath_schedule::{Action, Event, Scheduler, Settings};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -111,6 +111,8 @@
     /// Whether workers that a fatal job crashes restart under their identifiers.
     reuses_ids: bool,
     losses: BTreeMap<TaskId, Losses>,
+    /// Whether owners that take over from now on prefer jobs that can end in time.
+    pub(crate) prefer_feasible: bool,
 }
 
 /// Losses of a task.
@@ -151,6 +153,7 @@
             has_fatal_jobs: false,
             reuses_ids: faults.restart > 0,
             losses: BTreeMap::new(),
+            prefer_feasible: false,
         };
         for n in 0..5 {
             simulation.add_worker(&format!("vm-{n}"));
@@ -195,7 +198,8 @@
 
     fn take_over(&mut self) {
         self.epoch += 1;
-        let mut scheduler = Scheduler::new(settings(), self.epoch, self.now);
+        let settings = Settings { prefer_feasible: self.prefer_feasible, ..settings() };
+        let mut scheduler = Scheduler::new(settings, self.epoch, self.now);
         let records = self.records.values().cloned().collect();
         scheduler.take_over(self.now, WALL_MS, records, self.entries());
         // At every second takeover the previous owner hands over the lease expiries that it knows,
