Overload: late jobs within their share go before those over it

Chosen jobs over their customers' shares went before late ones within theirs, which breaks a promise of the shares.

Also: a job that does not fit before its latest start on its own no longer pushes out others that do; found by a test that was written for the loop.

--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -79,11 +79,11 @@
 pub(crate) enum Rank {
     /// Expected to end in time, and within its customer's share.
     Chosen,
+    /// Expected to end late, but while it still counts, and within its customer's share.
+    Late,
     /// Expected to end in time, but over its customer's share.
     ChosenOverShare,
-    /// Expected to end late, but while it still counts.
-    Late,
-    /// The same, over its customer's share.
+    /// Expected to end late, but while it still counts, and over its customer's share.
     LateOverShare,
     /// Expected to end too late to count.
     Worthless,
@@ -92,7 +92,7 @@
 impl Rank {
     /// Whether the job is expected to end in time.
     pub(crate) fn is_chosen(self) -> bool {
-        self <= Self::ChosenOverShare
+        matches!(self, Self::Chosen | Self::ChosenOverShare)
     }
 }
 
@@ -222,6 +222,9 @@
         for (index, candidate) in candidates.iter().enumerate().take(class).skip(at) {
             let available_ms =
                 CHOSEN_SHARE * candidate.latest_start_ms.saturating_sub(now_ms) as f64;
+            if earlier_classes_ms + candidate.before_start_ms > available_ms {
+                continue;
+            }
             let after_start_ms = candidate.work_ms - candidate.before_start_ms;
             chosen[index] = true;
             kept.push(Reverse(Density(candidate.density, index)));
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -211,10 +211,13 @@
         order.sort_by_key(|(rank, ..)| *rank);
         if self.overload.is_active() {
             // Only the order among chosen jobs decides who is in time.
-            let late = order.partition_point(|(rank, ..)| rank.is_chosen());
-            order[..late].sort_by_key(|(rank, latest_start_ms, key)| {
-                (*rank, key.priority, key.finite, *latest_start_ms, key.task)
-            });
+            for chosen in [Rank::Chosen, Rank::ChosenOverShare] {
+                let start = order.partition_point(|(rank, ..)| *rank < chosen);
+                let end = order.partition_point(|(rank, ..)| *rank <= chosen);
+                order[start..end].sort_by_key(|(_, latest_start_ms, key)| {
+                    (key.priority, key.finite, *latest_start_ms, key.task)
+                });
+            }
         }
         order.into_iter().map(|(rank, _, key)| (rank, key)).collect()
     }
--- a/crates/crosspath_schedule/tests/schedule/load.rs
+++ b/crates/crosspath_schedule/tests/schedule/load.rs
@@ -79,10 +79,20 @@
     }
 
     /// Submits a job whose tasks take `durations`, by step.
-    pub(crate) fn send(&mut self, mut accepted: Accepted, durations: Vec<Duration>) -> JobId {
+    pub(crate) fn send(&mut self, accepted: Accepted, durations: Vec<Duration>) -> JobId {
+        self.send_aged(accepted, durations, 0)
+    }
+
+    /// Submits a job that was accepted `age_ms` ago.
+    pub(crate) fn send_aged(
+        &mut self,
+        mut accepted: Accepted,
+        durations: Vec<Duration>,
+        age_ms: u64,
+    ) -> JobId {
         self.last_id += 1;
         let id = JobId(self.last_id);
-        accepted.at_ms = WALL_MS + self.elapsed_ms();
+        accepted.at_ms = WALL_MS + self.elapsed_ms() - age_ms;
         let accepted = Arc::new(accepted);
         let at = self.harness.now;
         let sent = Sent { accepted: Arc::clone(&accepted), at, durations, took: None };
@@ -92,6 +102,13 @@
         id
     }
 
+    /// Lets the longest-running task of the first worker end at the next step.
+    pub(crate) fn end_one_task(&mut self) {
+        let worker = self.workers.values_mut().next().expect("a worker");
+        let oldest = worker.running.values_mut().min_by_key(|(_, since)| *since);
+        oldest.expect("a running task").1 = Duration::ZERO;
+    }
+
     /// Lets some time pass: tasks end, each worker is polled, and ordered tasks are started.
     pub(crate) fn step(&mut self) {
         self.harness.now += STEP;
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -3,10 +3,13 @@
 
 use std::time::Duration;
 
+use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Policy};
 use crosspath_job::spec::{Resources, Step};
-use crosspath_schedule::Settings;
+use crosspath_quota::Limits;
+use crosspath_schedule::overload::Counts;
+use crosspath_schedule::{Event, Settings};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -287,6 +290,23 @@
     }
 }
 
+#[test]
+fn there_is_no_plan_while_there_is_room() {
+    let mut harness = Harness::with_settings(Settings { prefer_feasible: true, ..settings() });
+    harness.take_over(Vec::new(), &["a", "b"]);
+    for id in ["a", "b"] {
+        harness.polled(id, Vec::new(), Vec::new());
+    }
+    let mut load = Load::new(harness, &["a", "b"]);
+    // The second step is yet to be started.
+    load.send(two_steps(), vec![ms(800); 2]);
+    for _ in 0..5 {
+        load.step();
+        load.send(single(1), vec![ms(10)]);
+        assert_eq!(load.harness.scheduler.overload(), Counts::default());
+    }
+}
+
 #[test]
 fn there_is_no_backlog_while_there_is_room() {
     let load = full_worker();
@@ -303,17 +323,141 @@
     let job = (*accepted(vec![step(4, 8)])).clone();
     let mut forecasts = Vec::new();
     for _ in 0..6 {
-        let id = load.send(job.clone(), vec![ms(800)]);
+        load.send(job.clone(), vec![ms(800)]);
         load.step();
         let backlog = load.harness.scheduler.backlog(load.harness.now, &job);
         assert!(backlog.is_full);
         assert!(backlog.completion >= backlog.wait + ms(800));
-        forecasts.push((id, backlog.wait));
+        forecasts.push(backlog.wait);
+        // One fits before its latest start; others that do not fit leave one chosen.
+        let counts = load.harness.scheduler.overload();
+        assert_eq!((counts.chosen, counts.deferred + 1, counts.late), (1, forecasts.len(), 0));
     }
     // Each job takes all cores for 800 ms.
-    let waits: Vec<_> = forecasts.iter().map(|(_, wait)| wait.as_millis()).collect();
+    let waits: Vec<_> = forecasts.iter().map(Duration::as_millis).collect();
     for (number, wait) in (1..).zip(&waits) {
         let expected = 800 * number;
         assert!((expected / 2..expected * 2).contains(wait), "{waits:?}");
     }
 }
+
+/// Job of one task that takes `cores` for 800 ms.
+fn single(cores: u64) -> Accepted {
+    (*accepted(vec![step(1, cores)])).clone()
+}
+
+/// Jobs in the order in which their first tasks ended.
+fn by_end(load: &Load, jobs: &[JobId]) -> Vec<JobId> {
+    let mut jobs = jobs.to_vec();
+    jobs.sort_by_key(|id| load.jobs[id].at + load.jobs[id].took.expect("an ended job"));
+    jobs
+}
+
+#[test]
+fn room_that_becomes_free_is_left_to_a_chosen_job_that_needs_more() {
+    let mut load = full_worker();
+    // Both tasks of 8 cores are late when the first cores become free, one after the other.
+    let late = [single(8), single(8)].map(|job| load.send_aged(job, vec![ms(800)], 1_500));
+    let chosen = load.send(single(16), vec![ms(800)]);
+    let ends = [late[0], late[1], chosen];
+    for _ in 0..2 {
+        load.end_one_task();
+        load.step();
+    }
+    while load.unfinished() > 0 {
+        load.step();
+    }
+    assert_eq!(by_end(&load, &ends)[0], chosen);
+}
+
+#[test]
+fn a_long_running_task_that_fits_nowhere_does_not_hold_up_jobs() {
+    let mut load = full_worker();
+    let endless = Step { long_running: true, ..step(1, 64) };
+    load.send((*accepted(vec![endless])).clone(), vec![ms(MAX_SIMULATED_MS)]);
+    let late = load.send_aged(single(8), vec![ms(800)], 1_500);
+    for _ in 0..200 {
+        load.step();
+    }
+    assert!(load.jobs[&late].took.is_some());
+}
+
+#[test]
+fn among_late_jobs_those_that_still_count_go_first() {
+    let mut load = full_worker();
+    // Objective of 1,880 ms, so that a job counts until 5,640 ms.
+    let worthless = load.send_aged(single(32), vec![ms(800)], 6_000);
+    let late = load.send_aged(single(32), vec![ms(800)], 3_000);
+    while load.unfinished() > 0 {
+        load.step();
+    }
+    assert_eq!(by_end(&load, &[worthless, late]), [late, worthless]);
+}
+
+#[test]
+fn a_late_job_within_its_share_goes_before_one_over_its_share() {
+    let mut load = full_worker();
+    let weights = [("water".into(), 0.001)].into();
+    load.harness.send(Event::Limits(Limits::new()));
+    load.harness.send(Event::Weights { weights, shard_fraction: 1.0 });
+    let of_customer = || Accepted { customer: Some("water".into()), ..single(32) };
+    // The customer's bucket holds two jobs.
+    let within = [0, 1].map(|_| load.send_aged(of_customer(), vec![ms(10)], 1_500));
+    let over = load.send(of_customer(), vec![ms(10)]);
+    let late = load.send_aged(single(32), vec![ms(800)], 1_500);
+    while load.unfinished() > 0 {
+        load.step();
+    }
+    let jobs = [over, late, within[0], within[1]];
+    assert_eq!(by_end(&load, &jobs)[3], over);
+}
+
+#[test]
+fn a_more_urgent_job_goes_before_a_less_urgent_one_for_which_there_is_no_room_beside_it() {
+    for skipped in 0..8 {
+        let mut load = full_worker();
+        // The preference among like jobs depends on their identifiers.
+        for _ in 0..skipped {
+            load.skip_id();
+        }
+        let policy = Policy { priority: 1, ..single(32).policy };
+        let less_urgent = Accepted { policy, ..single(32) };
+        let less_urgent = load.send_aged(less_urgent, vec![ms(800)], 100);
+        let urgent = load.send(single(32), vec![ms(800)]);
+        while load.unfinished() > 0 {
+            load.step();
+        }
+        assert_eq!(by_end(&load, &[less_urgent, urgent]), [urgent, less_urgent]);
+    }
+}
+
+/// Counts of the plan after a job of `tasks` tasks of 100 ms was sent, each of which takes half of
+/// the worker, beside a chosen job that takes all of it.
+fn counts_beside_chosen(tasks: u32, skipped: u64) -> Counts {
+    let mut load = full_worker();
+    for _ in 0..skipped {
+        load.skip_id();
+    }
+    load.send_aged(single(32), vec![ms(800)], 600);
+    load.step();
+    let wide = Step { estimate_ms: 100, ..step(tasks, 16) };
+    load.send((*accepted(vec![wide])).clone(), vec![ms(100)]);
+    load.step();
+    load.harness.scheduler.overload()
+}
+
+#[test]
+fn a_job_that_fits_nowhere_pushes_no_other_out() {
+    for skipped in 0..8 {
+        let counts = counts_beside_chosen(100, skipped);
+        assert_eq!((counts.chosen, counts.deferred), (1, 1));
+    }
+}
+
+#[test]
+fn of_two_jobs_that_do_not_fit_together_one_is_chosen() {
+    for skipped in 0..8 {
+        let counts = counts_beside_chosen(8, skipped);
+        assert_eq!((counts.chosen, counts.deferred), (1, 1));
+    }
+}
--- a/crates/crosspath_schedule/tests/schedule/shares.rs
+++ b/crates/crosspath_schedule/tests/schedule/shares.rs
@@ -6,9 +6,9 @@
 use crosspath_job::JobId;
 use crosspath_job::record::{Accepted, Record};
 use crosspath_quota::{Limits, Weights};
-use crosspath_schedule::Event;
+use crosspath_schedule::{Event, Settings};
 
-use crate::common::{Harness, WALL_MS, accepted, ms, step};
+use crate::common::{Harness, WALL_MS, accepted, ms, settings, step};
 use crate::load::{Load, Sent};
 
 /// Duration of a task. The worker runs 16 at a time, so that some 22 end each second.
@@ -33,8 +33,10 @@
 
 /// Simulates [`SMALL_CUSTOMERS`] customers that send one job a second and one that sends ten.
 /// Returns the lowest fraction of jobs in time among the former, and that of the latter.
-fn simulate(weights: Weights) -> (f64, f64) {
-    let mut harness = Harness::with_workers(&["a"]);
+fn simulate(weights: Weights, prefer_feasible: bool) -> (f64, f64) {
+    let mut harness = Harness::with_settings(Settings { prefer_feasible, ..settings() });
+    harness.take_over(Vec::new(), &["a"]);
+    harness.polled("a", Vec::new(), Vec::new());
     harness.send(Event::Limits(Limits::new()));
     harness.send(Event::Weights { weights, shard_fraction: 1.0 });
     let mut load = Load::new(harness, &["a"]);
@@ -70,15 +72,23 @@
 
 #[test]
 fn customers_within_their_shares_are_served_beside_one_far_over_its_share() {
-    let (worst, large) = simulate(weights());
+    let (worst, large) = simulate(weights(), false);
     // Placement by latest start alone gives 0.70 and 0.73; with shares it is 0.95 and 0.14.
     assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
     assert!(large >= 0.1, "customer over its share: {large:.2} in time");
 }
 
+#[test]
+fn shares_hold_among_the_jobs_that_can_end_in_time() {
+    let (worst, large) = simulate(weights(), true);
+    let (_, large_without) = simulate(weights(), false);
+    assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
+    assert!(large > large_without, "customer over its share: {large:.2} in time");
+}
+
 #[test]
 fn without_shares_all_customers_are_late() {
-    let (worst, large) = simulate(Weights::new());
+    let (worst, large) = simulate(Weights::new(), false);
     assert!(
         worst < 0.8 && large > 0.6,
         "worst small customer {worst:.2}, large customer {large:.2}"
