--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -15,6 +15,7 @@
 mod answers;
 mod commit;
 pub mod domains;
+mod durations;
 mod ended_runs;
 mod event;
 mod incarnations;
--- a/crates/crosspath_schedule/tests/schedule/simulation.rs
+++ b/crates/crosspath_schedule/tests/schedule/simulation.rs
@@ -118,6 +118,8 @@
     /// Whether owners learn from the platform's list which VMs are down.
     lists_vms: bool,
     outages: Outages,
+    /// Whether owners that take over from now on prefer jobs that can end in time.
+    pub(crate) prefer_feasible: bool,
 }
 
 /// Losses of a task.
@@ -160,6 +162,7 @@
             losses: BTreeMap::new(),
             lists_vms: faults.outage > 0,
             outages: Outages::default(),
+            prefer_feasible: false,
         };
         for n in 0..5 {
             simulation.add_worker(&format!("vm-{n}"));
@@ -204,7 +207,11 @@
 
     fn take_over(&mut self) {
         self.epoch += 1;
-        let settings = Settings { spread: self.lists_vms, ..settings() };
+        let settings = Settings {
+            spread: self.lists_vms,
+            prefer_feasible: self.prefer_feasible,
+            ..settings()
+        };
         let mut scheduler = Scheduler::new(settings, self.epoch, self.now);
         let records = self.records.values().cloned().collect();
         scheduler.take_over(self.now, WALL_MS, records, self.entries());
