--- a/crates/crosspath_schedule/tests/schedule/domains.rs
+++ b/crates/crosspath_schedule/tests/schedule/domains.rs
@@ -179,6 +179,11 @@
     let starts = next.take_starts();
     assert_eq!(starts.len(), 1);
     assert!(starts[0].run > lost.run);
+    for record in crate::common::committed_records(&next.actions) {
+        if let crosspath_job::record::Record::Progress(_, progress) = record {
+            assert!(progress.tasks.values().all(|task| task.lost.is_empty()), "{progress:?}");
+        }
+    }
 }
 
 /// Workers of a data centre that returns are new, and get work like any others.
