Tell what remains in evacuated data centres, and wait until one is empty

An operator saw the workers of an evacuated data centre, but not whether anything still ran there. Empty also means that no VM there is unknown, and that the evacuation has been known for the limit after which no daemon starts anything there. A record tells how far the operators' log was read, so that one of an earlier evacuation does not count.

Errors of these commands, and of storing the progress, name the address of the store.

Weighed: asking a daemon (the commands know the store alone, and a given daemon may be the one that is away); records in the fleet's shard (the commands do not know its number).

Tests: the two tests of commands have a second data centre now, since the only one is refused; the unknown name is compared with both. Taken out one by one, each of these turns a test red: what is unknown, silent pools, the spare pool, each condition of being empty, the limit and its start anew, both intervals and the comparison without time, the position of the log, the refusal and its three exceptions, the wait; without the end on withdrawal the test does not return. Not tested: the append of the fleet's owner, its timeout, the metric.

--- a/crates/crosspath/src/args.rs
+++ b/crates/crosspath/src/args.rs
@@ -117,11 +117,18 @@
         store: SocketAddr,
         /// Withdraw the evacuation request
         undo: bool,
+        /// Evacuate the data centre although no other with workers would be left
+        force: bool,
+        /// Return when no task is left there, or with status 6 after the timeout
+        wait: bool,
+        /// Seconds to wait for
+        #[bpaf(argument("SECONDS"), fallback(600))]
+        timeout: u64,
         /// Name of the data centre
         #[bpaf(positional("DATA_CENTRE"))]
         data_centre: String,
     },
-    /// Show the evacuated data centres and their workers
+    /// Show the evacuated data centres, their workers and the tasks that remain
     #[bpaf(command)]
     Evacuations {
         /// Address of the platform's store
--- a/crates/crosspath/src/commands.rs
+++ b/crates/crosspath/src/commands.rs
@@ -12,6 +12,8 @@
 mod watch;
 mod wave;
 
+use std::time::Duration;
+
 use crosspath_state::name::ResourceName;
 use crosspath_state::resource::{Id, Kind};
 use snafu::ResultExt as _;
@@ -37,8 +39,10 @@
         Command::Wave(command) => wave::run(&api()?, format, command).await,
         Command::Explain { kind, name } => explain::run(&api()?, format, &id(kind, &name)?).await,
         Command::Status => status::run(&api()?, format).await,
-        Command::Evacuate { store, undo, data_centre } => {
-            evacuate::run(format, store, &data_centre, undo).await
+        Command::Evacuate { store, undo, force, wait, timeout, data_centre } => {
+            let timeout = wait.then(|| Duration::from_secs(timeout));
+            let request = evacuate::Request { data_centre: &data_centre, undo, force, timeout };
+            evacuate::run(format, store, request).await
         }
         Command::Evacuations { store } => evacuate::show(format, store).await,
         Command::Trace { all, job, files } => trace::run(format, &job, &files, all),
--- a/crates/crosspath/src/error.rs
+++ b/crates/crosspath/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the commands, and the exit status for each.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use crosspath_border::store;
@@ -22,6 +23,8 @@
     NotAccepted = 4,
     /// It is unknown whether something was changed.
     Unknown = 5,
+    /// The evacuation is in force, but the data centre did not get empty in time.
+    NotEmpty = 6,
 }
 
 #[derive(Debug, Snafu)]
@@ -41,8 +44,18 @@
         "no worker is in the data centre {data_centre}; data centres with workers: {known}"
     ))]
     UnknownDataCentre { data_centre: String, known: String },
-    #[snafu(display("{source}"))]
-    Store { source: store::Error },
+    #[snafu(display(
+        "data centre {data_centre} is the last one with workers that is not evacuated; use --force to evacuate it too"
+    ))]
+    LastDataCentre { data_centre: String },
+    #[snafu(display("platform's store at {address}: {source}"))]
+    Store { address: SocketAddr, source: store::Error },
+    #[snafu(display(
+        "data centre {data_centre} is evacuated, but not known to be empty after {seconds} s: {state}"
+    ))]
+    NotEmpty { data_centre: String, seconds: u64, state: String },
+    #[snafu(display("the evacuation of data centre {data_centre} was withdrawn meanwhile"))]
+    Withdrawn { data_centre: String },
     #[snafu(display("no token; set {variable} or use --token TOKEN"))]
     MissingToken { variable: &'static str },
     #[snafu(display("{}", problem.message))]
@@ -63,12 +76,14 @@
             | Self::JobNotLogged { .. }
             | Self::UnknownDataCentre { .. }
             | Self::MissingToken { .. } => ExitStatus::InvalidInput,
+            Self::LastDataCentre { .. } | Self::Withdrawn { .. } => ExitStatus::Refused,
+            Self::NotEmpty { .. } => ExitStatus::NotEmpty,
             Self::Refused { status: 400 | 413 | 422, .. } => ExitStatus::InvalidInput,
             Self::Refused { status: 503, .. } => ExitStatus::NotAccepted,
             Self::Refused { status: 504, .. } => ExitStatus::Unknown,
             Self::Refused { .. } => ExitStatus::Refused,
             Self::Call { source: client::Error::NotSent { .. } } => ExitStatus::NotAccepted,
-            Self::Store { source } if source.had_no_effect() => ExitStatus::NotAccepted,
+            Self::Store { source, .. } if source.had_no_effect() => ExitStatus::NotAccepted,
             Self::Store { .. } | Self::Call { .. } | Self::WaitTimeout { .. } => {
                 ExitStatus::Unknown
             }
--- a/crates/crosspath_border/src/lib.rs
+++ b/crates/crosspath_border/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod advice;
 pub mod customer;
+pub mod evacuation;
 pub mod ingress;
 pub mod operator;
 pub mod store;
--- a/crates/crosspath_border/src/store.rs
+++ b/crates/crosspath_border/src/store.rs
@@ -26,6 +26,8 @@
     Workers,
     /// Wave states that operators read.
     WaveStatus,
+    /// Progress of evacuations, by data centre.
+    Evacuations,
 }
 
 /// Partition of a topic. Offsets are counted per partition.
--- a/crates/crosspath_fleet/src/lib.rs
+++ b/crates/crosspath_fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod allocation;
 mod demand;
 mod donor;
+pub mod evacuation;
 mod index;
 mod intent;
 mod moves;
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod evacuation;
 mod moves;
+mod remaining;
 mod size;
 mod wave;
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -27,12 +27,15 @@
 use crate::member::Member;
 use crate::node::{Node, only_partition, shard_partition};
 use crate::pages::Pages;
+use crate::progress::Publisher;
 use crate::rpc::{self, Reply, Request};
 use crate::shard_log;
 
 /// Time between two rounds. The demand of a pool changes within a second, and its deficit is known
 /// one round later.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a round waits for the store to take the progress of evacuations.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a new owner waits to learn whether a previous owner's incarnation still runs.
 /// Peers answer within milliseconds.
 const INCARNATION_TIMEOUT: Duration = Duration::from_millis(100);
@@ -70,6 +73,7 @@
         listing: Listing::new(Arc::clone(&fleet)),
         sequence: claimed.sequence,
         published: BTreeMap::new(),
+        progress: Publisher::default(),
         claimed,
         fleet,
         node,
@@ -186,6 +190,13 @@
     listing: Listing,
     /// Last published state of each wave.
     published: BTreeMap<u64, WaveState>,
+    progress: Publisher,
+}
+
+impl Drop for Owner {
+    fn drop(&mut self) {
+        self.node.metrics.clear_evacuation_tasks();
+    }
 }
 
 impl Owner {
@@ -206,6 +217,7 @@
             return false;
         }
         self.publish_wave_status(&completed).await;
+        self.publish_evacuations().await;
         true
     }
 
@@ -403,4 +415,57 @@
             }
         }
     }
+
+    /// Publishes what remains in evacuated data centres, where that is due.
+    async fn publish_evacuations(&mut self) {
+        let now = clock::now();
+        let evacuated = self.node.evacuated();
+        let limit = self.node.settings.evacuation_limit;
+        let mut progress = self.progress.begin(now, clock::wall_ms(), &evacuated, limit);
+        if !progress.is_empty() {
+            for slice in &self.slices {
+                crosspath_fleet::evacuation::add_remaining(&slice.view, &mut progress);
+            }
+        }
+        self.node.metrics.set_evacuation_tasks(&progress);
+        progress.retain(|name, progress| self.progress.is_due(now, name, progress));
+        if progress.is_empty() {
+            return;
+        }
+        let mut records = Vec::new();
+        for (name, progress) in progress {
+            log::info!(
+                "event=evacuation_progress data_centre={name} in_force={} empty={} unknown_vms={} pools={:?}",
+                progress.in_force,
+                progress.is_empty(),
+                progress.unknown_vms,
+                progress.pools
+            );
+            match serde_json::to_vec(&progress) {
+                Ok(value) => {
+                    records.push(NewRecord { key: name.to_string(), value: value.into() });
+                }
+                Err(error) => log::warn!("event=evacuation_progress_error error=\"{error}\""),
+            }
+            self.progress.record(now, name, progress);
+        }
+        let partition = only_partition(Topic::Evacuations);
+        // The orders of the next round must not wait for a store that is slow or away.
+        let append = self.node.store.append(partition, &records, Precondition::Unconditional);
+        match tokio::time::timeout(PROGRESS_TIMEOUT, append).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => {
+                log::info!(
+                    "event=evacuation_progress_error store={} error=\"{error}\"",
+                    self.node.settings.log
+                );
+            }
+            Err(_) => {
+                log::info!(
+                    "event=evacuation_progress_error store={} error=\"no answer\"",
+                    self.node.settings.log
+                );
+            }
+        }
+    }
 }
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod outage;
 pub mod pages;
 pub mod pending;
+pub mod progress;
 pub mod reachability;
 mod routing;
 mod rpc;
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics of the daemon in the OpenMetrics text format.
 
-use std::sync::{Mutex, PoisonError};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use crosspath_border::evacuation::Progress;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
@@ -41,12 +43,19 @@
     queue: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvacuationLabels {
+    data_centre: String,
+    pool: String,
+}
+
 /// All metrics of the daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     latency: Family<Labels, Histogram, fn() -> Histogram>,
     cold_workers: Gauge,
+    evacuation_tasks: Family<EvacuationLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -62,7 +71,10 @@
         let cold_workers = Gauge::default();
         let help = "Listed workers of this daemon's shards that are warming up";
         registry.register("cold_workers", help, cold_workers.clone());
-        Self { registry: Mutex::new(registry), latency, cold_workers }
+        let evacuation_tasks = Family::<EvacuationLabels, Gauge>::default();
+        let help = "Tasks that remain in evacuated data centres, told by the owner of the fleet";
+        registry.register("evacuation_tasks", help, evacuation_tasks.clone());
+        Self { registry: Mutex::new(registry), latency, cold_workers, evacuation_tasks }
     }
 }
 
@@ -78,6 +90,26 @@
         self.cold_workers.set(i64::try_from(workers).unwrap_or(i64::MAX));
     }
 
+    /// Sets the tasks that remain in each evacuated data centre; the others are forgotten.
+    pub(crate) fn set_evacuation_tasks(&self, progress: &BTreeMap<Arc<str>, Progress>) {
+        self.evacuation_tasks.clear();
+        for (data_centre, progress) in progress {
+            for (pool, tasks) in &progress.pools {
+                let labels = EvacuationLabels {
+                    data_centre: data_centre.to_string(),
+                    pool: pool.to_string(),
+                };
+                let remaining = i64::from(tasks.finite) + i64::from(tasks.long_running);
+                self.evacuation_tasks.get_or_create(&labels).set(remaining);
+            }
+        }
+    }
+
+    /// Forgets the tasks in evacuated data centres, when another daemon tells them.
+    pub(crate) fn clear_evacuation_tasks(&self) {
+        self.evacuation_tasks.clear();
+    }
+
     /// Encodes all metrics; on an error, the text ends where encoding failed.
     pub(crate) fn encode(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod map;
 mod outage;
 mod pending;
+mod progress;
 mod reachability;
 mod standby;
 mod storm;
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -40,6 +40,10 @@
     /// warm, and in reports of daemons that do not tell it.
     #[serde(default)]
     pub cold_percent: u32,
+    /// Time until the last finite run ends by the callers' estimates, in ms; told only for VMs of
+    /// evacuated data centres.
+    #[serde(default)]
+    pub finite_ms: u64,
 }
 
 /// What waiting tasks lack that no worker of the shard can take now: number of tasks by the first
@@ -134,6 +138,7 @@
                 capacity: worker.entry.capacity,
                 used: worker.reserved,
                 cold_percent: worker.cold_percent(now),
+                finite_ms: if self.is_evacuated(worker) { self.finite_ms(now, worker) } else { 0 },
             });
         }
         for key in &self.waiting {
@@ -155,6 +160,16 @@
         pool
     }
 
+    /// Time until the last finite run on a worker ends by the callers' estimates, in ms.
+    fn finite_ms(&self, now: Duration, worker: &Worker) -> u64 {
+        let left = worker.runs.keys().filter_map(|(task, run)| {
+            let step = self.step_of(*task).filter(|step| !step.long_running)?;
+            let end = self.run(*task, *run)?.start_sent + Duration::from_millis(step.estimate_ms);
+            u64::try_from(end.saturating_sub(now).as_millis()).ok()
+        });
+        left.max().unwrap_or_default()
+    }
+
     /// Whether a worker does not answer while another worker on the same VM does.
     fn is_replaced_incarnation(&self, worker: &Worker) -> bool {
         let same_vm = |other: &&Worker| {
--- a/crates/crosspath_schedule/tests/schedule/evacuation.rs
+++ b/crates/crosspath_schedule/tests/schedule/evacuation.rs
@@ -141,3 +141,18 @@
     let starts = harness.take_starts();
     assert_eq!(starts.iter().map(|order| order.task).collect::<Vec<_>>(), [task(0, 0)]);
 }
+
+#[test]
+fn the_report_tells_when_finite_tasks_should_have_left() {
+    let mut harness = Harness::with_workers(&["a1"]);
+    let finite = Step { estimate_ms: 3_000, ..step(1, 4) };
+    let long_running = Step { estimate_ms: 90_000, long_running: true, ..step(1, 4) };
+    harness.submit(vec![Step { estimate_ms: 1_000, ..step(1, 4) }, finite, long_running]);
+    assert_eq!(harness.take_starts().len(), 3);
+    let finite_ms = |harness: &Harness, after| {
+        harness.scheduler.report(harness.now + ms(after)).vms[0].finite_ms
+    };
+    assert_eq!(finite_ms(&harness, 0), 0, "told only of evacuated data centres");
+    harness.send(evacuated(&["a"]));
+    assert_eq!([0, 1_000, 5_000].map(|after| finite_ms(&harness, after)), [3_000, 2_000, 0]);
+}
