--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pages;
 pub mod paths;
 pub mod pending;
+pub mod progress;
 pub mod reachability;
 mod relay;
 mod routed_runner;
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod outage;
 mod paths;
 mod pending;
+mod progress;
 mod reachability;
 mod relay;
 mod stamps;
