Jobs over a customer's share wait behind all within another's, also those that no longer count

The overload policy had put jobs that end too late to be of use last of all, also behind jobs over their customers' shares, and the invariant was narrowed for it. The promise of shares holds again as it stood before; the test of late jobs within their shares now plays one that no longer counts as well.

--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -81,19 +81,27 @@
     Chosen,
     /// Expected to end late, but while it still counts, and within its customer's share.
     Late,
+    /// Expected to end too late to count, and within its customer's share.
+    Worthless,
     /// Expected to end in time, but over its customer's share.
     ChosenOverShare,
     /// Expected to end late, but while it still counts, and over its customer's share.
     LateOverShare,
-    /// Expected to end too late to count.
-    Worthless,
+    /// Expected to end too late to count, and over its customer's share.
+    WorthlessOverShare,
 }
 
 impl Rank {
-    pub(crate) const COUNT: usize = 5;
+    pub(crate) const COUNT: usize = 6;
     /// All ranks, in the order in which they are served.
-    pub(crate) const ALL: [Self; Self::COUNT] =
-        [Self::Chosen, Self::Late, Self::ChosenOverShare, Self::LateOverShare, Self::Worthless];
+    pub(crate) const ALL: [Self; Self::COUNT] = [
+        Self::Chosen,
+        Self::Late,
+        Self::Worthless,
+        Self::ChosenOverShare,
+        Self::LateOverShare,
+        Self::WorthlessOverShare,
+    ];
 
     /// Whether the job is expected to end in time.
     pub(crate) fn is_chosen(self) -> bool {
@@ -350,16 +358,18 @@
 
     fn add_turn(&mut self, now_ms: u64, candidate: &Candidate, chosen: bool) {
         let (over_share, _) = candidate.class;
+        let is_worthless = candidate.worthless_ms < now_ms;
         let rank = match (chosen, over_share) {
             (true, false) => Rank::Chosen,
             (true, true) => Rank::ChosenOverShare,
-            (false, _) if candidate.worthless_ms < now_ms => Rank::Worthless,
+            (false, false) if is_worthless => Rank::Worthless,
             (false, false) => Rank::Late,
+            (false, true) if is_worthless => Rank::WorthlessOverShare,
             (false, true) => Rank::LateOverShare,
         };
         let latest_start_ms = candidate.latest_start_ms;
         self.overload.turns.insert(candidate.job, Turn { rank, latest_start_ms });
-        if rank != Rank::Worthless {
+        if !is_worthless {
             self.overload.counting_ms += candidate.work_ms;
         }
         if chosen {
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -398,6 +398,15 @@
 
 #[test]
 fn a_late_job_within_its_share_goes_before_one_over_its_share() {
+    // Late but of use, and too late to be of use.
+    for age_ms in [1_500, 6_000] {
+        assert_eq!(last_beside_a_late_job(age_ms), "over share", "age {age_ms} ms");
+    }
+}
+
+/// Which of four jobs ends last: three of a customer whose share covers two, and one without a
+/// customer that is `age_ms` old.
+fn last_beside_a_late_job(age_ms: u64) -> &'static str {
     let mut load = full_worker();
     let weights = [("water".into(), 0.001)].into();
     load.harness.send(Event::Limits(Limits::new()));
@@ -406,12 +415,12 @@
     // The customer's bucket holds two jobs.
     let within = [0, 1].map(|_| load.send_aged(of_customer(), vec![ms(10)], 1_500));
     let over = load.send(of_customer(), vec![ms(10)]);
-    let late = load.send_aged(single(32), vec![ms(800)], 1_500);
+    let late = load.send_aged(single(32), vec![ms(800)], age_ms);
     while load.unfinished() > 0 {
         load.step();
     }
-    let jobs = [over, late, within[0], within[1]];
-    assert_eq!(by_end(&load, &jobs)[3], over);
+    let last = by_end(&load, &[over, late, within[0], within[1]])[3];
+    if last == over { "over share" } else { "within share" }
 }
 
 #[test]
