Decide which submissions the owner of a full shard refuses

While a shard is full, all submissions are accepted, also those that a customer sends beyond its share and those that would end after three times their objective. The decision is a state machine in crosspath_schedule, which nobody calls yet: refusals by share and by overload, never while there is room, of known, long-running or scheduled jobs, or where the wait is shorter than the shortest Retry-After. A refusal promises a place: the customer's next free token, or the next time at which the shard has room, advanced by the time that each refused job needs, so that callers return in order and as fast as they can be served. Whoever comes back as told is admitted. Until the overload policy reports a full shard, waiting work beyond what is free stands for it.

Places in whole seconds kept in strict order were ruled out: the told delay would never shrink while refusals go on.

Taken out one at a time, each with a red test: the memory of admitted jobs and its expiry, its bound and its customer; admission of returning jobs, only when due; fullness; the shortest wait; both rules; expiry, bound and order of places; the share of the own place; the place kept for an early caller; the spread of places; the longest delay; known, long-running and scheduled jobs; the release when a job is stored; unplaced tasks and required room as conditions of fullness. The early return with both rules off only saves work: without it all tests stay green, since no rule then refuses.

The expectations of the existing tests of shares are unchanged; their model now also submits through the decision, with rules off.

--- a/crates/crosspath_schedule/src/admission.rs
+++ b/crates/crosspath_schedule/src/admission.rs
@@ -3,14 +3,42 @@
 //! All submissions pass through the owner, which alone knows how much waits and how much each
 //! customer has sent. A refused job is not stored and never runs; its caller is told when to come
 //! back.
+//!
+//! Each refusal promises a place: a job that comes back at the told time is admitted. The places
+//! are handed out in the order of the refusals, as far apart as the shard needs for the jobs, and
+//! to whole seconds, which is the resolution of `Retry-After`. An owner that takes over knows none
+//! of its predecessor's promises and judges those jobs as new ones.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crosspath_job::JobId;
 use crosspath_job::record::Accepted;
+use crosspath_job::spec::Spec;
 use serde::{Deserialize, Serialize};
 
+use crate::job::allowed_time;
+use crate::overload::Backlog;
 use crate::scheduler::Scheduler;
 
+/// Resolution of `Retry-After`, and with it the shortest delay. A job that would wait for less is
+/// admitted, since it starts sooner from the queue.
+const RETRY_UNIT: Duration = Duration::from_secs(1);
+/// Longest delay that is told. Estimates that reach further are worth little.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Time after the told one for which the place of a refused job is kept.
+const RETURN_GRACE: Duration = Duration::from_secs(3);
+/// Time within which the acceptance of an admitted job is expected. Callers wait for 3 s at most.
+const STORE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum number of jobs that have a place, and of admitted jobs that are not stored yet. Bounds
+/// the owner's memory and the time of a decision.
+const MAX_KNOWN: usize = 4_096;
+/// Multiple of its objective after which the end of a job is of no use.
+const USELESS_FACTOR: u32 = 3;
+/// Interval between two sums of the waiting work, which may comprise some thousand tasks.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Decision on a job that a caller submits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -39,6 +67,17 @@
     Overload,
 }
 
+impl Reason {
+    /// Name in log lines and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OverShare => "over_share",
+            Self::Overload => "overload",
+        }
+    }
+}
+
 /// Which jobs may be refused.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Rules {
@@ -48,11 +87,273 @@
     pub reject_hopeless: bool,
 }
 
+/// Unused part of a customer's share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Jobs that the customer may send now.
+    pub tokens: f64,
+    /// Jobs per second by which `tokens` grows.
+    pub rate: f64,
+}
+
+/// Job on which a decision is to be made, and what the decision depends on.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// Identifier of the job.
+    pub job: JobId,
+    /// Customer who submits it; `None` if the queue requires no key.
+    pub customer: Option<Arc<str>>,
+    /// Unused part of the customer's share; `None` if it has no weight.
+    pub share: Option<Share>,
+    /// How the shard would treat the job.
+    pub backlog: Backlog,
+    /// Time from its acceptance to its deadline.
+    pub objective: Duration,
+    /// Time that the shard would need for the job alone.
+    pub service: Duration,
+}
+
+impl Submission {
+    /// Time after which the end of the job is of no use.
+    fn useful_time(&self) -> Duration {
+        self.objective.saturating_mul(USELESS_FACTOR)
+    }
+}
+
+/// Place that was promised to a refused job.
+#[derive(Debug, Clone)]
+struct Place {
+    customer: Option<Arc<str>>,
+    /// When the caller was told to come back.
+    return_at: Duration,
+    /// Whether the customer's share covers the job by then; otherwise the shard has room by then.
+    uses_share: bool,
+}
+
+/// Admitted job whose acceptance has not been seen yet.
+#[derive(Debug, Clone)]
+struct Unstored {
+    customer: Option<Arc<str>>,
+    admitted_at: Duration,
+}
+
+/// Decides on submissions, and keeps the places that were promised.
+#[derive(Debug, Default)]
+pub struct Admission {
+    unstored: BTreeMap<JobId, Unstored>,
+    places: BTreeMap<JobId, Place>,
+    /// When the shard will have room for one more of the jobs that were refused.
+    next_room_at: Duration,
+    /// Time in which the shard could work off what waited, and when that was computed.
+    drain: Option<(Duration, Duration)>,
+}
+
+impl Admission {
+    /// Decides on a job that is not known to be stored.
+    pub fn decide(&mut self, now: Duration, rules: Rules, submission: &Submission) -> Verdict {
+        self.expire(now);
+        // The job was admitted, and the record may be stored already.
+        if self.unstored.contains_key(&submission.job) {
+            return Verdict::Admit;
+        }
+        let place = self.places.get(&submission.job);
+        let has_returned = place.is_some_and(|place| now >= place.return_at);
+        let reason = if has_returned { None } else { self.reason(rules, submission) };
+        let Some(reason) = reason else {
+            self.admit(now, submission);
+            return Verdict::Admit;
+        };
+        let place = self.place(now, reason, submission);
+        let wait = round_up(place.return_at.saturating_sub(now));
+        if self.places.len() < MAX_KNOWN || self.places.contains_key(&submission.job) {
+            self.places.insert(submission.job, Place { return_at: now + wait, ..place });
+        }
+        let retry_after_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        Verdict::Refuse(Refusal { reason, retry_after_ms })
+    }
+
+    /// Notes that a job is stored, however it came there.
+    pub fn stored(&mut self, job: JobId) {
+        self.unstored.remove(&job);
+        self.places.remove(&job);
+    }
+
+    /// Number of jobs of which something is remembered.
+    #[must_use]
+    pub fn known_jobs(&self) -> usize {
+        self.unstored.len() + self.places.len()
+    }
+
+    fn expire(&mut self, now: Duration) {
+        self.unstored.retain(|_, job| now < job.admitted_at + STORE_TIMEOUT);
+        self.places.retain(|_, place| now < place.return_at + RETURN_GRACE);
+    }
+
+    fn admit(&mut self, now: Duration, submission: &Submission) {
+        self.places.remove(&submission.job);
+        if self.unstored.len() < MAX_KNOWN {
+            let customer = submission.customer.clone();
+            self.unstored.insert(submission.job, Unstored { customer, admitted_at: now });
+        }
+    }
+
+    /// Why the job is to be refused; `None` if it is to be admitted.
+    fn reason(&self, rules: Rules, submission: &Submission) -> Option<Reason> {
+        let backlog = submission.backlog;
+        if !backlog.is_full || backlog.wait < RETRY_UNIT {
+            return None;
+        }
+        if rules.by_customer && self.next_token(submission).is_some_and(|wait| !wait.is_zero()) {
+            return Some(Reason::OverShare);
+        }
+        let is_useless = backlog.completion > submission.useful_time();
+        (rules.reject_hopeless && is_useless).then_some(Reason::Overload)
+    }
+
+    /// Time until the customer's share covers the job; `None` if the customer has no weight.
+    fn next_token(&self, submission: &Submission) -> Option<Duration> {
+        let Share { tokens, rate } = submission.share?;
+        let missing = self.claimed_tokens(submission) as f64 + 1.0 - tokens;
+        if missing <= 0.0 {
+            return Some(Duration::ZERO);
+        }
+        let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(MAX_RETRY_AFTER);
+        Some(wait.min(MAX_RETRY_AFTER))
+    }
+
+    /// Number of the customer's jobs that use its share before this one: admitted ones that are not
+    /// stored, and refused ones with an earlier place.
+    fn claimed_tokens(&self, submission: &Submission) -> usize {
+        let own = &submission.customer;
+        let own_place = self.places.get(&submission.job).map(|place| place.return_at);
+        let unstored = self.unstored.values().filter(|job| job.customer == *own);
+        let places = self.places.values().filter(|place| {
+            place.customer == *own
+                && place.uses_share
+                && own_place.is_none_or(|own| place.return_at < own)
+        });
+        unstored.count() + places.count()
+    }
+
+    /// Place for a job that is refused: when its customer's share covers it, or when the shard has
+    /// room for it, whichever is first. A job that has a place keeps it.
+    fn place(&mut self, now: Duration, reason: Reason, submission: &Submission) -> Place {
+        if let Some(place) = self.places.get(&submission.job) {
+            return place.clone();
+        }
+        let customer = submission.customer.clone();
+        let backlog = submission.backlog;
+        let until_room = match reason {
+            Reason::OverShare => backlog.wait,
+            Reason::Overload => backlog.completion.saturating_sub(submission.useful_time()),
+        };
+        let latest = now + MAX_RETRY_AFTER;
+        let room_at = self.next_room_at.max(now + until_room).min(latest);
+        let share = self.next_token(submission).filter(|_| reason == Reason::OverShare);
+        if let Some(wait) = share
+            && now + wait < room_at
+        {
+            return Place { customer, return_at: now + wait, uses_share: true };
+        }
+        self.next_room_at = (room_at + submission.service).min(latest);
+        Place { customer, return_at: room_at, uses_share: false }
+    }
+}
+
+/// Smallest number of whole seconds that is not shorter than `wait`, and not zero.
+fn round_up(wait: Duration) -> Duration {
+    let is_whole = wait.subsec_nanos() == 0;
+    let seconds = wait.as_secs() + u64::from(!is_whole);
+    Duration::from_secs(seconds).max(RETRY_UNIT)
+}
+
+/// Whether a job may be refused for lack of room. Long-running jobs need a place in the pool in any
+/// case, and scheduled ones do not run now.
+fn is_refusable(spec: &Spec) -> bool {
+    spec.repeat.is_none() && !spec.steps.iter().any(|step| step.long_running)
+}
+
+/// Processor time of all tasks by the caller's estimates, in thousandths of a core times ms.
+fn work(spec: &Spec) -> u64 {
+    let tasks = spec.steps.iter().map(|step| {
+        let cpu = step.reserved().cpu_millis.saturating_mul(u64::from(step.tasks));
+        cpu.saturating_mul(step.estimate_ms)
+    });
+    tasks.fold(0, u64::saturating_add)
+}
+
 impl Scheduler {
-    /// Decides on a job that is about to be stored. `wall_ms` is the time of day in ms since 1970.
-    /// A job that is admitted is expected to be stored; its acceptance follows as an event.
-    pub fn admit(&mut self, now: Duration, wall_ms: u64, job: &Accepted) -> Verdict {
-        let _ = (now, wall_ms, job);
-        Verdict::Admit
+    /// Decides on a job that is about to be stored. A job that is admitted is expected to be
+    /// stored; its acceptance follows as an event.
+    pub fn admit(&mut self, now: Duration, id: JobId, job: &Accepted) -> Verdict {
+        let rules = self.settings.admission;
+        // A job that is submitted again is the same job.
+        if rules == Rules::default() || self.jobs.contains_key(&id) || !is_refusable(&job.spec) {
+            return Verdict::Admit;
+        }
+        let critical_path_ms = job.spec.critical_paths_ms().into_iter().max().unwrap_or_default();
+        let submission = Submission {
+            job: id,
+            customer: job.customer.clone(),
+            share: job.customer.as_ref().and_then(|name| self.shares.unused(name, job.at_ms)),
+            backlog: self.expected_backlog(now, job),
+            objective: allowed_time(&job.policy, critical_path_ms),
+            service: self.time_for(now, work(&job.spec)).unwrap_or_default(),
+        };
+        let verdict = self.admission.decide(now, rules, &submission);
+        if let Verdict::Refuse(refusal) = verdict {
+            log::info!(
+                "event=submit_refused job={id} customer={} reason={} retry_after_ms={} wait_ms={} completion_ms={}",
+                job.customer.as_deref().unwrap_or_default(),
+                refusal.reason.name(),
+                refusal.retry_after_ms,
+                submission.backlog.wait.as_millis(),
+                submission.backlog.completion.as_millis()
+            );
+        }
+        verdict
+    }
+
+    /// Backlog that the job would meet. Where the overload policy does not report the shard as
+    /// full, it still counts as full if some task found no worker in the last placement round and
+    /// more work waits than there is room for.
+    fn expected_backlog(&mut self, now: Duration, job: &Accepted) -> Backlog {
+        let backlog = self.backlog(now, job);
+        if backlog.is_full || !self.lacks_workers() {
+            return backlog;
+        }
+        let wait = self.drain_time(now);
+        Backlog { is_full: !wait.is_zero(), wait, ..backlog }
+    }
+
+    /// Time in which the shard could work off what waits, by the callers' estimates; zero if that
+    /// fits into what is free, or there are no workers. Runs in progress are left out, so that the
+    /// time is rather too short.
+    fn drain_time(&mut self, now: Duration) -> Duration {
+        if let Some((computed_at, drain)) = self.admission.drain
+            && now < computed_at + DRAIN_INTERVAL
+        {
+            return drain;
+        }
+        let usable = self.workers.values().filter(|worker| worker.is_usable(now));
+        let free: u64 = usable.map(|worker| worker.free().cpu_millis).sum();
+        let required: u64 = self.waiting.iter().map(|key| key.resources.cpu_millis).sum();
+        let work = self.waiting.iter().map(|key| {
+            let estimate_ms = self.step_of(key.task).map_or(0, |step| step.estimate_ms);
+            key.resources.cpu_millis.saturating_mul(estimate_ms)
+        });
+        let work = work.fold(0, u64::saturating_add);
+        let time = self.time_for(now, work).filter(|_| required > free);
+        let drain = time.unwrap_or_default();
+        self.admission.drain = Some((now, drain));
+        drain
+    }
+
+    /// Time that all usable workers together need for some work, in thousandths of a core times ms;
+    /// `None` if there are none.
+    fn time_for(&self, now: Duration, work: u64) -> Option<Duration> {
+        let usable = self.workers.values().filter(|worker| worker.is_usable(now));
+        let capacity: u64 = usable.map(|worker| worker.entry.capacity.cpu_millis).sum();
+        work.checked_div(capacity).map(Duration::from_millis)
     }
 }
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crosspath_job::progress::{Loss, Progress, State, TaskProgress};
-use crosspath_job::record::Accepted;
+use crosspath_job::record::{Accepted, Policy};
 use crosspath_job::{JobId, TaskId};
 
 /// Progress from which a long-running task counts as available, in percent.
@@ -227,15 +227,8 @@
     /// When the job should have ended: its acceptance, plus the critical path stretched by the
     /// policy's factor, plus the policy's fixed target time.
     pub(crate) fn deadline(&self) -> Duration {
-        let policy = &self.accepted.policy;
         let critical_path = self.critical_paths_ms.iter().max().copied().unwrap_or_default();
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the time allowed for a job is some minutes"
-        )]
-        let allowed_ms = (policy.stretch * critical_path as f64) as u64 + policy.target_ms;
-        self.accepted_at + Duration::from_millis(allowed_ms)
+        self.accepted_at + allowed_time(&self.accepted.policy, critical_path)
     }
 
     /// Drops unreported runs on worker incarnations for which `is_over` holds.
@@ -308,6 +301,17 @@
     }
 }
 
+/// Time from the acceptance of a job to its deadline, from the length of its critical path in ms.
+pub(crate) fn allowed_time(policy: &Policy, critical_path_ms: u64) -> Duration {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the time allowed for a job is some minutes"
+    )]
+    let stretched_ms = (policy.stretch * critical_path_ms as f64) as u64;
+    Duration::from_millis(stretched_ms.saturating_add(policy.target_ms))
+}
+
 /// Parses the key of a task in a progress record, `TIME.STEP.INDEX`, where `TIME` is the
 /// occurrence.
 fn parse_key(key: &str) -> Option<(u32, u32, u32)> {
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -21,6 +21,7 @@
         id: JobId,
         accepted: Arc<Accepted>,
     ) {
+        self.admission.stored(id);
         if let Some(existing) = self.jobs.get(&id) {
             // The newest acceptance in the log now names another customer, which the next owner
             // would take over. Appending the original record again corrects that.
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crosspath_job::{JobId, TaskId};
 
 use crate::action::Action;
-use crate::admission::Rules;
+use crate::admission::{Admission, Rules};
 use crate::commit::Commits;
 use crate::event::Event;
 use crate::job::{Job, Task};
@@ -64,6 +64,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) quotas: Quotas,
     pub(crate) shares: Shares,
+    pub(crate) admission: Admission,
     pub(crate) vms_to_vacate: BTreeSet<Arc<str>>,
     /// Data centres that get no new work.
     pub(crate) evacuated: Arc<BTreeSet<Arc<str>>>,
@@ -112,6 +113,7 @@
             tickets: Tickets::default(),
             quotas: Quotas::new(settings.shard, epoch),
             shares: Shares::default(),
+            admission: Admission::default(),
             vms_to_vacate: BTreeSet::new(),
             evacuated: Arc::default(),
             may_start: true,
@@ -165,6 +167,13 @@
         self.jobs.get(&job).map(|job| job.accepted.as_ref())
     }
 
+    /// Whether a job counted as within its customer's share when it was accepted; `None` if the job
+    /// is unknown.
+    #[must_use]
+    pub fn is_within_share(&self, job: JobId) -> Option<bool> {
+        self.jobs.get(&job).map(|job| job.within_share)
+    }
+
     /// Content of a job's progress record; `None` if the job is unknown. `wall_ms` is the time of
     /// day in ms since 1970.
     #[must_use]
--- a/crates/crosspath_schedule/src/shares.rs
+++ b/crates/crosspath_schedule/src/shares.rs
@@ -13,6 +13,7 @@
 use crosspath_job::JobId;
 use crosspath_quota::Weights;
 
+use crate::admission::Share;
 use crate::place::Key;
 use crate::scheduler::Scheduler;
 
@@ -42,21 +43,33 @@
 }
 
 impl Shares {
+    /// Unused part of a customer's share; `None` if it has no weight.
+    pub(crate) fn unused(&self, customer: &Arc<str>, at_ms: u64) -> Option<Share> {
+        let rate = self.weights.get(customer)? * self.fraction;
+        Some(Share { tokens: self.bucket(customer, rate, at_ms).tokens, rate })
+    }
+
+    /// Token bucket of a customer whose jobs come at `rate`, refilled up to `at_ms`.
+    fn bucket(&self, customer: &Arc<str>, rate: f64, at_ms: u64) -> Bucket {
+        let capacity = (rate * BURST_SECONDS).max(MIN_BURST_JOBS);
+        let Some(bucket) = self.buckets.get(customer) else {
+            return Bucket { tokens: capacity, at_ms };
+        };
+        let refill = rate * at_ms.saturating_sub(bucket.at_ms) as f64 / 1_000.0;
+        let tokens = (bucket.tokens + refill).min(capacity);
+        Bucket { tokens, at_ms: bucket.at_ms.max(at_ms) }
+    }
+
     /// Counts a job against its customer's share and returns whether it is within the share. Always
     /// true for customers without a weight.
     fn take_token(&mut self, customer: &Arc<str>, at_ms: u64) -> bool {
         let Some(weight) = self.weights.get(customer) else { return true };
-        let rate = weight * self.fraction;
-        let capacity = (rate * BURST_SECONDS).max(MIN_BURST_JOBS);
-        let full = Bucket { tokens: capacity, at_ms };
-        let bucket = self.buckets.entry(Arc::clone(customer)).or_insert(full);
-        let refill = rate * at_ms.saturating_sub(bucket.at_ms) as f64 / 1_000.0;
-        bucket.tokens = (bucket.tokens + refill).min(capacity);
-        bucket.at_ms = bucket.at_ms.max(at_ms);
+        let mut bucket = self.bucket(customer, weight * self.fraction, at_ms);
         let within_share = bucket.tokens >= 1.0;
         if within_share {
             bucket.tokens -= 1.0;
         }
+        self.buckets.insert(Arc::clone(customer), bucket);
         within_share
     }
 }
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -113,6 +113,14 @@
         Self { scheduler, now, actions: Vec::new(), auto_commit: true }
     }
 
+    /// Owner that refuses submissions by these rules.
+    pub(crate) fn with_rules(rules: Rules) -> Self {
+        let now = ms(10_000);
+        let settings = Settings { admission: rules, ..settings() };
+        let scheduler = Scheduler::new(settings, 1, now);
+        Self { scheduler, now, actions: Vec::new(), auto_commit: true }
+    }
+
     /// First owner of the shard, with these workers, all of which have answered a poll.
     pub(crate) fn with_workers(ids: &[&str]) -> Self {
         let mut harness = Self::new(1);
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler, through its events and actions.
 
+mod admission;
 mod cancelled;
 mod capacity;
 mod common;
--- a/crates/crosspath_schedule/tests/schedule/shares.rs
+++ b/crates/crosspath_schedule/tests/schedule/shares.rs
@@ -9,6 +9,7 @@
 use crosspath_job::{JobId, TaskId};
 use crosspath_quota::{Limits, Weights};
 use crosspath_schedule::Event;
+use crosspath_schedule::admission::{Rules, Verdict};
 
 use crate::common::{Harness, WALL_MS, accepted, ended, ms, running, step};
 
@@ -43,11 +44,17 @@
     counts: BTreeMap<String, Count>,
     /// Number of consecutive steps in which a job waited although the worker had free resources.
     idle_steps: usize,
+    /// Refused jobs by the time at which they return, with their customers and first sends.
+    returning: BTreeMap<(Duration, JobId), (String, Duration)>,
+    /// Refused jobs and their customers.
+    refused: BTreeMap<JobId, String>,
 }
 
 impl Load {
-    fn new(weights: Weights) -> Self {
-        let mut harness = Harness::with_workers(&["a"]);
+    fn new(weights: Weights, rules: Rules) -> Self {
+        let mut harness = Harness::with_rules(rules);
+        harness.take_over(Vec::new(), &["a"]);
+        harness.polled("a", Vec::new(), Vec::new());
         harness.send(Event::Limits(Limits::new()));
         harness.send(Event::Weights { weights, shard_fraction: 1.0 });
         let started_at = harness.now;
@@ -59,20 +66,44 @@
             sent: BTreeMap::new(),
             counts: BTreeMap::new(),
             idle_steps: 0,
+            returning: BTreeMap::new(),
+            refused: BTreeMap::new(),
         }
     }
 
     fn send(&mut self, customer: &str) {
-        let id = JobId(self.sent.len() as u64 + 1);
+        let sent = self.counts.values().map(|count| count.sent).sum::<u32>();
+        self.counts.entry(customer.to_owned()).or_default().sent += 1;
+        self.submit(JobId(u64::from(sent) + 1), customer, self.harness.now);
+    }
+
+    /// Submits a job that was first sent at `first`; a refused one returns when it is told to.
+    fn submit(&mut self, id: JobId, customer: &str, first: Duration) {
         let at_ms = u64::try_from((self.harness.now - self.started_at).as_millis())
             .expect("a time that fits in 64 bits");
-        self.sent.insert(id, (customer.to_owned(), self.harness.now));
-        self.counts.entry(customer.to_owned()).or_default().sent += 1;
-        self.harness.send(Event::Accepted(id, job_of(customer, at_ms)));
+        let job = job_of(customer, at_ms);
+        match self.harness.scheduler.admit(self.harness.now, id, &job) {
+            Verdict::Admit => {
+                self.sent.insert(id, (customer.to_owned(), first));
+                self.harness.send(Event::Accepted(id, job));
+            }
+            Verdict::Refuse(refusal) => {
+                let return_at = self.harness.now + ms(refusal.retry_after_ms);
+                self.returning.insert((return_at, id), (customer.to_owned(), first));
+                let earlier = self.refused.insert(id, customer.to_owned());
+                assert_eq!(earlier, None, "job {id} was refused although it came back as told");
+            }
+        }
     }
 
     fn step(&mut self) {
         self.harness.now += STEP;
+        while let Some(entry) = self.returning.first_entry()
+            && entry.key().0 <= self.harness.now
+        {
+            let ((_, id), (customer, first)) = entry.remove_entry();
+            self.submit(id, &customer, first);
+        }
         let now = self.harness.now;
         let finished =
             self.running.iter().filter(|(_, (_, started_at))| now >= *started_at + TASK_DURATION);
@@ -103,9 +134,8 @@
 }
 
 /// Simulates [`SMALL_CUSTOMERS`] customers that send one job a second and one that sends ten.
-/// Returns the lowest fraction of jobs in time among the former, and that of the latter.
-fn simulate(weights: Weights) -> (f64, f64) {
-    let mut load = Load::new(weights);
+fn simulate(weights: Weights, rules: Rules) -> Load {
+    let mut load = Load::new(weights, rules);
     let mut sent = [0_u64; SMALL_CUSTOMERS + 1];
     while load.harness.now < load.started_at + ms(SIMULATED_MS) {
         let elapsed_ms = u64::try_from((load.harness.now - load.started_at).as_millis())
@@ -122,10 +152,19 @@
         load.step();
         assert!(load.idle_steps < 10, "jobs wait while the worker has free resources");
     }
+    load
+}
+
+/// Lowest fraction of jobs in time among the small customers, and that of the large one.
+fn in_time(load: &Load) -> (f64, f64) {
     let small =
         (0..SMALL_CUSTOMERS).map(|number| load.fraction_in_time(&format!("customer-{number}")));
     let worst = small.fold(1.0, f64::min);
-    (worst, load.fraction_in_time(&format!("customer-{SMALL_CUSTOMERS}")))
+    (worst, load.fraction_in_time(&large_customer()))
+}
+
+fn large_customer() -> String {
+    format!("customer-{SMALL_CUSTOMERS}")
 }
 
 fn weights() -> Weights {
@@ -134,15 +173,29 @@
 
 #[test]
 fn customers_within_their_shares_are_served_beside_one_far_over_its_share() {
-    let (worst, large) = simulate(weights());
+    let (worst, large) = in_time(&simulate(weights(), Rules::default()));
     // Placement by latest start alone gives 0.70 and 0.73; with shares it is 0.95 and 0.14.
     assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
     assert!(large >= 0.1, "customer over its share: {large:.2} in time");
 }
 
+#[test]
+fn only_the_customer_over_its_share_is_refused_and_its_callers_return_to_be_served() {
+    let rules = Rules { by_customer: true, reject_hopeless: false };
+    let load = simulate(weights(), rules);
+    let (worst, large) = in_time(&load);
+    assert!(!load.refused.is_empty(), "nobody is refused");
+    let is_large = load.refused.values().all(|customer| *customer == large_customer());
+    assert!(is_large, "{:?}", load.refused);
+    // Without refusals it is 0.95 and 0.14: the order of placement already keeps the large customer
+    // from delaying others, and its refused jobs lose the time until they return.
+    assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
+    assert!(large >= 0.05, "customer over its share: {large:.2} in time");
+}
+
 #[test]
 fn without_shares_all_customers_are_late() {
-    let (worst, large) = simulate(Weights::new());
+    let (worst, large) = in_time(&simulate(Weights::new(), Rules::default()));
     assert!(
         worst < 0.8 && large > 0.6,
         "worst small customer {worst:.2}, large customer {large:.2}"
