Refuse submissions at the shard's owner before they are stored

The owner asks its scheduler for each submission that reaches it, from a caller or from another daemon, before the record is queued for the append. Appends say whether the sender understands refusals (may_refuse, false if absent), and replies list what was refused (empty if absent), so daemons of the previous version neither see refusals nor send them. Callers get 503 with the delay in whole seconds, rounded up.

A refusal never stands for a record that may be stored: a retry after an unconfirmed attempt asks for none; one that comes while an append around the owner is in flight, or after such an append without an answer, does not count. Appends around the owner and owners without the store refuse nobody.

The node tests' worker client accepts starts and reports runs instead of failing every call, and their store reads worker entries; no existing test lists a worker, and none is changed. With the settings off, the owner decides nothing (node/appends.rs as before).

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -25,7 +25,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::pending::{self, Deadlines, Outcome, Pending};
-use crate::rpc::{self, Failure, Request};
+use crate::rpc::{self, Declined, Failure, Request};
 
 /// Delay before a failed append is attempted again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -78,10 +78,13 @@
     if rpc::is_taken_locally(node, shard, &record) {
         return Outcome::Taken;
     }
+    if let Some(refusal) = rpc::refuse_locally(node, shard, &record) {
+        return Outcome::Refused(refusal);
+    }
     // While the store is silent, appends in flight may block the queue for long, so bypass it.
     if node.is_store_silent(clock::now()) {
         let records = [record];
-        let appended = append_with_fallback(node, shard, &records).await;
+        let appended = append_with_fallback(node, shard, &records, false).await;
         node.record_append_result(clock::now(), appended.as_ref().err());
         return match appended {
             Ok(route) => {
@@ -153,7 +156,8 @@
 async fn append_batch(node: &Arc<Node>, shard: u32, mut batch: Vec<Pending>) -> bool {
     loop {
         let records: Vec<NewRecord> = batch.iter().map(|pending| pending.record.clone()).collect();
-        let appended = append_with_fallback(node, shard, &records).await;
+        let may_refuse = batch.iter().all(Pending::may_be_refused);
+        let appended = append_with_fallback(node, shard, &records, may_refuse).await;
         node.record_append_result(clock::now(), appended.as_ref().err());
         match appended {
             Ok(route) => {
@@ -226,19 +230,21 @@
 }
 
 /// Appends through the shard's owner. If this daemon is the owner, none is known, or the owner
-/// fails or is unresponsive, appends without it.
+/// fails or is unresponsive, appends without it, and then nobody refuses a job. A refusal by the
+/// owner does not count once another append may have stored the record.
 async fn append_with_fallback(
     node: &Arc<Node>,
     shard: u32,
     records: &[NewRecord],
+    may_refuse: bool,
 ) -> Result<Route, Error> {
     let owner = node.holder(shard).filter(|_| !node.owned().contains_key(&shard));
     let without_owner =
         async || append_without_owner(node, shard, records).await.map(|()| Route::WithoutOwner);
     let Some(owner) = owner else { return without_owner().await };
-    let via_owner = pin!(rpc::relay_append(node, owner, shard, records, OWNER_TIMEOUT));
+    let via_owner = pin!(rpc::relay_append(node, owner, shard, records, may_refuse, OWNER_TIMEOUT));
     let via_owner = match select(via_owner, pin!(until_owner_unresponsive(node, owner))).await {
-        Either::Left((Ok(taken), _)) => return Ok(Route::Owner { taken }),
+        Either::Left((Ok(declined), _)) => return Ok(Route::Owner(declined)),
         // The store is slow. Appends by each daemon would slow it down even more.
         Either::Left((Err(failure @ (Failure::Unsent | Failure::Unanswered)), _)) => {
             return Err(failure.into());
@@ -251,24 +257,32 @@
     };
     // The owner may still append the records. A duplicate append does no harm.
     match select(via_owner, pin!(without_owner())).await {
-        Either::Left((Ok(taken), _)) => Ok(Route::Owner { taken }),
+        Either::Left((Ok(declined), _)) if declined.refused.is_empty() => {
+            Ok(Route::Owner(declined))
+        }
+        Either::Left((Ok(declined), other)) => match other.await {
+            Err(error) if error.had_no_effect() => Ok(Route::Owner(declined)),
+            stored_or_unknown => stored_or_unknown,
+        },
         Either::Right((Ok(route), _)) => Ok(route),
         Either::Left((Err(failure), other)) => {
             other.await.map_err(|other| combine_errors(failure.into(), other))
         }
-        Either::Right((Err(error), other)) => other
-            .await
-            .map(|taken| Route::Owner { taken })
-            .map_err(|failure| combine_errors(error, failure.into())),
+        Either::Right((Err(error), other)) => match other.await {
+            Ok(declined) if declined.refused.is_empty() || error.had_no_effect() => {
+                Ok(Route::Owner(declined))
+            }
+            Ok(_) => Err(error),
+            Err(failure) => Err(combine_errors(error, failure.into())),
+        },
     }
 }
 
 /// Route by which records were appended.
 #[derive(Debug, Clone)]
 enum Route {
-    /// Through the shard's owner, which knows of them. It did not append the records whose keys are
-    /// in `taken`: their identifiers belong to other customers' jobs.
-    Owner { taken: Vec<String> },
+    /// Through the shard's owner, which knows of them, except for the records that it declined.
+    Owner(Declined),
     /// By this daemon, or through another one that is not known to be the owner.
     WithoutOwner,
 }
@@ -277,7 +291,7 @@
     /// Notifies the owner of records that were appended without it, in the background, so that it
     /// need not wait until it reads them from the log.
     fn notify_owner(&self, node: &Arc<Node>, shard: u32, records: &[NewRecord]) {
-        if matches!(self, Self::Owner { .. }) {
+        if matches!(self, Self::Owner(_)) {
             return;
         }
         for record in records {
@@ -290,10 +304,12 @@
 impl Route {
     /// Outcome of the record with the given key.
     fn outcome(&self, key: &str) -> Outcome {
-        match self {
-            Self::Owner { taken } if taken.iter().any(|other| other == key) => Outcome::Taken,
-            Self::Owner { .. } | Self::WithoutOwner => Outcome::Kept,
+        let Self::Owner(Declined { taken, refused }) = self else { return Outcome::Kept };
+        if taken.iter().any(|other| other == key) {
+            return Outcome::Taken;
         }
+        let refusal = refused.iter().find(|(other, _)| other == key);
+        refusal.map_or(Outcome::Kept, |(_, refusal)| Outcome::Refused(*refusal))
     }
 }
 
@@ -328,7 +344,7 @@
     let mut peers = node.other_owners();
     let (relays, _) = peers.partial_shuffle(&mut rand::rng(), MAX_RELAYS);
     for peer in &*relays {
-        match rpc::relay_append(node, *peer, shard, records, rpc::TIMEOUT).await {
+        match rpc::relay_append(node, *peer, shard, records, false, rpc::TIMEOUT).await {
             Ok(_) => return Ok(()),
             Err(failure) => error = combine_errors(error, failure.into()),
         }
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -158,6 +158,11 @@
     }
 }
 
+/// Number of whole seconds after which `delay_ms` is over.
+fn whole_seconds(delay_ms: u64) -> u32 {
+    u32::try_from(delay_ms.div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 fn requester(access: &Access) -> Requester {
     Requester { queue: Arc::clone(&access.queue.name), customer: access.customer.clone() }
 }
@@ -235,6 +240,11 @@
         match outcome {
             Outcome::Kept => Submitted::Accepted,
             Outcome::Taken => Submitted::Taken,
+            Outcome::Refused(refusal) => {
+                let customer = access.customer.as_deref().unwrap_or_default();
+                self.node.metrics.observe_refusal(customer, refusal);
+                Submitted::NotTaken { retry_after_s: whole_seconds(refusal.retry_after_ms) }
+            }
             Outcome::NotKept | Outcome::Unsent => {
                 Submitted::NotTaken { retry_after_s: self.retry_after_s() }
             }
@@ -274,7 +284,7 @@
         self.node.metrics.observe_call(Call::Cancel, &access.queue.name, took);
         match outcome {
             Outcome::Kept => Cancelled::Done,
-            Outcome::NotKept | Outcome::Unsent => {
+            Outcome::NotKept | Outcome::Unsent | Outcome::Refused(_) => {
                 Cancelled::Unavailable { retry_after_s: self.retry_after_s() }
             }
             Outcome::Unknown | Outcome::Taken => Cancelled::Unknown,
--- a/crates/crosspath_node/src/pending.rs
+++ b/crates/crosspath_node/src/pending.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crosspath_border::store::NewRecord;
+use crosspath_schedule::admission::Refusal;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -33,6 +34,8 @@
     Kept,
     /// The record is not stored: its job's identifier belongs to another customer's job.
     Taken,
+    /// The record is not stored: the shard's owner refused the job.
+    Refused(Refusal),
     /// The record is not stored and never will be.
     NotKept,
     /// The record is not stored: it was withdrawn before it was sent, since the store is slow.
@@ -84,6 +87,13 @@
         self.unconfirmed |= unconfirmed;
     }
 
+    /// Whether the shard's owner may refuse the record: not if some attempt may have stored it, since
+    /// the caller would be told that its job does not run.
+    #[must_use]
+    pub fn may_be_refused(&self) -> bool {
+        !self.unconfirmed
+    }
+
     /// Outcome of the record if it is not attempted again; `None` if it is. A record that is
     /// certainly not stored is not attempted again while the store `is_down`.
     #[must_use]
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -14,6 +14,7 @@
 use crosspath_job::progress::State;
 use crosspath_job::record::{Record, Requester};
 use crosspath_quota::{Grant as QuotaGrant, Request as QuotaRequest};
+use crosspath_schedule::admission::{Refusal, Verdict};
 use crosspath_schedule::report;
 use http::{Request as HttpRequest, Response, StatusCode};
 use hyper::body::Incoming;
@@ -57,7 +58,13 @@
     Pool { shard: u32, vacate: BTreeSet<Arc<str>> },
     /// Appends records for another daemon. Goes to the shard's owner, which batches the records of
     /// all daemons since the store may be slow, or to any daemon if the store refuses the sender.
-    Append { shard: u32, records: Vec<(String, String)> },
+    /// The owner refuses submissions only if the sender understands that, as `may_refuse` says.
+    Append {
+        shard: u32,
+        records: Vec<(String, String)>,
+        #[serde(default)]
+        may_refuse: bool,
+    },
     /// Notifies the owner of a record that a caller's request has just added to its shard.
     #[serde(rename = "kept")]
     RecordStored { shard: u32, key: String, value: String },
@@ -99,8 +106,12 @@
     /// State of the pool slice that the shard manages.
     Pool(report::Pool),
     /// The records were appended, except those with the keys `taken`: their identifiers belong to
-    /// jobs of other customers.
-    Appended { taken: Vec<String> },
+    /// jobs of other customers. The jobs with the keys in `refused` were refused and not appended.
+    Appended {
+        taken: Vec<String>,
+        #[serde(default)]
+        refused: Vec<(String, Refusal)>,
+    },
     /// Allotments of the customers' maxima.
     #[serde(rename = "parts")]
     Quota(QuotaGrant),
@@ -192,21 +203,32 @@
     }
 }
 
-/// Appends records through a peer, which has to reply within `timeout`. Returns the keys of the
-/// records that were not appended since their identifiers belong to jobs of other customers.
+/// Records of a confirmed append that the owner did not append, by their keys.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Declined {
+    /// Records whose identifiers belong to jobs of other customers.
+    pub(crate) taken: Vec<String>,
+    /// Jobs that were refused.
+    pub(crate) refused: Vec<(String, Refusal)>,
+}
+
+/// Appends records through a peer, which has to reply within `timeout`. Returns the records that
+/// were declined; none are refused unless `may_refuse` is set.
 pub(crate) async fn relay_append(
     node: &Node,
     peer: SocketAddr,
     shard: u32,
     records: &[NewRecord],
+    may_refuse: bool,
     timeout: Duration,
-) -> Result<Vec<String>, Failure> {
+) -> Result<Declined, Failure> {
     let encode = |record: &NewRecord| {
         (record.key.clone(), String::from_utf8_lossy(&record.value).into_owned())
     };
     let records = records.iter().map(encode).collect();
-    match node.peers.call_once(peer, &Request::Append { shard, records }, timeout).await {
-        Ok(Reply::Appended { taken }) => Ok(taken),
+    let request = Request::Append { shard, records, may_refuse };
+    match node.peers.call_once(peer, &request, timeout).await {
+        Ok(Reply::Appended { taken, refused }) => Ok(Declined { taken, refused }),
         Ok(Reply::NotAppended { certain: true }) | Err(CallError::NotSent { .. }) => {
             Err(Failure::Failed(Error::NotReached))
         }
@@ -260,7 +282,9 @@
             let pool = owned.get(&shard).and_then(|handle| handle.report(vacate));
             pool.map_or(Reply::NotOwner, Reply::Pool)
         }
-        Request::Append { shard, records } => handle_append(node, shard, records).await,
+        Request::Append { shard, records, may_refuse } => {
+            handle_append(node, shard, records, may_refuse).await
+        }
         Request::RecordStored { shard, key, value } => {
             if notify_local_owner(node, shard, &key, value.as_bytes()) {
                 Reply::Acknowledged
@@ -299,15 +323,22 @@
     Reply::Handover(remaining.collect())
 }
 
-async fn handle_append(node: &Arc<Node>, shard: u32, records: Vec<(String, String)>) -> Reply {
+async fn handle_append(
+    node: &Arc<Node>,
+    shard: u32,
+    records: Vec<(String, String)>,
+    may_refuse: bool,
+) -> Reply {
     let to_record = |(key, value): (String, String)| NewRecord { key, value: value.into() };
     let (taken, records): (Vec<_>, Vec<_>) = records
         .into_iter()
         .map(to_record)
         .partition(|record| is_taken_locally(node, shard, record));
     let taken: Vec<_> = taken.into_iter().map(|record| record.key).collect();
+    let (records, refused) =
+        if may_refuse { admit_locally(node, shard, records) } else { (records, Vec::new()) };
     if records.is_empty() {
-        return Reply::Appended { taken };
+        return Reply::Appended { taken, refused };
     }
     let outcome = if node.owned().contains_key(&shard) {
         appender::append_as_owner(node, shard, records).await
@@ -316,13 +347,51 @@
         appended.map_or_else(appender::outcome_of, |()| Outcome::Kept)
     };
     match outcome {
-        Outcome::Kept | Outcome::Taken => Reply::Appended { taken },
-        Outcome::NotKept => Reply::NotAppended { certain: true },
+        Outcome::Kept | Outcome::Taken => Reply::Appended { taken, refused },
+        Outcome::NotKept | Outcome::Refused(_) => Reply::NotAppended { certain: true },
         Outcome::Unsent => Reply::Unsent,
         Outcome::Unknown => Reply::NotAppended { certain: false },
     }
 }
 
+/// Separates the records that are to be appended from those that this daemon refuses as the shard's
+/// owner.
+fn admit_locally(
+    node: &Node,
+    shard: u32,
+    records: Vec<NewRecord>,
+) -> (Vec<NewRecord>, Vec<(String, Refusal)>) {
+    let mut admitted = Vec::new();
+    let mut refused = Vec::new();
+    for record in records {
+        match refuse_locally(node, shard, &record) {
+            Some(refusal) => refused.push((record.key, refusal)),
+            None => admitted.push(record),
+        }
+    }
+    (admitted, refused)
+}
+
+/// Refusal of a job that is about to be stored, if this daemon owns the shard and refuses it. While
+/// the store does not answer, the owner may not know of jobs that are stored, and refuses none.
+pub(crate) fn refuse_locally(node: &Node, shard: u32, record: &NewRecord) -> Option<Refusal> {
+    let settings = node.settings.admission;
+    if !settings.by_customer && !settings.reject_hopeless {
+        return None;
+    }
+    let now = clock::now();
+    if node.store_down_for(now).is_some() || node.is_store_silent(now) {
+        return None;
+    }
+    let Ok(Record::Accepted(job, accepted)) = Record::decode(&record.key, &record.value) else {
+        return None;
+    };
+    match node.owned().get(&shard)?.admit(job, &accepted) {
+        Verdict::Admit => None,
+        Verdict::Refuse(refusal) => Some(refusal),
+    }
+}
+
 /// Whether this daemon owns the shard and knows that the record's identifier belongs to a job of
 /// another customer.
 pub(crate) fn is_taken_locally(node: &Node, shard: u32, record: &NewRecord) -> bool {
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -10,8 +10,8 @@
 use crosspath_border::worker::{Entry, Start};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
-use crosspath_job::record::{Record, Requester};
-use crosspath_schedule::admission::Rules;
+use crosspath_job::record::{Accepted, Record, Requester};
+use crosspath_schedule::admission::{Rules, Verdict};
 use crosspath_schedule::lease::Terms;
 use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
 use tokio::sync::mpsc;
@@ -118,6 +118,14 @@
         known.is_some_and(|known| !known.belongs_to(&accepted.requester()))
     }
 
+    /// Decides on a job that is about to be stored. While the shard is being taken over, all are
+    /// admitted.
+    pub(crate) fn admit(&self, job: JobId, accepted: &Accepted) -> Verdict {
+        let mut shared = scheduler(&self.scheduler);
+        let decide = |scheduler: &mut Scheduler| scheduler.admit(clock::now(), job, accepted);
+        shared.as_mut().map_or(Verdict::Admit, decide)
+    }
+
     /// Number of a queue's jobs that are queued; `None` while the shard is being taken over.
     pub(crate) fn queued_jobs(&self, queue: &str) -> Option<u64> {
         scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.queued_jobs(queue))
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -1,10 +1,10 @@
-//! Starts daemons that share an in-memory log and have no workers.
+//! Starts daemons that share an in-memory log, and the one worker that it may list.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, LazyLock, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -17,7 +17,7 @@
 };
 use crosspath_border::vm::{self, Authority, Fleet, Order, State, Verdict, Vm};
 use crosspath_border::worker::{
-    self, Poll, PollReply, Runner, Start, Started, Target, Timestamped,
+    self, Poll, PollReply, Runner, Running, Start, Started, Target, Timestamped,
 };
 use crosspath_fakes::memory_store::MemoryStore;
 use crosspath_http::server::{Limits, Stage};
@@ -50,6 +50,10 @@
     appends: AtomicUsize,
     /// Whether the log refuses unconditional appends.
     refuse_appends: AtomicBool,
+    /// Whether the answers to unconditional appends are lost.
+    lose_append_answers: AtomicBool,
+    /// Time in ms before unconditional appends are passed on to the log.
+    append_delay_ms: AtomicU64,
     /// Whether the log refuses every call except conditional appends.
     down: AtomicBool,
     /// Number of unconditional appends that were refused.
@@ -86,7 +90,12 @@
                 self.refused_appends.fetch_add(1, Ordering::SeqCst);
                 return Err(Error::Refused { status: 503 });
             }
+            let delay_ms = self.append_delay_ms.load(Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             self.appends.fetch_add(1, Ordering::SeqCst);
+            let appended = self.log.append(partition, records, precondition).await;
+            let is_lost = self.lose_append_answers.load(Ordering::SeqCst);
+            return if is_lost { Err(Error::NoAnswer) } else { appended };
         }
         self.log.append(partition, records, precondition).await
     }
@@ -135,7 +144,12 @@
     }
 
     fn decode_worker(&self, record: &Stored) -> Result<worker::Entry, DecodeError> {
-        self.log.decode_worker(record)
+        let detail = |error: serde_json::Error| DecodeError {
+            key: record.key.clone(),
+            offset: record.offset,
+            detail: error.to_string(),
+        };
+        serde_json::from_slice(&record.value).map_err(detail)
     }
 
     fn encode_wave_status(&self, wave: u64, state: WaveState) -> NewRecord {
@@ -164,28 +178,43 @@
     (version, words.map(row).collect())
 }
 
-/// Client that reaches no workers.
-#[derive(Debug)]
-struct NoWorkers;
+/// Workers that accept all starts and whose tasks never end by themselves. All workers of a daemon
+/// share their runs, so that there should be one.
+#[derive(Debug, Default)]
+struct BusyWorkers(Mutex<Vec<Running>>);
+
+impl BusyWorkers {
+    fn runs(&self) -> MutexGuard<'_, Vec<Running>> {
+        self.0.lock().expect("no test panicked with the lock held")
+    }
+}
 
 #[async_trait]
-impl Runner for NoWorkers {
-    async fn start(&self, _: &Target, _: &Start) -> Result<Timestamped<Started>, worker::Error> {
-        Err(worker::Error::NotReached)
+impl Runner for BusyWorkers {
+    async fn start(
+        &self,
+        _: &Target,
+        start: &Start,
+    ) -> Result<Timestamped<Started>, worker::Error> {
+        let Start { task, run, .. } = *start;
+        self.runs().push(Running { task, run, checkpoint: None, percent: 0, gauge: 0 });
+        Ok(Timestamped { value: Started::Yes, clock_ms: None })
     }
 
     async fn stop(
         &self,
         _: &Target,
-        _: TaskId,
+        task: TaskId,
         _: u64,
         _: u64,
     ) -> Result<Timestamped<()>, worker::Error> {
-        Err(worker::Error::NotReached)
+        self.runs().retain(|running| running.task != task);
+        Ok(Timestamped { value: (), clock_ms: None })
     }
 
-    async fn poll(&self, _: &Target, _: &Poll) -> Result<PollReply, worker::Error> {
-        Err(worker::Error::NotReached)
+    async fn poll(&self, _: &Target, poll: &Poll) -> Result<PollReply, worker::Error> {
+        tokio::time::sleep(poll.wait.max(POLL_INTERVAL)).await;
+        Ok(PollReply { running: self.runs().clone(), ..PollReply::default() })
     }
 
     async fn throttle(
@@ -196,12 +225,36 @@
         _: u32,
         _: u64,
     ) -> Result<Timestamped<()>, worker::Error> {
-        Err(worker::Error::NotReached)
+        Ok(Timestamped { value: (), clock_ms: None })
     }
 
     fn forget(&self, _: &Target) {}
 }
 
+/// Adds a worker with one core to the list.
+pub(crate) async fn list_worker(log: &MemoryStore) {
+    let entry = worker::Entry {
+        id: "worker-1".into(),
+        pool: "counter".into(),
+        vm: "vm-1".into(),
+        data_centre: "a".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        draining: false,
+        remaining_ms: 0,
+        capacity: Resources { cpu_millis: 1_000, mem_mb: 128_000, gpus: 0 },
+        labels: Vec::new(),
+        clock_ms: 0,
+        started_ms: 0,
+        warm_up_ms: 0,
+    };
+    let value = serde_json::to_vec(&entry).expect("entries are serialisable as JSON");
+    let record = NewRecord { key: entry.id.to_string(), value: value.into() };
+    let workers = Partition { topic: Topic::Workers, number: 0 };
+    log.append(workers, &[record], Precondition::Unconditional)
+        .await
+        .expect("log accepts the worker");
+}
+
 fn queue() -> Queue {
     let policy = Policy { priority: 0, max_attempts: 3, stretch: 1.6, target_ms: 600 };
     Queue {
@@ -257,7 +310,7 @@
 /// Address that no other daemon of this process has. The system may return the same free port twice
 /// before the first daemon listens on it. The second daemon would then fail to start, and its test
 /// would call the handler of the first.
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     loop {
         let listener = StdListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("a bound listener has an address");
@@ -270,6 +323,8 @@
 pub(crate) struct Daemon {
     store: Arc<FaultyStore>,
     handler: Arc<dyn Handler>,
+    /// Address for other daemons.
+    pub(crate) peers: SocketAddr,
 }
 
 impl Daemon {
@@ -279,7 +334,15 @@
 
     /// Starts a daemon on a VM that is too small to own shards while there are large ones.
     pub(crate) async fn start_small(name: &str, log: &Arc<MemoryStore>) -> Self {
-        Self::start_on(name, log, Some(Arc::new(FakeFleet::healthy(30))), SMALL_MILLICORES).await
+        let fleet = Some(Arc::new(FakeFleet::healthy(30)) as Arc<dyn Fleet>);
+        Self::start_on(name, log, fleet, SMALL_MILLICORES, Admission::default()).await
+    }
+
+    /// Starts a daemon that refuses jobs beyond their customers' shares.
+    pub(crate) async fn start_refusing(name: &str, log: &Arc<MemoryStore>) -> Self {
+        let fleet = Some(Arc::new(FakeFleet::healthy(30)) as Arc<dyn Fleet>);
+        let admission = Admission { by_customer: true, ..Admission::default() };
+        Self::start_on(name, log, fleet, LARGE_MILLICORES, admission).await
     }
 
     /// Starts a daemon with the given VM list; `None` if VMs are not managed.
@@ -288,7 +351,7 @@
         log: &Arc<MemoryStore>,
         fleet: Option<Arc<dyn Fleet>>,
     ) -> Self {
-        Self::start_on(name, log, fleet, LARGE_MILLICORES).await
+        Self::start_on(name, log, fleet, LARGE_MILLICORES, Admission::default()).await
     }
 
     async fn start_on(
@@ -296,6 +359,7 @@
         log: &Arc<MemoryStore>,
         fleet: Option<Arc<dyn Fleet>>,
         millicores: u32,
+        admission: Admission,
     ) -> Self {
         let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
         let settings = Settings {
@@ -321,13 +385,15 @@
             costs: Costs::default(),
             failure_domains: FailureDomains::default(),
             relays: false,
-            admission: Admission::default(),
+            admission,
             entry: None,
         };
         let store = Arc::new(FaultyStore {
             log: Arc::clone(log),
             appends: AtomicUsize::new(0),
             refuse_appends: AtomicBool::new(false),
+            lose_append_answers: AtomicBool::new(false),
+            append_delay_ms: AtomicU64::new(0),
             down: AtomicBool::new(false),
             refused_appends: AtomicUsize::new(0),
             worker_reads: AtomicUsize::new(0),
@@ -335,7 +401,7 @@
         });
         let ports = Ports {
             store: Arc::clone(&store) as Arc<dyn Store>,
-            runner: Arc::new(NoWorkers),
+            runner: Arc::new(BusyWorkers::default()),
             fleet,
             advisor: None,
             serve_callers: register_handler,
@@ -350,7 +416,7 @@
                 .get(&addresses[0])
                 .cloned();
             if let Some(handler) = handler.filter(|handler| handler.is_ready()) {
-                return Self { store, handler };
+                return Self { store, handler, peers: addresses[2] };
             }
         }
     }
@@ -395,6 +461,17 @@
         self.store.refused_appends.load(Ordering::SeqCst)
     }
 
+    /// Loses the answers to this daemon's appends for callers, which take effect.
+    pub(crate) fn lose_append_answers(&self) {
+        self.store.lose_append_answers.store(true, Ordering::SeqCst);
+    }
+
+    /// Delays this daemon's appends for callers.
+    pub(crate) fn delay_appends(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).expect("a delay of some seconds");
+        self.store.append_delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
     pub(crate) fn refuse_appends(&self) {
         self.store.refuse_appends.store(true, Ordering::SeqCst);
     }
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon: its modules by themselves, and several daemons on one log in memory.
 
+mod admission;
 mod appends;
 mod candidacy;
 mod claim;
--- a/crates/crosspath_node/tests/node/pending.rs
+++ b/crates/crosspath_node/tests/node/pending.rs
@@ -77,3 +77,15 @@
     pending.attempt_failed(true);
     assert_eq!(pending.final_outcome(Duration::from_millis(1), true), None);
 }
+
+/// The owner's refusal would deny a job that an earlier attempt stored.
+#[test]
+fn a_record_that_may_be_stored_may_not_be_refused() {
+    let (mut pending, _waiter) = pair();
+    assert!(pending.may_be_refused());
+    pending.attempt_failed(false);
+    assert!(pending.may_be_refused());
+    pending.attempt_failed(true);
+    pending.attempt_failed(false);
+    assert!(!pending.may_be_refused());
+}
