Log the weights that a shard applies, and the customer of each job

The customer with the largest weight sends 35 jobs per second usually, 190 while it is hot and 640 in the two seconds of the burst, and its bucket holds five seconds of its rate: it never is beyond its share, though it sends four jobs of five.

--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -52,8 +52,9 @@
         let age = Duration::from_millis(wall_ms.saturating_sub(accepted.at_ms));
         let job = Job::new(id, accepted, now.saturating_sub(age));
         log::info!(
-            "event=job_known job={id} queue={} age_ms={}",
+            "event=job_known job={id} queue={} customer={} age_ms={}",
             job.accepted.queue,
+            job.accepted.customer.as_deref().unwrap_or_default(),
             age.as_millis()
         );
         self.jobs.insert(id, job);
--- a/crates/crosspath_schedule/src/shares.rs
+++ b/crates/crosspath_schedule/src/shares.rs
@@ -81,6 +81,12 @@
         if self.shares.weights == weights && self.shares.fraction == fraction {
             return;
         }
+        log::info!(
+            "event=weights customers={} fraction={fraction} total_per_s={} largest_per_s={}",
+            weights.len(),
+            weights.values().sum::<f64>(),
+            weights.values().copied().fold(0.0, f64::max)
+        );
         self.shares = Shares { weights, fraction, buckets: BTreeMap::new() };
         let by_acceptance = self.jobs.values().map(|job| (job.accepted.at_ms, job.id));
         let mut by_acceptance: Vec<_> = by_acceptance.collect();
