Report identifiers that an append around the owner finds taken

A daemon whose owner does not answer and that the log refuses asks another daemon to append. If that one owns the shard by now and knows that the identifier belongs to another customer's job, it said so, but the keys were dropped, and the caller was told that its job is stored. The same happened to records that an owner found taken between its first check and the append. Both keep the keys now, and owners are not notified of records that were not stored. The test of the first case fails without the change (accepted instead of taken); the second has no test of its own, since it needs a change of owner between two lines.

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -207,12 +207,13 @@
 }
 
 /// Appends records relayed by another daemon, batched with this daemon's own. Returns their common
-/// outcome, or [`Outcome::Unknown`] if they have different ones.
+/// outcome, or [`Outcome::Unknown`] if they have different ones, and apart from it the keys of those
+/// that were found to be taken.
 pub(crate) async fn append_as_owner(
     node: &Arc<Node>,
     shard: u32,
     records: Vec<NewRecord>,
-) -> Outcome {
+) -> (Outcome, Vec<String>) {
     let now = clock::now();
     let deadlines = Deadlines {
         send_by: now + OWNER_QUEUE_TIMEOUT,
@@ -225,8 +226,13 @@
         waiter.outcome(now)
     });
     let outcomes = join_all(waiters).await;
-    let first = outcomes.first().copied().unwrap_or(Outcome::Kept);
-    if outcomes.iter().all(|outcome| *outcome == first) { first } else { Outcome::Unknown }
+    let by_key = records.into_iter().map(|record| record.key).zip(outcomes);
+    let (taken, others): (Vec<_>, Vec<_>) =
+        by_key.partition(|(_, outcome)| *outcome == Outcome::Taken);
+    let first = others.first().map_or(Outcome::Kept, |(_, outcome)| *outcome);
+    let is_common = others.iter().all(|(_, outcome)| *outcome == first);
+    let taken = taken.into_iter().map(|(key, _)| key).collect();
+    (if is_common { first } else { Outcome::Unknown }, taken)
 }
 
 /// Appends through the shard's owner. If this daemon is the owner, none is known, or the owner
@@ -240,7 +246,7 @@
 ) -> Result<Route, Error> {
     let owner = node.holder(shard).filter(|_| !node.owned().contains_key(&shard));
     let without_owner =
-        async || append_without_owner(node, shard, records).await.map(|()| Route::WithoutOwner);
+        async || append_without_owner(node, shard, records).await.map(Route::WithoutOwner);
     let Some(owner) = owner else { return without_owner().await };
     let via_owner = pin!(rpc::relay_append(node, owner, shard, records, may_refuse, OWNER_TIMEOUT));
     let via_owner = match select(via_owner, pin!(until_owner_unresponsive(node, owner))).await {
@@ -283,18 +289,17 @@
 enum Route {
     /// Through the shard's owner, which knows of them, except for the records that it declined.
     Owner(Declined),
-    /// By this daemon, or through another one that is not known to be the owner.
-    WithoutOwner,
+    /// By this daemon, or through another one that is not known to be the owner, except for the
+    /// records that the latter declined.
+    WithoutOwner(Declined),
 }
 
 impl Route {
     /// Notifies the owner of records that were appended without it, in the background, so that it
     /// need not wait until it reads them from the log.
     fn notify_owner(&self, node: &Arc<Node>, shard: u32, records: &[NewRecord]) {
-        if matches!(self, Self::Owner(_)) {
-            return;
-        }
-        for record in records {
+        let Self::WithoutOwner(Declined { taken, .. }) = self else { return };
+        for record in records.iter().filter(|record| !taken.contains(&record.key)) {
             let (node, record) = (Arc::clone(node), record.clone());
             drop(tokio::spawn(async move { rpc::notify_stored(&node, shard, &record).await }));
         }
@@ -304,7 +309,8 @@
 impl Route {
     /// Outcome of the record with the given key.
     fn outcome(&self, key: &str) -> Outcome {
-        let Self::Owner(Declined { taken, refused }) = self else { return Outcome::Kept };
+        let (Self::Owner(declined) | Self::WithoutOwner(declined)) = self;
+        let Declined { taken, refused } = declined;
         if taken.iter().any(|other| other == key) {
             return Outcome::Taken;
         }
@@ -331,21 +337,22 @@
     if one.had_no_effect() { other } else { one }
 }
 
-/// Appends directly, or else through up to [`MAX_RELAYS`] other daemons, chosen at random.
+/// Appends directly, or else through up to [`MAX_RELAYS`] other daemons, chosen at random. Returns
+/// the records that these declined.
 async fn append_without_owner(
     node: &Arc<Node>,
     shard: u32,
     records: &[NewRecord],
-) -> Result<(), Error> {
+) -> Result<Declined, Error> {
     let mut error = match node.append(shard, records).await {
-        Ok(()) => return Ok(()),
+        Ok(()) => return Ok(Declined::default()),
         Err(error) => error,
     };
     let mut peers = node.other_owners();
     let (relays, _) = peers.partial_shuffle(&mut rand::rng(), MAX_RELAYS);
     for peer in &*relays {
         match rpc::relay_append(node, *peer, shard, records, false, rpc::TIMEOUT).await {
-            Ok(_) => return Ok(()),
+            Ok(declined) => return Ok(declined),
             Err(failure) => error = combine_errors(error, failure.into()),
         }
     }
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -334,14 +334,16 @@
         .into_iter()
         .map(to_record)
         .partition(|record| is_taken_locally(node, shard, record));
-    let taken: Vec<_> = taken.into_iter().map(|record| record.key).collect();
+    let mut taken: Vec<_> = taken.into_iter().map(|record| record.key).collect();
     let (records, refused) =
         if may_refuse { admit_locally(node, shard, records) } else { (records, Vec::new()) };
     if records.is_empty() {
         return Reply::Appended { taken, refused };
     }
     let outcome = if node.owned().contains_key(&shard) {
-        appender::append_as_owner(node, shard, records).await
+        let (outcome, found_taken) = appender::append_as_owner(node, shard, records).await;
+        taken.extend(found_taken);
+        outcome
     } else {
         let appended = node.append(shard, &records).await;
         appended.map_or_else(appender::outcome_of, |()| Outcome::Kept)
--- a/crates/crosspath_node/tests/node/admission.rs
+++ b/crates/crosspath_node/tests/node/admission.rs
@@ -228,3 +228,16 @@
     let daemon = start_beside_owner(&[(0, as_previous_version)]).await;
     assert_eq!(daemon.submit(1).await, Submitted::Accepted);
 }
+
+fn taken(append: &Value) -> Value {
+    json!({"appended": {"taken": [append["records"][0][0]]}})
+}
+
+/// The owner does not answer and the log refuses this daemon, so it asks another one to append. That
+/// one owns the shard by now and knows that the identifier belongs to another customer's job.
+#[tokio::test]
+async fn an_identifier_found_taken_by_an_append_around_the_owner_is_reported() {
+    let daemon = start_beside_owner(&[(2_000, unconfirmed), (0, taken)]).await;
+    daemon.refuse_appends();
+    assert_eq!(daemon.submit(1).await, Submitted::Taken);
+}
