A customer whose work dominates a full shard is beyond its share

While a shard is full, a customer is now also beyond its share if its part of the waiting work is more than 1.5 times its part of the weights of the customers whose work waits. Its jobs return when the shard has room. The waiting work is summed at most each 50 ms.

Taken out or changed, each with a red test: the factor in both directions, the part of the weights, the return by room instead of the next token, the condition that more waits than is free, summing again. A check that more than one customer waits was taken out for good: one alone never has more than its part, and no test told the difference.

--- a/crates/crosspath_schedule/src/admission.rs
+++ b/crates/crosspath_schedule/src/admission.rs
@@ -36,8 +36,11 @@
 const MAX_KNOWN: usize = 4_096;
 /// Multiple of its objective after which the end of a job is of no use.
 const USELESS_FACTOR: u32 = 3;
+/// Multiple of its part of the weights above which a customer's part of the waiting work counts as
+/// beyond its share. Single jobs of small customers may exceed their part by chance.
+const DOMINANCE: f64 = 1.5;
 /// Interval between two sums of the waiting work, which may comprise some thousand tasks.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+const SUM_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Decision on a job that a caller submits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -144,8 +147,31 @@
     places: BTreeMap<JobId, Place>,
     /// When the shard will have room for one more of the jobs that were refused.
     next_room_at: Duration,
-    /// Time in which the shard could work off what waited, and when that was computed.
-    drain: Option<(Duration, Duration)>,
+    /// Work that waited when it was last summed.
+    waiting: Waiting,
+}
+
+/// Work that waits in a shard, by the callers' estimates.
+#[derive(Debug, Clone, Default)]
+struct Waiting {
+    /// When it was summed; `None` if it never was.
+    summed_at: Option<Duration>,
+    /// Time in which all usable workers together could work it off; zero if it fits into what is
+    /// free, or there are no workers.
+    drain: Duration,
+    /// By customer, in thousandths of a core times ms.
+    by_customer: BTreeMap<Arc<str>, u64>,
+}
+
+impl Waiting {
+    /// Whether a customer's part of the waiting work is well above its part of the weights of all
+    /// customers whose work waits.
+    fn is_dominated_by(&self, customer: &Arc<str>, weight: impl Fn(&Arc<str>) -> f64) -> bool {
+        let total: u64 = self.by_customer.values().sum();
+        let own = self.by_customer.get(customer).copied().unwrap_or_default();
+        let weights: f64 = self.by_customer.keys().map(&weight).sum();
+        own as f64 > DOMINANCE * weight(customer) / weights * total as f64
+    }
 }
 
 impl Admission {
@@ -292,11 +318,14 @@
             return Verdict::Admit;
         }
         let critical_path_ms = job.spec.critical_paths_ms().into_iter().max().unwrap_or_default();
+        let backlog = self.expected_backlog(now, job);
+        let share =
+            job.customer.as_ref().and_then(|name| self.share(now, name, job.at_ms, backlog));
         let submission = Submission {
             job: id,
             customer: job.customer.clone(),
-            share: job.customer.as_ref().and_then(|name| self.shares.unused(name, job.at_ms)),
-            backlog: self.expected_backlog(now, job),
+            share,
+            backlog,
             objective: allowed_time(&job.policy, critical_path_ms),
             service: self.time_for(now, work(&job.spec)).unwrap_or_default(),
         };
@@ -314,6 +343,25 @@
         verdict
     }
 
+    /// Unused part of a customer's share. While the shard is full and the customer's work dominates
+    /// what waits, nothing is left of it until there is room.
+    fn share(
+        &mut self,
+        now: Duration,
+        customer: &Arc<str>,
+        at_ms: u64,
+        backlog: Backlog,
+    ) -> Option<Share> {
+        let share = self.shares.unused(customer, at_ms)?;
+        if !backlog.is_full {
+            return Some(share);
+        }
+        self.sum_waiting(now);
+        let weight = |name: &Arc<str>| self.shares.weight(name).unwrap_or_default();
+        let is_dominant = self.admission.waiting.is_dominated_by(customer, weight);
+        Some(if is_dominant { Share { tokens: 0.0, rate: 0.0 } } else { share })
+    }
+
     /// Backlog that the job would meet. Where the overload policy does not report the shard as
     /// full, it still counts as full if some task found no worker in the last placement round and
     /// more work waits than there is room for.
@@ -322,31 +370,36 @@
         if backlog.is_full || !self.lacks_workers() {
             return backlog;
         }
-        let wait = self.drain_time(now);
+        self.sum_waiting(now);
+        let wait = self.admission.waiting.drain;
         Backlog { is_full: !wait.is_zero(), wait, ..backlog }
     }
 
-    /// Time in which the shard could work off what waits, by the callers' estimates; zero if that
-    /// fits into what is free, or there are no workers. Runs in progress are left out, so that the
-    /// time is rather too short.
-    fn drain_time(&mut self, now: Duration) -> Duration {
-        if let Some((computed_at, drain)) = self.admission.drain
-            && now < computed_at + DRAIN_INTERVAL
-        {
-            return drain;
+    /// Sums up what waits, unless that was done within [`SUM_INTERVAL`]. Runs in progress are left
+    /// out, so that the time to work it off is rather too short.
+    fn sum_waiting(&mut self, now: Duration) {
+        let summed_at = self.admission.waiting.summed_at;
+        if summed_at.is_some_and(|summed_at| now < summed_at + SUM_INTERVAL) {
+            return;
+        }
+        let mut by_customer = BTreeMap::<Arc<str>, u64>::new();
+        let mut total = 0_u64;
+        let mut required = 0_u64;
+        for key in &self.waiting {
+            let Some(job) = self.jobs.get(&key.task.job) else { continue };
+            let estimate_ms = self.step_of(key.task).map_or(0, |step| step.estimate_ms);
+            let work = key.resources.cpu_millis.saturating_mul(estimate_ms);
+            required = required.saturating_add(key.resources.cpu_millis);
+            total = total.saturating_add(work);
+            if let Some(customer) = &job.accepted.customer {
+                let sum = by_customer.entry(Arc::clone(customer)).or_default();
+                *sum = sum.saturating_add(work);
+            }
         }
         let usable = self.workers.values().filter(|worker| worker.is_usable(now));
         let free: u64 = usable.map(|worker| worker.free().cpu_millis).sum();
-        let required: u64 = self.waiting.iter().map(|key| key.resources.cpu_millis).sum();
-        let work = self.waiting.iter().map(|key| {
-            let estimate_ms = self.step_of(key.task).map_or(0, |step| step.estimate_ms);
-            key.resources.cpu_millis.saturating_mul(estimate_ms)
-        });
-        let work = work.fold(0, u64::saturating_add);
-        let time = self.time_for(now, work).filter(|_| required > free);
-        let drain = time.unwrap_or_default();
-        self.admission.drain = Some((now, drain));
-        drain
+        let drain = self.time_for(now, total).filter(|_| required > free).unwrap_or_default();
+        self.admission.waiting = Waiting { summed_at: Some(now), drain, by_customer };
     }
 
     /// Time that all usable workers together need for some work, in thousandths of a core times ms;
--- a/crates/crosspath_schedule/src/shares.rs
+++ b/crates/crosspath_schedule/src/shares.rs
@@ -43,6 +43,11 @@
 }
 
 impl Shares {
+    /// Weight of a customer, if it has one.
+    pub(crate) fn weight(&self, customer: &Arc<str>) -> Option<f64> {
+        self.weights.get(customer).copied()
+    }
+
     /// Unused part of a customer's share; `None` if it has no weight.
     pub(crate) fn unused(&self, customer: &Arc<str>, at_ms: u64) -> Option<Share> {
         let rate = self.weights.get(customer)? * self.fraction;
--- a/crates/crosspath_schedule/tests/schedule/admission.rs
+++ b/crates/crosspath_schedule/tests/schedule/admission.rs
@@ -385,3 +385,33 @@
     assert_eq!(admit(&mut harness, 31, &gas), Verdict::Admit);
     refused(admit(&mut harness, 32, &gas));
 }
+
+/// Weights may add up to far more jobs per second than the shard completes, so that no bucket ever
+/// empties. Then a customer's part of the waiting work tells whether it is beyond its share.
+#[test]
+fn a_customer_whose_work_dominates_what_waits_is_beyond_its_share() {
+    let mut harness = Harness::with_rules(BY_CUSTOMER);
+    harness.take_over(Vec::new(), &["a"]);
+    harness.polled("a", Vec::new(), Vec::new());
+    harness.send(Event::Limits(Limits::new()));
+    let weights: Weights = [("water".into(), 100.0), ("power".into(), 100.0)].into();
+    harness.send(Event::Weights { weights, shard_fraction: 1.0 });
+    let water = job_of("water", vec![step(1, 16)]);
+    let power = job_of("power", vec![step(1, 16)]);
+    for job in 1..=8 {
+        harness.send(Event::Accepted(JobId(job), Arc::clone(&water)));
+    }
+    assert_eq!(admit(&mut harness, 20, &water), Verdict::Admit, "it delays nobody else");
+    harness.send(Event::Accepted(JobId(9), Arc::clone(&power)));
+    harness.now += ms(100);
+    // Seven jobs of 0.8 s wait on a worker for two at a time.
+    let refusal = refused(admit(&mut harness, 21, &water));
+    assert_eq!(refusal, Refusal { reason: Reason::OverShare, retry_after_ms: 3_000 });
+    assert_eq!(admit(&mut harness, 22, &power), Verdict::Admit);
+    // Four of ten parts of what waits are within a share of half.
+    for job in 10..=14 {
+        harness.send(Event::Accepted(JobId(job), Arc::clone(&power)));
+    }
+    harness.now += ms(100);
+    assert_eq!(admit(&mut harness, 23, &water), Verdict::Admit);
+}
