Merge admission at the shard's owner

The load in virtual time is one model: jobs that are refused return to it when they are told to. Refusals are counted in metrics/admission.rs.

--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -25,7 +25,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::pending::{self, Deadlines, Outcome, Pending};
-use crate::rpc::{self, Failure, Request};
+use crate::rpc::{self, Declined, Failure, Request};
 
 /// Delay before a failed append is attempted again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -78,10 +78,13 @@
     if rpc::is_taken_locally(node, shard, &record) {
         return Outcome::Taken;
     }
+    if let Some(refusal) = rpc::refuse_locally(node, shard, &record) {
+        return Outcome::Refused(refusal);
+    }
     // While the store is silent, appends in flight may block the queue for long, so bypass it.
     if node.is_store_silent(clock::now()) {
         let records = [record];
-        let appended = append_with_fallback(node, shard, &records).await;
+        let appended = append_with_fallback(node, shard, &records, false).await;
         node.record_append_result(clock::now(), appended.as_ref().err());
         return match appended {
             Ok(route) => {
@@ -153,7 +156,8 @@
 async fn append_batch(node: &Arc<Node>, shard: u32, mut batch: Vec<Pending>) -> bool {
     loop {
         let records: Vec<NewRecord> = batch.iter().map(|pending| pending.record.clone()).collect();
-        let appended = append_with_fallback(node, shard, &records).await;
+        let may_refuse = batch.iter().all(Pending::may_be_refused);
+        let appended = append_with_fallback(node, shard, &records, may_refuse).await;
         node.record_append_result(clock::now(), appended.as_ref().err());
         match appended {
             Ok(route) => {
@@ -203,12 +207,13 @@
 }
 
 /// Appends records relayed by another daemon, batched with this daemon's own. Returns their common
-/// outcome, or [`Outcome::Unknown`] if they have different ones.
+/// outcome, or [`Outcome::Unknown`] if they have different ones, and apart from it the keys of those
+/// that were found to be taken.
 pub(crate) async fn append_as_owner(
     node: &Arc<Node>,
     shard: u32,
     records: Vec<NewRecord>,
-) -> Outcome {
+) -> (Outcome, Vec<String>) {
     let now = clock::now();
     let deadlines = Deadlines {
         send_by: now + OWNER_QUEUE_TIMEOUT,
@@ -221,24 +226,31 @@
         waiter.outcome(now)
     });
     let outcomes = join_all(waiters).await;
-    let first = outcomes.first().copied().unwrap_or(Outcome::Kept);
-    if outcomes.iter().all(|outcome| *outcome == first) { first } else { Outcome::Unknown }
+    let by_key = records.into_iter().map(|record| record.key).zip(outcomes);
+    let (taken, others): (Vec<_>, Vec<_>) =
+        by_key.partition(|(_, outcome)| *outcome == Outcome::Taken);
+    let first = others.first().map_or(Outcome::Kept, |(_, outcome)| *outcome);
+    let is_common = others.iter().all(|(_, outcome)| *outcome == first);
+    let taken = taken.into_iter().map(|(key, _)| key).collect();
+    (if is_common { first } else { Outcome::Unknown }, taken)
 }
 
 /// Appends through the shard's owner. If this daemon is the owner, none is known, or the owner
-/// fails or is unresponsive, appends without it.
+/// fails or is unresponsive, appends without it, and then nobody refuses a job. A refusal by the
+/// owner does not count once another append may have stored the record.
 async fn append_with_fallback(
     node: &Arc<Node>,
     shard: u32,
     records: &[NewRecord],
+    may_refuse: bool,
 ) -> Result<Route, Error> {
     let owner = node.holder(shard).filter(|_| !node.owned().contains_key(&shard));
     let without_owner =
-        async || append_without_owner(node, shard, records).await.map(|()| Route::WithoutOwner);
+        async || append_without_owner(node, shard, records).await.map(Route::WithoutOwner);
     let Some(owner) = owner else { return without_owner().await };
-    let via_owner = pin!(rpc::relay_append(node, owner, shard, records, OWNER_TIMEOUT));
+    let via_owner = pin!(rpc::relay_append(node, owner, shard, records, may_refuse, OWNER_TIMEOUT));
     let via_owner = match select(via_owner, pin!(until_owner_unresponsive(node, owner))).await {
-        Either::Left((Ok(taken), _)) => return Ok(Route::Owner { taken }),
+        Either::Left((Ok(declined), _)) => return Ok(Route::Owner(declined)),
         // The store is slow. Appends by each daemon would slow it down even more.
         Either::Left((Err(failure @ (Failure::Unsent | Failure::Unanswered)), _)) => {
             return Err(failure.into());
@@ -251,36 +263,43 @@
     };
     // The owner may still append the records. A duplicate append does no harm.
     match select(via_owner, pin!(without_owner())).await {
-        Either::Left((Ok(taken), _)) => Ok(Route::Owner { taken }),
+        Either::Left((Ok(declined), _)) if declined.refused.is_empty() => {
+            Ok(Route::Owner(declined))
+        }
+        Either::Left((Ok(declined), other)) => match other.await {
+            Err(error) if error.had_no_effect() => Ok(Route::Owner(declined)),
+            stored_or_unknown => stored_or_unknown,
+        },
         Either::Right((Ok(route), _)) => Ok(route),
         Either::Left((Err(failure), other)) => {
             other.await.map_err(|other| combine_errors(failure.into(), other))
         }
-        Either::Right((Err(error), other)) => other
-            .await
-            .map(|taken| Route::Owner { taken })
-            .map_err(|failure| combine_errors(error, failure.into())),
+        Either::Right((Err(error), other)) => match other.await {
+            Ok(declined) if declined.refused.is_empty() || error.had_no_effect() => {
+                Ok(Route::Owner(declined))
+            }
+            Ok(_) => Err(error),
+            Err(failure) => Err(combine_errors(error, failure.into())),
+        },
     }
 }
 
 /// Route by which records were appended.
 #[derive(Debug, Clone)]
 enum Route {
-    /// Through the shard's owner, which knows of them. It did not append the records whose keys are
-    /// in `taken`: their identifiers belong to other customers' jobs.
-    Owner { taken: Vec<String> },
-    /// By this daemon, or through another one that is not known to be the owner.
-    WithoutOwner,
+    /// Through the shard's owner, which knows of them, except for the records that it declined.
+    Owner(Declined),
+    /// By this daemon, or through another one that is not known to be the owner, except for the
+    /// records that the latter declined.
+    WithoutOwner(Declined),
 }
 
 impl Route {
     /// Notifies the owner of records that were appended without it, in the background, so that it
     /// need not wait until it reads them from the log.
     fn notify_owner(&self, node: &Arc<Node>, shard: u32, records: &[NewRecord]) {
-        if matches!(self, Self::Owner { .. }) {
-            return;
-        }
-        for record in records {
+        let Self::WithoutOwner(Declined { taken, .. }) = self else { return };
+        for record in records.iter().filter(|record| !taken.contains(&record.key)) {
             let (node, record) = (Arc::clone(node), record.clone());
             drop(tokio::spawn(async move { rpc::notify_stored(&node, shard, &record).await }));
         }
@@ -290,10 +309,13 @@
 impl Route {
     /// Outcome of the record with the given key.
     fn outcome(&self, key: &str) -> Outcome {
-        match self {
-            Self::Owner { taken } if taken.iter().any(|other| other == key) => Outcome::Taken,
-            Self::Owner { .. } | Self::WithoutOwner => Outcome::Kept,
+        let (Self::Owner(declined) | Self::WithoutOwner(declined)) = self;
+        let Declined { taken, refused } = declined;
+        if taken.iter().any(|other| other == key) {
+            return Outcome::Taken;
         }
+        let refusal = refused.iter().find(|(other, _)| other == key);
+        refusal.map_or(Outcome::Kept, |(_, refusal)| Outcome::Refused(*refusal))
     }
 }
 
@@ -315,21 +337,22 @@
     if one.had_no_effect() { other } else { one }
 }
 
-/// Appends directly, or else through up to [`MAX_RELAYS`] other daemons, chosen at random.
+/// Appends directly, or else through up to [`MAX_RELAYS`] other daemons, chosen at random. Returns
+/// the records that these declined.
 async fn append_without_owner(
     node: &Arc<Node>,
     shard: u32,
     records: &[NewRecord],
-) -> Result<(), Error> {
+) -> Result<Declined, Error> {
     let mut error = match node.append(shard, records).await {
-        Ok(()) => return Ok(()),
+        Ok(()) => return Ok(Declined::default()),
         Err(error) => error,
     };
     let mut peers = node.other_owners();
     let (relays, _) = peers.partial_shuffle(&mut rand::rng(), MAX_RELAYS);
     for peer in &*relays {
-        match rpc::relay_append(node, *peer, shard, records, rpc::TIMEOUT).await {
-            Ok(_) => return Ok(()),
+        match rpc::relay_append(node, *peer, shard, records, false, rpc::TIMEOUT).await {
+            Ok(declined) => return Ok(declined),
             Err(failure) => error = combine_errors(error, failure.into()),
         }
     }
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemon in the OpenMetrics text format.
 
+mod admission;
 mod fleet;
 mod paths;
 mod shards;
@@ -13,6 +14,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use self::admission::AdmissionMetrics;
 use self::fleet::FleetMetrics;
 pub use self::paths::PathMetrics;
 use self::shards::ShardMetrics;
@@ -59,6 +61,8 @@
     pub(crate) fleet: FleetMetrics,
     /// Metrics of the shards that this daemon owns.
     pub(crate) shards: ShardMetrics,
+    /// Metrics of refused submissions.
+    pub(crate) admission: AdmissionMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -77,7 +81,9 @@
         fleet.register(&mut registry);
         let shards = ShardMetrics::default();
         shards.register(&mut registry);
-        Self { registry: Mutex::new(registry), latency, paths, fleet, shards }
+        let admission = AdmissionMetrics::default();
+        admission.register(&mut registry);
+        Self { registry: Mutex::new(registry), latency, paths, fleet, shards, admission }
     }
 }
 
--- a/crates/crosspath_schedule/tests/schedule/load.rs
+++ b/crates/crosspath_schedule/tests/schedule/load.rs
@@ -10,6 +10,7 @@
 use crosspath_job::record::Accepted;
 use crosspath_job::{JobId, TaskId};
 use crosspath_schedule::Event;
+use crosspath_schedule::admission::Verdict;
 
 use crate::common::{Harness, Order, WALL_MS, ended, ms, running};
 
@@ -41,6 +42,10 @@
     workers: BTreeMap<Arc<str>, Worker>,
     pub(crate) jobs: BTreeMap<JobId, Sent>,
     unfinished: BTreeSet<JobId>,
+    /// Refused jobs by the time at which they return.
+    returning: BTreeSet<(Duration, JobId)>,
+    /// Jobs that were refused.
+    pub(crate) refused: BTreeSet<JobId>,
     last_id: u64,
 }
 
@@ -54,6 +59,8 @@
             workers,
             jobs: BTreeMap::new(),
             unfinished: BTreeSet::new(),
+            returning: BTreeSet::new(),
+            refused: BTreeSet::new(),
             last_id: 0,
         }
     }
@@ -78,7 +85,8 @@
         self.last_id += 1;
     }
 
-    /// Submits a job whose tasks take `durations`, by step.
+    /// Submits a job whose tasks take `durations`, by step. If it is refused, it returns when it is
+    /// told to.
     pub(crate) fn send(&mut self, accepted: Accepted, durations: Vec<Duration>) -> JobId {
         self.send_aged(accepted, durations, 0)
     }
@@ -97,11 +105,37 @@
         let at = self.harness.now;
         let sent = Sent { accepted: Arc::clone(&accepted), at, durations, took: None };
         self.jobs.insert(id, sent);
-        self.unfinished.insert(id);
-        self.harness.send(Event::Accepted(id, accepted));
+        self.submit(id);
         id
     }
 
+    fn submit(&mut self, id: JobId) {
+        let now = self.harness.now;
+        let accepted = Arc::clone(&self.jobs[&id].accepted);
+        match self.harness.scheduler.admit(now, id, &accepted) {
+            Verdict::Admit => {
+                self.unfinished.insert(id);
+                self.harness.send(Event::Accepted(id, accepted));
+            }
+            Verdict::Refuse(refusal) => {
+                self.returning.insert((now + ms(refusal.retry_after_ms), id));
+                assert!(self.refused.insert(id), "{id} was refused although it came back as told");
+            }
+        }
+    }
+
+    fn submit_returning(&mut self) {
+        while let Some((at, id)) = self.returning.first().copied()
+            && at <= self.harness.now
+        {
+            self.returning.pop_first();
+            let at_ms = WALL_MS + self.elapsed_ms();
+            let sent = self.jobs.get_mut(&id).expect("a job that was sent");
+            sent.accepted = Arc::new(Accepted { at_ms, ..(*sent.accepted).clone() });
+            self.submit(id);
+        }
+    }
+
     /// Lets the longest-running task of the first worker end at the next step.
     pub(crate) fn end_one_task(&mut self) {
         let worker = self.workers.values_mut().next().expect("a worker");
@@ -119,6 +153,7 @@
     /// Lets some time pass: tasks end, each worker is polled, and ordered tasks are started.
     pub(crate) fn step(&mut self) {
         self.harness.now += STEP;
+        self.submit_returning();
         let ids: Vec<_> = self.workers.keys().cloned().collect();
         for id in ids {
             self.poll(&id);
--- a/crates/crosspath_schedule/tests/schedule/shares.rs
+++ b/crates/crosspath_schedule/tests/schedule/shares.rs
@@ -6,6 +6,7 @@
 use crosspath_job::JobId;
 use crosspath_job::record::{Accepted, Record};
 use crosspath_quota::{Limits, Weights};
+use crosspath_schedule::admission::Rules;
 use crosspath_schedule::{Event, Settings};
 
 use crate::common::{Harness, WALL_MS, accepted, ms, settings, step};
@@ -32,9 +33,8 @@
 }
 
 /// Simulates [`SMALL_CUSTOMERS`] customers that send one job a second and one that sends ten.
-/// Returns the lowest fraction of jobs in time among the former, and that of the latter.
-fn simulate(weights: Weights, prefer_feasible: bool) -> (f64, f64) {
-    let mut harness = Harness::with_settings_in(Settings { prefer_feasible, ..settings() }, 1);
+fn simulate(weights: Weights, settings: Settings) -> Load {
+    let mut harness = Harness::with_settings_in(settings, 1);
     harness.take_over(Vec::new(), &["a"]);
     harness.polled("a", Vec::new(), Vec::new());
     harness.send(Event::Limits(Limits::new()));
@@ -60,10 +60,22 @@
         idle_steps = if is_waiting && load.running() < 16 { idle_steps + 1 } else { 0 };
         assert!(idle_steps < 10, "jobs wait while the worker has free resources");
     }
+    load
+}
+
+/// Lowest fraction of jobs in time among the small customers, and that of the large one.
+fn in_time(load: &Load) -> (f64, f64) {
     let small =
-        (0..SMALL_CUSTOMERS).map(|number| fraction_in_time(&load, &format!("customer-{number}")));
-    let worst = small.fold(1.0, f64::min);
-    (worst, fraction_in_time(&load, &format!("customer-{SMALL_CUSTOMERS}")))
+        (0..SMALL_CUSTOMERS).map(|number| fraction_in_time(load, &format!("customer-{number}")));
+    (small.fold(1.0, f64::min), fraction_in_time(load, &large_customer()))
+}
+
+fn large_customer() -> String {
+    format!("customer-{SMALL_CUSTOMERS}")
+}
+
+fn feasible_first() -> Settings {
+    Settings { prefer_feasible: true, ..settings() }
 }
 
 fn weights() -> Weights {
@@ -72,7 +84,7 @@
 
 #[test]
 fn customers_within_their_shares_are_served_beside_one_far_over_its_share() {
-    let (worst, large) = simulate(weights(), false);
+    let (worst, large) = in_time(&simulate(weights(), settings()));
     // Placement by latest start alone gives 0.70 and 0.73; with shares it is 0.95 and 0.14.
     assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
     assert!(large >= 0.1, "customer over its share: {large:.2} in time");
@@ -80,15 +92,31 @@
 
 #[test]
 fn shares_hold_among_the_jobs_that_can_end_in_time() {
-    let (worst, large) = simulate(weights(), true);
-    let (_, large_without) = simulate(weights(), false);
+    let (worst, large) = in_time(&simulate(weights(), feasible_first()));
+    let (_, large_without) = in_time(&simulate(weights(), settings()));
     assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
     assert!(large > large_without, "customer over its share: {large:.2} in time");
 }
 
+#[test]
+fn only_the_customer_over_its_share_is_refused_and_its_callers_return_to_be_served() {
+    let admission = Rules { by_customer: true, reject_hopeless: false };
+    let load = simulate(weights(), Settings { admission, ..settings() });
+    let (worst, large) = in_time(&load);
+    assert!(!load.refused.is_empty(), "nobody is refused");
+    let customer = |id: &JobId| load.jobs[id].accepted.customer.clone();
+    let others =
+        load.refused.iter().filter(|id| customer(id).as_deref() != Some(&large_customer()));
+    assert_eq!(others.count(), 0, "customers within their shares are refused");
+    // Without refusals it is 0.95 and 0.14: the order of placement already keeps the large customer
+    // from delaying others, and its refused jobs lose the time until they return.
+    assert!(worst >= 0.9, "worst customer within its share: {worst:.2} in time");
+    assert!(large >= 0.05, "customer over its share: {large:.2} in time");
+}
+
 #[test]
 fn without_shares_all_customers_are_late() {
-    let (worst, large) = simulate(Weights::new(), false);
+    let (worst, large) = in_time(&simulate(Weights::new(), settings()));
     assert!(
         worst < 0.8 && large > 0.6,
         "worst small customer {worst:.2}, large customer {large:.2}"
