--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -22,10 +22,13 @@
 /// Current and target number of VMs of a pool.
 #[derive(Debug, Clone, Default)]
 struct Balance {
+    /// Number of VMs, less what their workers do not give yet while they are warming up.
     size: u32,
     target: u32,
     /// Failure domains of its VMs; empty without a spread.
     occupied: Occupancy,
+    /// Sum of the percentages that the workers of the pool do not give yet.
+    cold_percent: u32,
 }
 
 impl Balance {
@@ -145,12 +148,25 @@
         self.logged_at = now;
         for (name, pool) in &view.pools {
             let balance = balances.get(name).cloned().unwrap_or_default();
-            let Balance { size, target, .. } = balance;
+            let Balance { size, target, cold_percent, .. } = balance;
+            let usable = pool.vms.iter().filter(|vm| vm.usable);
+            let free = usable.clone().map(|vm| vm.capacity.minus(&vm.used));
+            let free = free.reduce(|sum, free| sum.plus(&free)).unwrap_or_default();
+            let lacks = pool.lacks;
             log::info!(
-                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={}",
+                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={} usable={} free_millis={} free_mb={} waiting_mb={} cold_percent={cold_percent} lacks_cpu={} lacks_memory={} lacks_gpus={} fragmented={} ineligible={}",
                 pool.running_millis,
                 pool.waiting_millis,
-                pool.blocked_millis
+                pool.blocked_millis,
+                usable.count(),
+                free.cpu_millis,
+                free.mem_mb,
+                pool.waiting.mem_mb,
+                lacks.cpu,
+                lacks.memory,
+                lacks.gpus,
+                lacks.fragmented,
+                lacks.ineligible
             );
         }
     }
@@ -192,8 +208,12 @@
             }
             if let Some(balance) = balances.get_mut(pool) {
                 balance.add(vm, self.settings.spread);
+                balance.cold_percent += index.reported(vm).map_or(0, |vm| vm.cold_percent);
             }
         }
+        for balance in balances.values_mut() {
+            balance.size = balance.size.saturating_sub(balance.cold_percent / 100);
+        }
         balances
     }
 
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod domains;
 mod evacuation;
 mod moves;
+mod remaining;
 mod size;
 mod spread;
 mod wave;
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of the daemon in the OpenMetrics text format.
 
+mod admission;
 mod fleet;
 mod paths;
+mod shards;
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -12,8 +14,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use self::admission::AdmissionMetrics;
 use self::fleet::FleetMetrics;
 pub use self::paths::PathMetrics;
+use self::shards::ShardMetrics;
 
 /// Number of latency buckets. Their bounds double from 1 ms to about 8 s.
 const BUCKET_COUNT: u16 = 14;
@@ -55,6 +59,10 @@
     pub(crate) paths: PathMetrics,
     /// Metrics of the fleet; none unless this daemon owns it.
     pub(crate) fleet: FleetMetrics,
+    /// Metrics of the shards that this daemon owns.
+    pub(crate) shards: ShardMetrics,
+    /// Metrics of refused submissions.
+    pub(crate) admission: AdmissionMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -71,7 +79,11 @@
         paths.register(&mut registry);
         let fleet = FleetMetrics::default();
         fleet.register(&mut registry);
-        Self { registry: Mutex::new(registry), latency, paths, fleet }
+        let shards = ShardMetrics::default();
+        shards.register(&mut registry);
+        let admission = AdmissionMetrics::default();
+        admission.register(&mut registry);
+        Self { registry: Mutex::new(registry), latency, paths, fleet, shards, admission }
     }
 }
 
--- a/crates/crosspath_node/src/metrics/fleet.rs
+++ b/crates/crosspath_node/src/metrics/fleet.rs
@@ -1,8 +1,10 @@
-//! Metrics of the fleet, by the platform's list of VMs.
+//! Metrics of the fleet, by the platform's list of VMs and the reports of pools.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use crosspath_border::evacuation::Progress;
 use crosspath_border::vm::{State, Vm};
 use crosspath_spread::{Domain, Occupancy};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -21,11 +23,18 @@
     pool: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvacuationLabels {
+    data_centre: String,
+    pool: String,
+}
+
 /// Metrics of the fleet. They have no values unless this daemon owns the fleet.
 #[derive(Debug, Default)]
 pub(crate) struct FleetMetrics {
     vms: Family<VmLabels, Gauge>,
     largest_share: Family<PoolLabels, Gauge<f64, AtomicU64>>,
+    evacuation_tasks: Family<EvacuationLabels, Gauge>,
 }
 
 impl FleetMetrics {
@@ -34,11 +43,14 @@
         registry.register("vms", help, self.vms.clone());
         let help = "Share of a pool's VMs that are up in the data centre with the most of them";
         registry.register("pool_largest_data_centre_share", help, self.largest_share.clone());
+        let help = "Tasks that remain in evacuated data centres";
+        registry.register("evacuation_tasks", help, self.evacuation_tasks.clone());
     }
 
     /// Sets the gauges of the fleet from a list of VMs.
     pub(crate) fn set(&self, vms: &[Vm]) {
-        self.clear();
+        self.vms.clear();
+        self.largest_share.clear();
         let mut pools: BTreeMap<&str, (Occupancy, u32)> = BTreeMap::new();
         for vm in vms {
             let state = match vm.state {
@@ -66,5 +78,21 @@
     pub(crate) fn clear(&self) {
         self.vms.clear();
         self.largest_share.clear();
+        self.evacuation_tasks.clear();
+    }
+
+    /// Sets the tasks that remain in each evacuated data centre; the others are forgotten.
+    pub(crate) fn set_evacuation_tasks(&self, progress: &BTreeMap<Arc<str>, Progress>) {
+        self.evacuation_tasks.clear();
+        for (data_centre, progress) in progress {
+            for (pool, tasks) in &progress.pools {
+                let labels = EvacuationLabels {
+                    data_centre: data_centre.to_string(),
+                    pool: pool.to_string(),
+                };
+                let remaining = i64::from(tasks.finite) + i64::from(tasks.long_running);
+                self.evacuation_tasks.get_or_create(&labels).set(remaining);
+            }
+        }
     }
 }
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -10,8 +10,8 @@
 use crosspath_border::worker::{Entry, Start};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
-use crosspath_job::record::{Record, Requester};
-use crosspath_schedule::admission::Rules;
+use crosspath_job::record::{Accepted, Record, Requester};
+use crosspath_schedule::admission::{Rules, Verdict};
 use crosspath_schedule::domains::Down;
 use crosspath_schedule::lease::Terms;
 use crosspath_schedule::{Action, Event, Scheduler, Settings, report};
@@ -119,11 +119,25 @@
         known.is_some_and(|known| !known.belongs_to(&accepted.requester()))
     }
 
+    /// Decides on a job that is about to be stored. While the shard is being taken over, all are
+    /// admitted.
+    pub(crate) fn admit(&self, job: JobId, accepted: &Accepted) -> Verdict {
+        let mut shared = scheduler(&self.scheduler);
+        let decide = |scheduler: &mut Scheduler| scheduler.admit(clock::now(), job, accepted);
+        shared.as_mut().map_or(Verdict::Admit, decide)
+    }
+
     /// Number of a queue's jobs that are queued; `None` while the shard is being taken over.
     pub(crate) fn queued_jobs(&self, queue: &str) -> Option<u64> {
         scheduler(&self.scheduler).as_ref().map(|scheduler| scheduler.queued_jobs(queue))
     }
 
+    /// Number of listed workers that are warming up; 0 while the shard is being taken over.
+    pub(crate) fn cold_workers(&self) -> usize {
+        let now = clock::now();
+        scheduler(&self.scheduler).as_ref().map_or(0, |scheduler| scheduler.cold_workers(now))
+    }
+
     /// Whether some task waits for a worker with enough free resources.
     pub(crate) fn lacks_workers(&self) -> bool {
         scheduler(&self.scheduler).as_ref().is_some_and(Scheduler::lacks_workers)
@@ -177,6 +191,13 @@
     events: mpsc::UnboundedSender<Event>,
 }
 
+impl Drop for Owner {
+    /// The next owner counts the jobs on another daemon.
+    fn drop(&mut self) {
+        self.set_deferred_jobs(0);
+    }
+}
+
 /// State of the owner besides its scheduler.
 #[derive(Debug)]
 struct Ownership {
@@ -322,9 +343,16 @@
         }
         let actions = scheduler.decide(now, wall_ms);
         *decides_soon = scheduler.decides_soon();
+        self.set_deferred_jobs(scheduler.overload().deferred);
         Some(actions)
     }
 
+    fn set_deferred_jobs(&self, jobs: usize) {
+        if self.node.settings.admission.prefer_feasible {
+            self.node.metrics.shards.set_deferred_jobs(&self.pool_slice.to_string(), jobs);
+        }
+    }
+
     /// Creates an order to a worker under the fencing token of the shard's claim.
     fn order(&self, watch: &Arc<Watch>, ownership: &Ownership) -> Order {
         Order::new(&self.node, watch, &self.events, ownership.terms, ownership.claimed.token)
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon: its modules by themselves, and several daemons on one log in memory.
 
+mod admission;
 mod appends;
 mod candidacy;
 mod claim;
@@ -15,6 +16,7 @@
 mod outage;
 mod paths;
 mod pending;
+mod progress;
 mod reachability;
 mod relay;
 mod stamps;
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -21,6 +21,7 @@
         id: JobId,
         accepted: Arc<Accepted>,
     ) {
+        self.admission.stored(id);
         if let Some(existing) = self.jobs.get(&id) {
             // The newest acceptance in the log now names another customer, which the next owner
             // would take over. Appending the original record again corrects that.
@@ -35,6 +36,7 @@
         }
         self.insert(now, wall_ms, id, accepted);
         self.charge_share(id);
+        self.note_accepted(id);
         if let Some(by) = self.early_cancellations.remove(&id) {
             self.cancel(now, id, by);
         }
@@ -51,8 +53,9 @@
         let age = Duration::from_millis(wall_ms.saturating_sub(accepted.at_ms));
         let job = Job::new(id, accepted, now.saturating_sub(age));
         log::info!(
-            "event=job_known job={id} queue={} age_ms={}",
+            "event=job_known job={id} queue={} customer={} age_ms={}",
             job.accepted.queue,
+            job.accepted.customer.as_deref().unwrap_or_default(),
             age.as_millis()
         );
         self.jobs.insert(id, job);
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -11,7 +11,9 @@
 use crate::action::Action;
 use crate::job::{Job, Phase, Run, Task};
 use crate::losses;
+use crate::overload::Rank;
 use crate::scheduler::Scheduler;
+use crate::warm_up::cold_cost;
 use crate::worker::{QUARANTINE_THRESHOLD, Worker};
 
 /// Maximum fraction of the shard's workers that may be quarantined for what they did to earlier
@@ -78,7 +80,7 @@
     /// Resources that the task reserves on its worker.
     pub(crate) resources: Resources,
     /// Whether the task may run on any worker with enough free resources.
-    unconstrained: bool,
+    pub(crate) unconstrained: bool,
     gang: bool,
     /// Whether the job is over its customer's share, so that the task is placed after all tasks
     /// within their customers' shares.
@@ -165,23 +167,29 @@
 }
 
 impl Scheduler {
-    /// Runs one round of placement. Tasks within their customers' shares that can meet their
-    /// deadline go first, then late ones, then those over the share. The round ends early after
-    /// [`MAX_CONSECUTIVE_UNPLACED`] tasks without a fitting worker.
+    /// Runs one round of placement.
     pub(crate) fn place(&mut self, now: Duration) {
         self.update_quarantine(now);
         self.recount_usage(now);
         self.reserve_for_isolation(now);
-        let (over_share, within_share): (Vec<_>, Vec<Key>) =
-            self.waiting.iter().copied().partition(|key| key.over_share);
-        let (late, timely): (Vec<_>, Vec<Key>) =
-            within_share.into_iter().partition(|key| key.misses_deadline(now));
+        self.count_cold_workers(now);
+        self.update_plan(now);
+        self.place_in_order(now);
+        // The round shows whether there is room for all.
+        self.update_plan(now);
+    }
+
+    /// Tries to place all waiting tasks. Tasks within their customers' shares that can meet their
+    /// deadline go first, then late ones, then those over the share. The round ends early after
+    /// [`MAX_CONSECUTIVE_UNPLACED`] tasks without a fitting worker.
+    fn place_in_order(&mut self, now: Duration) {
+        let mut held = false;
         let mut unplaceable = Unplaceable::default();
         let mut attempted_gang = None;
         let mut unplaced = 0;
         self.unplaced_millis = 0;
         self.unplaced_long_running = 0;
-        for key in timely.into_iter().chain(late).chain(over_share) {
+        for (rank, key) in self.placement_order(now) {
             if key.gang {
                 let gang = (key.task.job, key.task.occurrence, key.task.step);
                 if attempted_gang != Some(gang) {
@@ -190,7 +198,12 @@
                 }
                 continue;
             }
-            match self.place_task(now, key, &unplaceable) {
+            let attempt = if held && !rank.is_chosen() {
+                Attempt::NoCapacity
+            } else {
+                self.place_task(now, key, &unplaceable)
+            };
+            match attempt {
                 Attempt::Settled => {
                     unplaced = 0;
                     continue;
@@ -204,6 +217,8 @@
             }
             if key.unconstrained {
                 unplaceable.add(key.resources);
+                // Workers that become free are left to the chosen jobs.
+                held |= self.overload.is_active() && rank.is_chosen() && key.finite;
             }
             self.unplaced_millis += key.resources.cpu_millis;
             self.unplaced_long_running += u32::from(!key.finite);
@@ -214,6 +229,46 @@
         }
     }
 
+    /// Waiting tasks in the order in which they get workers. While there is more work than room,
+    /// jobs that are expected to end in time go first, see the module `overload`.
+    fn placement_order(&self, now: Duration) -> Vec<(Rank, Key)> {
+        let by_key = |key: &Key| {
+            if key.over_share {
+                Rank::LateOverShare
+            } else if key.misses_deadline(now) {
+                Rank::Late
+            } else {
+                Rank::Chosen
+            }
+        };
+        let mut by_rank: [Vec<(u64, Key)>; Rank::COUNT] = Default::default();
+        // Tasks of a step are next to each other.
+        let mut previous = None;
+        for key in &self.waiting {
+            let job = key.task.job;
+            let turn = match previous {
+                Some((known, turn)) if known == job => turn,
+                _ => self.overload.turn(job),
+            };
+            previous = Some((job, turn));
+            let (rank, latest_start_ms) = match turn {
+                Some(turn) => (turn.rank, turn.latest_start_ms),
+                None => (by_key(key), key.latest_start_ms),
+            };
+            by_rank[rank as usize].push((latest_start_ms, *key));
+        }
+        if self.overload.is_active() {
+            // Only the order among chosen jobs decides who is in time.
+            for chosen in [Rank::Chosen, Rank::ChosenOverShare] {
+                by_rank[chosen as usize].sort_by_key(|(latest_start_ms, key)| {
+                    (key.priority, key.finite, *latest_start_ms, key.task)
+                });
+            }
+        }
+        let ranked = Rank::ALL.into_iter().zip(by_rank);
+        ranked.flat_map(|(rank, keys)| keys.into_iter().map(move |(_, key)| (rank, key))).collect()
+    }
+
     fn place_task(&mut self, now: Duration, key: Key, unplaceable: &Unplaceable) -> Attempt {
         let id = key.task;
         let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else {
@@ -337,6 +392,7 @@
             .filter(|worker| {
                 resources.fits(&worker.free()) && self.is_eligible(now, worker, id, step)
             })
+            .filter(|worker| !self.should_wait_for_warm_up(now, worker, id, step))
             .filter(|worker| {
                 if isolated {
                     self.can_isolate(worker)
@@ -407,6 +463,7 @@
             + worker.suspicion_at(now) * 2.0
             + if separate { 1.0 - free } else { free }
             + SUSPECT_WEIGHT * worker.suspect_runs.len() as f64
+            + cold_cost(now, worker, step)
     }
 
     /// Where the other runs of the task's step are, and the best domain among the candidates.
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -37,23 +37,32 @@
     /// Resources reserved by runs; zero in reports of daemons that do not tell them.
     #[serde(default)]
     pub used: Resources,
+    /// Percentage of the capacity that the worker does not give yet, as it is warming up; 0 if it is
+    /// warm, and in reports of daemons that do not tell it.
+    #[serde(default)]
+    pub cold_percent: u32,
+    /// Time until the last finite run ends by the callers' estimates, in ms; told only for VMs of
+    /// evacuated data centres.
+    #[serde(default)]
+    pub finite_ms: u64,
 }
 
-/// What the tasks lacked for which the last placement round found no worker: number of tasks by the
-/// first reason that applies to all workers of the shard.
+/// What waiting tasks lack that no worker of the shard can take now: number of tasks by the first
+/// reason that applies. The workers are those that answer and are not to be vacated; members of a
+/// gang count as if each were placed alone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Lacks {
-    /// No usable worker has enough processor time left.
+    /// No worker has enough processor time left.
     pub cpu: u32,
-    /// Some usable worker has the processor time, but none of these has the memory.
+    /// Some worker has the processor time, but none has the memory.
     pub memory: u32,
-    /// No usable worker has enough accelerators left.
+    /// Some worker has the processor time and some has the memory, but none has the accelerators.
     pub gpus: u32,
-    /// Each resource is left on some usable worker, but all of them on none.
+    /// Each resource is left on some worker, but all of them on none.
     pub fragmented: u32,
     /// Workers with enough resources left may not run the task: because of its label, its maximum
-    /// of tasks per worker, or a worker that is quarantined, leaving or isolated.
+    /// of tasks per worker, or a worker that is quarantined or isolated.
     pub ineligible: u32,
 }
 
@@ -93,7 +102,7 @@
     /// not tell them.
     #[serde(default)]
     pub waiting: Resources,
-    /// What the tasks lack that found no worker.
+    /// What the tasks lack that no worker can take; zero in reports of daemons that do not tell it.
     #[serde(default)]
     pub lacks: Lacks,
     /// Reading of the owner's clock; `None` in reports of daemons that do not tell it.
@@ -132,6 +141,8 @@
                 confirmed: worker.is_answering() && worker.ends_seen == worker.ends_acknowledged,
                 capacity: worker.entry.capacity,
                 used: worker.reserved,
+                cold_percent: worker.cold_percent(now),
+                finite_ms: if self.is_evacuated(worker) { self.finite_ms(now, worker) } else { 0 },
             });
         }
         for key in &self.waiting {
@@ -147,11 +158,22 @@
         pool.unplaced_millis = if self.waiting.is_empty() { 0 } else { self.unplaced_millis };
         pool.unplaced_long_running =
             if self.waiting.is_empty() { 0 } else { self.unplaced_long_running };
+        pool.lacks = self.count_lacks(now);
         pool.min_vms = self.min_vms();
         pool.priority = self.priority();
         pool
     }
 
+    /// Time until the last finite run on a worker ends by the callers' estimates, in ms.
+    fn finite_ms(&self, now: Duration, worker: &Worker) -> u64 {
+        let left = worker.runs.keys().filter_map(|(task, run)| {
+            let step = self.step_of(*task).filter(|step| !step.long_running)?;
+            let end = self.run(*task, *run)?.start_sent + Duration::from_millis(step.estimate_ms);
+            u64::try_from(end.saturating_sub(now).as_millis()).ok()
+        });
+        left.max().unwrap_or_default()
+    }
+
     /// Whether a worker does not answer while another worker on the same VM does.
     fn is_replaced_incarnation(&self, worker: &Worker) -> bool {
         let same_vm = |other: &&Worker| {
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -10,17 +10,19 @@
 use crosspath_job::{JobId, TaskId};
 
 use crate::action::Action;
-use crate::admission::Rules;
+use crate::admission::{Admission, Rules};
 use crate::commit::Commits;
 use crate::event::Event;
 use crate::job::{Job, Task};
 use crate::lease::Terms;
 use crate::limits::Quotas;
+use crate::overload::Overload;
 use crate::place::Key;
 use crate::polls::EndedIncarnation;
 use crate::shares::Shares;
 use crate::takeover::Recovery;
 use crate::tickets::Tickets;
+use crate::warm_up::Temperature;
 use crate::worker::Worker;
 
 /// Number of waiting tasks above which there is a backlog.
@@ -64,11 +66,15 @@
     pub(crate) tickets: Tickets,
     pub(crate) quotas: Quotas,
     pub(crate) shares: Shares,
+    pub(crate) overload: Overload,
+    pub(crate) admission: Admission,
     pub(crate) vms_to_vacate: BTreeSet<Arc<str>>,
     /// Data centres that get no new work.
     pub(crate) evacuated: Arc<BTreeSet<Arc<str>>>,
     /// Whether the set of evacuated data centres is recent enough to start tasks by it.
     pub(crate) may_start: bool,
+    /// Cold workers in the last placement round.
+    pub(crate) temperature: Temperature,
     /// Workers that accept only isolated tasks.
     pub(crate) reserved_for_isolation: BTreeSet<Arc<str>>,
     /// Whether an isolated task was waiting in the last placement round.
@@ -112,9 +118,12 @@
             tickets: Tickets::default(),
             quotas: Quotas::new(settings.shard, epoch),
             shares: Shares::default(),
+            overload: Overload::default(),
+            admission: Admission::default(),
             vms_to_vacate: BTreeSet::new(),
             evacuated: Arc::default(),
             may_start: true,
+            temperature: Temperature::default(),
             reserved_for_isolation: BTreeSet::new(),
             isolation_pending: false,
             may_act: true,
@@ -165,6 +174,13 @@
         self.jobs.get(&job).map(|job| job.accepted.as_ref())
     }
 
+    /// Whether a job counted as within its customer's share when it was accepted; `None` if the job
+    /// is unknown.
+    #[must_use]
+    pub fn is_within_share(&self, job: JobId) -> Option<bool> {
+        self.jobs.get(&job).map(|job| job.within_share)
+    }
+
     /// Content of a job's progress record; `None` if the job is unknown. `wall_ms` is the time of
     /// day in ms since 1970.
     #[must_use]
@@ -231,7 +247,7 @@
                 self.review_due = true;
                 // Runs leave probation as time passes, and an isolated task starts only beside runs
                 // that have left it.
-                self.placement_due |= self.isolation_pending;
+                self.placement_due |= self.isolation_pending || self.may_wait_for_warm_up();
                 self.unblock_due_steps(now, wall_ms);
                 self.release_expired(now);
                 self.remove_ended_jobs(now);
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -120,6 +120,11 @@
         harness
     }
 
+    /// Owner that refuses submissions by these rules.
+    pub(crate) fn with_rules(rules: Rules) -> Self {
+        Self::with_settings_in(Settings { admission: rules, ..settings() }, 1)
+    }
+
     /// Owner with these settings that has claimed the shard and not read its log.
     pub(crate) fn with_settings_in(settings: Settings, epoch: u64) -> Self {
         let now = ms(10_000);
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler, through its events and actions.
 
+mod admission;
 mod cancelled;
 mod capacity;
 mod common;
@@ -9,9 +10,12 @@
 mod failed_runs;
 mod incarnations;
 mod job_spec;
+mod lacks;
 mod limits;
+mod load;
 mod long_running;
 mod losses;
+mod overload;
 mod random_faults;
 mod shares;
 mod simulation;
@@ -19,3 +23,4 @@
 mod stall;
 mod takeover;
 mod unconfirmed;
+mod warm_up;
