A worker that its owner does not report is not known to be empty

The owner of a pool that answers may not know all of its workers yet, right after a takeover. They counted neither as present nor as unknown, so that an evacuated data centre could be called empty while tasks ran there. Found in review; the new test was red before.

--- a/crates/crosspath_fleet/src/evacuation.rs
+++ b/crates/crosspath_fleet/src/evacuation.rs
@@ -24,10 +24,12 @@
             progress.unknown_vms += u32::from(!vm.confirmed);
         }
     }
-    // Pools whose owner did not answer.
+    // VMs of pools whose owner did not answer, and workers that their owner does not know yet.
     for vm in &view.vms {
-        let is_silent = view.serving.contains(&vm.pool) && !view.pools.contains_key(&vm.pool);
-        if let Some(progress) = progress.get_mut(&vm.data_centre).filter(|_| is_silent) {
+        let is_silent = !view.pools.contains_key(&vm.pool);
+        let is_unreported = vm.worker.is_some() && index.reported(vm).is_none();
+        let is_unknown = view.serving.contains(&vm.pool) && (is_silent || is_unreported);
+        if let Some(progress) = progress.get_mut(&vm.data_centre).filter(|_| is_unknown) {
             progress.pools.entry(Arc::clone(&vm.pool)).or_default().vms += 1;
             progress.unknown_vms += 1;
         }
--- a/crates/crosspath_fleet/tests/fleet/remaining.rs
+++ b/crates/crosspath_fleet/tests/fleet/remaining.rs
@@ -95,6 +95,16 @@
     assert!(!progress.is_empty());
 }
 
+/// Right after a takeover, an owner reports fewer workers than the pool has.
+#[test]
+fn a_worker_that_its_owner_does_not_report_is_not_known_to_be_empty() {
+    let unreported = Vm { worker: Some("w-c1".into()), ..vm_in("c1", "counter", "a") };
+    let reports = [("counter", Vec::new()), ("meter", Vec::new())];
+    let progress = remaining(&[view(vec![unreported], &reports)]);
+    assert_eq!(progress.unknown_vms, 1);
+    assert!(!progress.is_empty());
+}
+
 #[test]
 fn a_pool_whose_owner_does_not_answer_is_not_known_to_be_empty() {
     let vms = vec![vm_in("c1", "counter", "a"), vm_in("m1", "meter", "a")];
