--- a/crates/crosspath_node/src/settings.rs
+++ b/crates/crosspath_node/src/settings.rs
@@ -33,17 +33,6 @@
     relays: Option<bool>,
     #[serde(default)]
     admission: Admission,
-    #[serde(default)]
-    entry: EntryOptions,
-}
-
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
-#[serde(default)]
-struct EntryOptions {
-    shed: bool,
-    memory_mb: Option<u32>,
-    descriptors: Option<u32>,
-    link_mbps: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -126,17 +115,6 @@
     pub prefer_feasible: bool,
 }
 
-/// Limits of the entry VM, by which a daemon decides how many callers it can serve.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct EntryLimits {
-    /// Memory in MB; `None` if not configured.
-    pub memory_mb: Option<u32>,
-    /// Number of file descriptors; `None` if not configured.
-    pub descriptors: Option<u32>,
-    /// Bandwidth of the link in Mbit/s; `None` if not configured.
-    pub link_mbps: Option<f64>,
-}
-
 /// Validated settings of a daemon.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -190,9 +168,6 @@
     pub relays: bool,
     /// Which submissions are refused while a pool is full.
     pub admission: Admission,
-    /// Limits by which the daemon refuses callers that it cannot serve in time; `None` if it does
-    /// not.
-    pub entry: Option<EntryLimits>,
 }
 
 /// Error in loading the settings.
@@ -267,7 +242,6 @@
         failure_domains,
         relays,
         admission,
-        entry,
     } = options;
     require(!name.is_empty(), "name", name.to_string(), "write the VM's name")?;
     require(
@@ -317,13 +291,6 @@
         failure_domains.reserve.to_string(),
         "set failure_domains.tolerated_data_centres, or leave it out",
     )?;
-    let bandwidth = entry.link_mbps;
-    require(
-        bandwidth.is_none_or(|mbps| mbps > 0.0),
-        "entry.link_mbps",
-        bandwidth.unwrap_or_default().to_string(),
-        "write more than 0, or leave it out",
-    )?;
     let listeners = [listen.callers, listen.readiness, listen.peers, listen.metrics];
     let has_duplicates = (1..listeners.len()).any(|at| listeners[..at].contains(&listeners[at]));
     require(
@@ -357,10 +324,5 @@
         failure_domains,
         relays: relays.unwrap_or(tolerated > 0),
         admission,
-        entry: entry.shed.then_some(EntryLimits {
-            memory_mb: entry.memory_mb,
-            descriptors: entry.descriptors,
-            link_mbps: entry.link_mbps,
-        }),
     })
 }
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -404,7 +404,6 @@
             failure_domains: FailureDomains::default(),
             relays,
             admission,
-            entry: None,
         };
         let store = Arc::new(FaultyStore {
             log: Arc::clone(log),
