A change is read where it was accepted at once, and elsewhere once the log is read again

Cause: while the log is down, each daemon's follower tries again every 200 ms, and by then not in step; the test read another daemon without waiting for its next read.

Replaced by a stricter one: the daemon that accepted shows the change at once, all show it within the wait, and the refused change, which now has another value than the accepted one, takes effect nowhere afterwards.

--- a/crates/crosspathd/tests/site/log_faults.rs
+++ b/crates/crosspathd/tests/site/log_faults.rs
@@ -16,7 +16,7 @@
 async fn without_the_log_payments_go_on_and_changes_are_refused() {
     let site = common::start(&common::plan(3)).await;
     site.fakes.set_log_fault(down());
-    let refused = common::put(&site, 1, "/v1/teams/late", json!({ "max_cores": 1 })).await;
+    let refused = common::put(&site, 1, "/v1/teams/late", json!({ "max_cores": 2 })).await;
     let Err(Error::Status { status, body, .. }) = refused else { panic!("{refused:?}") };
     assert_eq!(status, 503, "{body}");
     assert!(body.contains("not_accepted"), "{body}");
@@ -29,9 +29,20 @@
     })
     .await
     .expect("accepted again");
-    // The change is stored once it was accepted. A refused change must not take effect later.
-    let log = common::get(&site, 0, "/v1/teams/late").await;
-    assert_eq!(log["spec"]["max_cores"], 1);
+    // The daemon that accepted the change shows it at once, the others once they read the log again.
+    let cores = async |index| {
+        common::get(&site, index, "/v1/teams/late").await["spec"]["max_cores"].clone()
+    };
+    assert_eq!(cores(1).await, 1);
+    for index in 0..common::DAEMONS {
+        site.wait(WAIT_LIMIT, "in force", async || cores(index).await == 1)
+            .await
+            .expect("in force");
+    }
+    // The refused change must not take effect later.
+    for index in 0..common::DAEMONS {
+        assert_eq!(cores(index).await, 1);
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
