Tasks that wait for a warm worker are no lack of capacity

A task that would miss its deadline on a cold worker, and so waits for a warm one, counted as without capacity: its request was noted as unplaceable, so that no task of the same size or larger was tried on the free cold workers in that round; it held up jobs that were not chosen, counted towards the end of the round and was told to the planner as unplaced. It also waited while the only warm workers could not take it, for their label, their capacity, quarantine or isolation.

Such an attempt now has a result of its own, which does none of this. A task waits only if some warm worker accepts it and has the capacity, though it may be taken at present. The search for such a worker is made only for tasks that would wait.

Tests: a task in its window beside free cold workers, and one behind it that can start there; warm workers without the label and with too small a capacity.

--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -146,8 +146,14 @@
     /// The task is to be isolated, and no eligible worker with enough free resources is free of
     /// runs on probation.
     NoIsolation,
+    /// Only cold workers have room, and a warm one may become free before the latest start.
+    WaitsForWarmUp,
 }
 
+/// The task is kept waiting for a warm worker although cold ones have room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct WaitsForWarmUp;
+
 /// Minimal resource requests for which no worker was found in this round of placement. Larger ones
 /// need not be tried.
 #[derive(Debug, Default)]
@@ -208,7 +214,7 @@
                     unplaced = 0;
                     continue;
                 }
-                Attempt::QuotaBlocked => continue,
+                Attempt::QuotaBlocked | Attempt::WaitsForWarmUp => continue,
                 Attempt::NoIsolation => {
                     self.unplaced_millis += key.resources.cpu_millis;
                     continue;
@@ -293,8 +299,11 @@
             self.block_on_quota(now, id.job, &resources);
             return Attempt::QuotaBlocked;
         }
-        let Some(worker) = self.best_worker(now, id) else {
-            return if key.isolated { Attempt::NoIsolation } else { Attempt::NoCapacity };
+        let worker = match self.best_worker(now, id) {
+            Ok(Some(worker)) => worker,
+            Ok(None) if key.isolated => return Attempt::NoIsolation,
+            Ok(None) => return Attempt::NoCapacity,
+            Err(WaitsForWarmUp) => return Attempt::WaitsForWarmUp,
         };
         if !self.is_within_quota(id.job, &resources) {
             self.block_on_quota(now, id.job, &resources);
@@ -380,27 +389,41 @@
     }
 
     /// The eligible worker with enough free resources and the lowest cost; ties go to the lowest
-    /// identifier.
-    fn best_worker(&self, now: Duration, id: TaskId) -> Option<Arc<str>> {
-        let step = self.step_of(id)?;
+    /// identifier. An error if all such workers are cold and the task is better kept waiting.
+    fn best_worker(&self, now: Duration, id: TaskId) -> Result<Option<Arc<str>>, WaitsForWarmUp> {
+        let Some(step) = self.step_of(id) else { return Ok(None) };
+        let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else {
+            return Ok(None);
+        };
         let resources = step.reserved();
-        let task = self.jobs.get(&id.job)?.task(id)?;
         let isolated = !step.gang && losses::needs_isolation(task.lost.len());
-        let candidates: Vec<_> = self
+        let accepts = |worker: &Worker| {
+            let has_place = if isolated {
+                self.can_isolate(worker)
+            } else {
+                !self.reserved_for_isolation.contains(&worker.entry.id)
+            };
+            has_place && self.is_eligible(now, worker, id, step)
+        };
+        let mut candidates: Vec<_> = self
             .workers
             .values()
-            .filter(|worker| {
-                resources.fits(&worker.free()) && self.is_eligible(now, worker, id, step)
-            })
-            .filter(|worker| !self.should_wait_for_warm_up(now, worker, id, step))
-            .filter(|worker| {
-                if isolated {
-                    self.can_isolate(worker)
-                } else {
-                    !self.reserved_for_isolation.contains(&worker.entry.id)
-                }
-            })
+            .filter(|worker| resources.fits(&worker.free()) && accepts(worker))
             .collect();
+        let waits = |worker: &Worker| self.should_wait_for_warm_up(now, worker, id, step);
+        if candidates.iter().any(|worker| waits(worker)) {
+            let may_take = |worker: &Worker| {
+                !worker.warm_up.is_cold(now)
+                    && resources.fits(&worker.entry.capacity)
+                    && accepts(worker)
+            };
+            if self.workers.values().any(may_take) {
+                candidates.retain(|worker| !waits(worker));
+                if candidates.is_empty() {
+                    return Err(WaitsForWarmUp);
+                }
+            }
+        }
         let spread = self.settings.spread.then(|| self.spread_of(id, step, &candidates));
         let scored = candidates.into_iter().map(|worker| {
             let in_domain = spread.as_ref().map_or(0.0, |spread| spread.cost(worker));
@@ -409,7 +432,7 @@
         let best = scored.min_by(|(a, one), (b, other)| {
             a.total_cmp(b).then_with(|| one.entry.id.cmp(&other.entry.id))
         });
-        best.map(|(_, worker)| Arc::clone(&worker.entry.id))
+        Ok(best.map(|(_, worker)| Arc::clone(&worker.entry.id)))
     }
 
     /// Whether a task may run on a worker, regardless of free resources.
--- a/crates/crosspath_schedule/src/warm_up.rs
+++ b/crates/crosspath_schedule/src/warm_up.rs
@@ -135,8 +135,8 @@
         self.temperature.cold > 0 && !self.waiting.is_empty()
     }
 
-    /// Whether a task is better kept waiting than placed on a cold worker: it is finite, would miss
-    /// its deadline there but does not miss it yet, and may still find a warm worker.
+    /// Whether a task is better kept waiting than placed on a cold worker, if a warm one may take
+    /// it: it is finite, and would miss its deadline there but does not miss it yet.
     pub(crate) fn should_wait_for_warm_up(
         &self,
         now: Duration,
--- a/crates/crosspath_schedule/tests/schedule/warm_up.rs
+++ b/crates/crosspath_schedule/tests/schedule/warm_up.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use crosspath_border::worker::{Entry, PollReply};
-use crosspath_job::spec::Step;
+use crosspath_job::JobId;
+use crosspath_job::record::{Accepted, Policy};
+use crosspath_job::spec::{Resources, Step};
 use crosspath_schedule::Event;
 use crosspath_schedule::warm_up::WarmUp;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use crate::common::{Harness, entry, ms, step};
+use crate::common::{Harness, accepted, entry, ms, step};
 
 /// Lists a worker again, with this much of its warm-up left.
 fn set_warm_up(harness: &mut Harness, id: &str, warm_up_ms: u64) {
@@ -72,6 +74,38 @@
     assert_eq!(starts_by_worker(&mut harness), ["a"].map(Arc::from));
 }
 
+#[test]
+fn a_task_that_waits_for_a_warm_worker_keeps_no_other_from_cold_ones() {
+    let mut harness = Harness::with_workers(&["a", "b"]);
+    harness.submit(vec![step(1, 32)]);
+    assert_eq!(starts_by_worker(&mut harness), ["a"].map(Arc::from));
+    set_warm_up(&mut harness, "b", 60_000);
+    // The first could not end in time on b and comes first; the second can.
+    for (id, target_ms, starts) in [(1, 600, 0), (2, 9_000, 1)] {
+        let job = accepted(vec![Step { estimate_ms: 4_000, ..step(1, 8) }]);
+        let policy = Policy { target_ms, ..job.policy };
+        harness.send(Event::Accepted(JobId(id), Arc::new(Accepted { policy, ..(*job).clone() })));
+        harness.advance(ms(100));
+        assert_eq!(harness.take_starts().len(), starts, "job {id}");
+    }
+    assert!(!harness.scheduler.lacks_workers(), "waiting for a warm worker is no lack of room");
+}
+
+#[test]
+fn a_task_does_not_wait_for_a_warm_worker_that_cannot_take_it() {
+    let small = Resources { cpu_millis: 8_000, mem_mb: 128_000, gpus: 0 };
+    let warm =
+        [Entry { labels: vec!["b".into()], ..entry("b") }, Entry { capacity: small, ..entry("b") }];
+    for warm in warm {
+        let mut harness = Harness::with_workers(&["a", "b"]);
+        harness.send(Event::WorkerListed(warm));
+        set_warm_up(&mut harness, "a", 60_000);
+        let requires = Some("r1".into());
+        harness.submit(vec![Step { estimate_ms: 4_000, requires, ..step(1, 16) }]);
+        assert_eq!(starts_by_worker(&mut harness), ["a"].map(Arc::from));
+    }
+}
+
 #[test]
 fn a_task_does_not_wait_if_all_workers_are_cold() {
     let mut harness = Harness::with_workers(&["a", "b"]);
