--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -154,6 +154,8 @@
     /// Unstarted work of all jobs that still count, in ms of all resources of the shard.
     counting_ms: f64,
     counts: Counts,
+    /// Resources when the plan was made.
+    room: Room,
     /// When the plan was made.
     planned_at: Duration,
     /// Whether a job was accepted since the plan was made.
@@ -173,11 +175,41 @@
         !self.turns.is_empty()
     }
 
+    /// Whether a request fits on some worker that had room for finite tasks when the plan was made.
+    pub(crate) fn fits(&self, resources: &Resources) -> bool {
+        self.room.fits(resources)
+    }
+
     fn clear(&mut self) {
         self.turns.clear();
         self.chosen.clear();
         self.counting_ms = 0.0;
         self.counts = Counts::default();
+        self.room = Room::default();
+    }
+}
+
+/// Resources for finite tasks.
+#[derive(Debug, Clone, Default)]
+struct Room {
+    /// Sum over the workers.
+    total: Resources,
+    /// Those of single workers that no other worker exceeds.
+    largest: Vec<Resources>,
+}
+
+impl Room {
+    fn add(&mut self, worker: Resources) {
+        self.total.add(&worker);
+        if !self.fits(&worker) {
+            self.largest.retain(|other| !other.fits(&worker));
+            self.largest.push(worker);
+        }
+    }
+
+    /// Whether a request fits on one worker, once its finite tasks have ended.
+    fn fits(&self, resources: &Resources) -> bool {
+        self.largest.iter().any(|worker| resources.fits(worker))
     }
 }
 
@@ -283,7 +315,7 @@
         let fits = ahead_ms <= CHOSEN_SHARE * slack_ms as f64;
         // A job that does not fit waits behind all jobs that still count.
         let ahead_ms = if fits { ahead_ms } else { self.overload.counting_ms };
-        let room = self.room(now);
+        let room = self.room(now).total;
         let tasks = steps.iter().map(|step| {
             let task = dominant_share(&step.reserved(), &room) * expected(step.estimate_ms) as f64;
             f64::from(step.tasks) * task
@@ -339,6 +371,7 @@
         let mut candidates: Vec<_> = jobs.filter_map(|job| self.candidate(job, &room)).collect();
         candidates.sort_by_key(|one| (one.class, one.latest_start_ms, one.job));
         self.overload.clear();
+        self.overload.room = room;
         // Jobs that are late already cannot displace others.
         let now_ms = as_ms(now);
         let (late, timely): (Vec<_>, Vec<_>) =
@@ -389,24 +422,26 @@
     }
 
     /// Resources of the usable workers, without those that long-running tasks reserve.
-    fn room(&self, now: Duration) -> Resources {
-        let mut room = Resources::default();
+    fn room(&self, now: Duration) -> Room {
+        let mut room = Room::default();
         for worker in self.workers.values() {
             if !worker.is_usable(now) || self.must_be_vacated(worker) {
                 continue;
             }
-            room.add(&worker.entry.capacity);
+            let mut own = worker.entry.capacity;
             for ((task, _), reserved) in &worker.runs {
                 if self.step_of(*task).is_some_and(|step| step.long_running) {
-                    room = room.minus(reserved);
+                    own = own.minus(reserved);
                 }
             }
+            room.add(own);
         }
         room
     }
 
-    /// Unstarted work of a job; `None` if it has none, or a long-running step.
-    fn candidate(&self, job: &Job, room: &Resources) -> Option<Candidate> {
+    /// Unstarted work of a job; `None` if it has none, a long-running step, or unstarted tasks that
+    /// fit on no worker.
+    fn candidate(&self, job: &Job, room: &Room) -> Option<Candidate> {
         let accepted = &job.accepted;
         let spec = &accepted.spec;
         if spec.steps.iter().any(|step| step.long_running) {
@@ -436,7 +471,11 @@
                 if waiting == 0 {
                     continue;
                 }
-                let share = dominant_share(&spec.steps[number].reserved(), room);
+                let resources = spec.steps[number].reserved();
+                if !room.fits(&resources) {
+                    return None;
+                }
+                let share = dominant_share(&resources, &room.total);
                 let width = waiting as f64 * share;
                 let duration_ms = expected_ms[number] as f64;
                 work_ms += width * duration_ms;
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -148,6 +148,8 @@
     NoIsolation,
     /// Only cold workers have room, and a warm one may become free before the latest start.
     WaitsForWarmUp,
+    /// Workers that become free are left to a task of an earlier rank.
+    Held,
 }
 
 /// The task is kept waiting for a warm worker although cold ones have room.
@@ -189,7 +191,8 @@
     /// deadline go first, then late ones, then those over the share. The round ends early after
     /// [`MAX_CONSECUTIVE_UNPLACED`] tasks without a fitting worker.
     fn place_in_order(&mut self, now: Duration) {
-        let mut held = false;
+        // Rank after which tasks are held.
+        let mut held = None;
         let mut unplaceable = Unplaceable::default();
         let mut attempted_gang = None;
         let mut unplaced = 0;
@@ -204,8 +207,9 @@
                 }
                 continue;
             }
-            let attempt = if held && !rank.is_chosen() {
-                Attempt::NoCapacity
+            // Tasks to be isolated have workers reserved for them.
+            let attempt = if !key.isolated && held.is_some_and(|held| rank > held) {
+                Attempt::Held
             } else {
                 self.place_task(now, key, &unplaceable)
             };
@@ -219,12 +223,16 @@
                     self.unplaced_millis += key.resources.cpu_millis;
                     continue;
                 }
-                Attempt::NoCapacity => {}
-            }
-            if key.unconstrained {
-                unplaceable.add(key.resources);
-                // Workers that become free are left to the chosen jobs.
-                held |= self.overload.is_active() && rank.is_chosen() && key.finite;
+                Attempt::NoCapacity if key.unconstrained => {
+                    unplaceable.add(key.resources);
+                    let holds = self.overload.is_active()
+                        && rank.is_chosen()
+                        && key.finite
+                        && self.overload.fits(&key.resources);
+                    held = held.or(holds.then_some(rank));
+                }
+                // Held tasks count as unplaced, since nearly all behind them are held as well.
+                Attempt::NoCapacity | Attempt::Held => {}
             }
             self.unplaced_millis += key.resources.cpu_millis;
             self.unplaced_long_running += u32::from(!key.finite);
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -12,13 +12,14 @@
 
 use crosspath_border::worker::{Entry, Error, Outcome, Running};
 use crosspath_job::progress::{Loss, Progress, State, TaskProgress};
-use crosspath_job::record::Record;
+use crosspath_job::record::{Accepted, Record};
 use crosspath_job::spec::Step;
 use crosspath_job::{JobId, TaskId};
-use crosspath_schedule::Event;
+use crosspath_schedule::{Event, Settings};
 
 use crate::common::{
-    Harness, JOB, Order, accepted, committed_records, ended, entry, ms, running, step,
+    Harness, JOB, Order, WALL_MS, accepted, committed_records, ended, entry, ms, running, settings,
+    step,
 };
 use crate::simulation::{Faults, Simulation};
 
@@ -193,6 +194,13 @@
 /// Owner that takes over a job of one task with `losses` losses, each while other runs were on the
 /// worker.
 fn harness_with_losses(losses: u64, workers: &[&str]) -> Harness {
+    let mut harness = Harness::new(1);
+    harness.take_over(records_with_losses(losses, 0), workers);
+    harness
+}
+
+/// The records of such a job, which was accepted `age_ms` ago.
+fn records_with_losses(losses: u64, age_ms: u64) -> Vec<Record> {
     let lost = (1..=losses).map(|run| {
         let worker = format!("gone-{run}").into();
         Loss { run, worker, alone: false }
@@ -200,10 +208,9 @@
     let task = TaskProgress { lost: lost.collect(), ..TaskProgress::default() };
     let tasks = BTreeMap::from([("0.0.0".to_owned(), task)]);
     let progress = Progress { state: State::Running, tasks, ended_ms: 0 };
-    let suspect = Record::Accepted(JOB, accepted(vec![step(1, 2)]));
-    let mut harness = Harness::new(1);
-    harness.take_over(vec![suspect, Record::Progress(JOB, progress)], workers);
-    harness
+    let at_ms = WALL_MS - age_ms;
+    let suspect = Accepted { at_ms, ..(*accepted(vec![step(1, 2)])).clone() };
+    vec![Record::Accepted(JOB, Arc::new(suspect)), Record::Progress(JOB, progress)]
 }
 
 #[test]
@@ -264,7 +271,20 @@
 
 #[test]
 fn a_full_worker_is_reserved_for_an_isolated_task() {
-    let mut harness = harness_with_losses(3, &["a"]);
+    check_reservation(harness_with_losses(3, &["a"]));
+}
+
+/// The jobs that can end in time wait for the reserved worker, and must not hold up the late task
+/// that it is reserved for.
+#[test]
+fn a_late_task_that_is_isolated_is_not_held_up_by_jobs_that_can_end_in_time() {
+    let settings = Settings { prefer_feasible: true, ..settings() };
+    let mut harness = Harness::with_settings_in(settings, 1);
+    harness.take_over(records_with_losses(3, 3_000), &["a"]);
+    check_reservation(harness);
+}
+
+fn check_reservation(mut harness: Harness) {
     // Sixteen tasks run on the worker already, and as many wait.
     let others = TaskId { job: JobId(2), ..crate::common::task(0, 0) };
     harness.send(Event::Accepted(JobId(2), accepted(vec![step(32, 2)])));
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -384,6 +384,42 @@
     assert!(load.jobs[&late].took.is_some());
 }
 
+#[test]
+fn a_chosen_job_that_fits_on_no_worker_does_not_hold_up_others() {
+    let mut load = full_worker();
+    // Keeps the plan from being empty.
+    let chosen = load.send(single(32), vec![ms(800)]);
+    load.send((*accepted(vec![Step { estimate_ms: 60_000, ..step(1, 64) }])).clone(), Vec::new());
+    let late = load.send_aged(single(8), vec![ms(800)], 1_500);
+    load.let_plan();
+    assert_eq!(load.harness.scheduler.overload(), Counts { chosen: 1, deferred: 0, late: 1 });
+    for _ in 0..200 {
+        load.step();
+    }
+    assert!(load.jobs[&chosen].took.is_some() && load.jobs[&late].took.is_some());
+}
+
+#[test]
+fn a_chosen_job_over_its_share_does_not_overtake_late_ones_that_are_held() {
+    let mut load = full_worker();
+    limit_share(&mut load);
+    // Takes the customer's bucket, so that the next job is over the share.
+    let within = [0, 1].map(|_| load.send_aged(of_customer(32), vec![ms(10)], 1_500));
+    let late = load.send_aged(single(8), vec![ms(800)], 1_500);
+    let over = load.send(of_customer(8), vec![ms(800)]);
+    let chosen = load.send(single(16), vec![ms(800)]);
+    load.let_plan();
+    // Room for the late job and the one over its share, not for the chosen one.
+    load.end_one_task();
+    load.step();
+    load.let_plan();
+    assert_eq!(load.running(), 3, "the cores are left to the chosen job");
+    while load.unfinished() > 0 {
+        load.step();
+    }
+    assert_eq!(by_end(&load, &[chosen, late, over, within[0], within[1]])[0], chosen);
+}
+
 #[test]
 fn among_late_jobs_those_that_still_count_go_first() {
     let mut load = full_worker();
@@ -404,17 +440,24 @@
     }
 }
 
+/// Gives the customer a share whose bucket holds two jobs of 32 cores.
+fn limit_share(load: &mut Load) {
+    let weights = [("water".into(), 0.001)].into();
+    load.harness.send(Event::Limits(Limits::new()));
+    load.harness.send(Event::Weights { weights, shard_fraction: 1.0 });
+}
+
+fn of_customer(cores: u64) -> Accepted {
+    Accepted { customer: Some("water".into()), ..single(cores) }
+}
+
 /// Which of four jobs ends last: three of a customer whose share covers two, and one without a
 /// customer that is `age_ms` old.
 fn last_beside_a_late_job(age_ms: u64) -> &'static str {
     let mut load = full_worker();
-    let weights = [("water".into(), 0.001)].into();
-    load.harness.send(Event::Limits(Limits::new()));
-    load.harness.send(Event::Weights { weights, shard_fraction: 1.0 });
-    let of_customer = || Accepted { customer: Some("water".into()), ..single(32) };
-    // The customer's bucket holds two jobs.
-    let within = [0, 1].map(|_| load.send_aged(of_customer(), vec![ms(10)], 1_500));
-    let over = load.send(of_customer(), vec![ms(10)]);
+    limit_share(&mut load);
+    let within = [0, 1].map(|_| load.send_aged(of_customer(32), vec![ms(10)], 1_500));
+    let over = load.send(of_customer(32), vec![ms(10)]);
     let late = load.send_aged(single(32), vec![ms(800)], age_ms);
     while load.unfinished() > 0 {
         load.step();
