Huge numbers in jobs do not overflow the overload policy

The policy added and multiplied callers' estimates, target times and stretches without care: `Duration::from_secs_f64` panicked in a forecast, sums panicked in a debug build and wrapped in a release, so that a job with a huge target time was late at once. The mean work was kept for any number of queues.

Expected durations are now at most some 30 years, so that sums over steps stay within 64 bits; all other sums saturate, and a time that is too long is the longest one. The allowed time is computed by the same function as a job's deadline. The means are kept for as many queues as the fits of durations.

Test: jobs with estimates, stretches and target times near the limits of their types are planned, forecast and admitted. The bound of the means is not covered by a test, since nothing shows their number.

--- a/crates/crosspath_schedule/src/durations.rs
+++ b/crates/crosspath_schedule/src/durations.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum number of queues with a fit. Bounds memory; estimates of further queues are used as they
-/// are.
-const MAX_QUEUES: usize = 1_024;
+/// Maximum number of queues of which something is learnt. Bounds memory; estimates of further queues
+/// are used as they are.
+pub(crate) const MAX_QUEUES: usize = 1_024;
 /// Factor by which older runs lose weight with each run: the last few hundred count.
 const DECAY: f64 = 0.997;
 /// Weight of ended runs from which on a fit is used. Tasks of one job behave alike, and a single
@@ -24,6 +24,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Durations(BTreeMap<Arc<str>, Fit>);
 
+/// Maximum expected duration in ms, some 30 years. Sums over the steps of a job stay within 64 bits.
+const MAX_EXPECTED_MS: u64 = 1_000_000_000_000;
+
 /// Decayed sums over ended runs; `x` is the logarithm of the estimate and `y` that of the duration,
 /// both in ms.
 #[derive(Debug, Clone, Copy, Default)]
@@ -71,7 +74,7 @@
     /// Expected duration of a task in ms; the estimate itself while too few runs have ended.
     pub(crate) fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
         let Some(fit) = self.0.get(queue).filter(|fit| fit.weight >= MIN_WEIGHT) else {
-            return estimate_ms;
+            return estimate_ms.min(MAX_EXPECTED_MS);
         };
         let expected = fit.predict(log_ms(estimate_ms)).exp().round();
         #[expect(
@@ -80,6 +83,6 @@
             reason = "an exponential is positive, and durations are far below 2^53 ms"
         )]
         let expected_ms = expected as u64;
-        expected_ms
+        expected_ms.min(MAX_EXPECTED_MS)
     }
 }
--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -19,12 +19,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_job::record::Accepted;
+use crosspath_job::record::{Accepted, Policy};
 use crosspath_job::spec::{Resources, Spec};
 use crosspath_job::{JobId, TaskId};
 
-use crate::durations::Durations;
-use crate::job::{Job, Run, Task};
+use crate::durations::{Durations, MAX_QUEUES};
+use crate::job::{Job, Run, Task, allowed_time};
 use crate::scheduler::Scheduler;
 
 /// Maximum age of a plan. Runs end all the time, and each end changes little.
@@ -41,7 +41,7 @@
 /// deferred jobs.
 const CHOSEN_SHARE: f64 = 0.5;
 /// A job counts if it ends by so many times its objective, although it is late then.
-const LATE_FACTOR: u32 = 3;
+const LATE_FACTOR: u64 = 3;
 /// Fixed part of a job's worth, relative to that of an average job; the rest grows with its work.
 const FIXED_WORTH: f64 = 0.3;
 /// Maximum worth of a job, relative to that of an average job.
@@ -306,11 +306,10 @@
             return Backlog { is_full: false, wait: Duration::ZERO, completion: chain };
         }
         let policy = &job.policy;
-        let slack_ms =
-            (stretched_ms(policy.stretch, chain_ms) + policy.target_ms).saturating_sub(chain_ms);
+        let slack_ms = allowed_ms(policy, chain_ms).saturating_sub(chain_ms);
         // A job within its customer's share; one over the share would wait longer.
         let class = (false, policy.priority);
-        let ahead = self.overload.chosen.range(..=(class, as_ms(now) + slack_ms));
+        let ahead = self.overload.chosen.range(..=(class, as_ms(now).saturating_add(slack_ms)));
         let ahead_ms: f64 = ahead.map(|(_, work_ms)| work_ms).sum();
         let fits = ahead_ms <= CHOSEN_SHARE * slack_ms as f64;
         // A job that does not fit waits behind all jobs that still count.
@@ -320,9 +319,11 @@
             let task = dominant_share(&step.reserved(), &room) * expected(step.estimate_ms) as f64;
             f64::from(step.tasks) * task
         });
-        let served_in = |work_ms: f64| Duration::from_secs_f64(work_ms / FILL / 1_000.0);
+        let served_in = |work_ms: f64| {
+            Duration::try_from_secs_f64(work_ms / FILL / 1_000.0).unwrap_or(Duration::MAX)
+        };
         let wait = served_in(ahead_ms);
-        let completion = wait + chain.max(served_in(tasks.sum()));
+        let completion = wait.saturating_add(chain.max(served_in(tasks.sum())));
         Backlog { is_full: true, wait, completion }
     }
 
@@ -335,7 +336,11 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let work = core_ms(&job.accepted.spec, &self.expected_ms(&job.accepted));
         let queue = Arc::clone(&job.accepted.queue);
-        let mean = self.overload.mean_work.entry(queue).or_insert(work);
+        let means = &mut self.overload.mean_work;
+        if !means.contains_key(&queue) && means.len() >= MAX_QUEUES {
+            return;
+        }
+        let mean = means.entry(queue).or_insert(work);
         *mean += (work - *mean) * MEAN_WORK_WEIGHT;
     }
 
@@ -450,8 +455,7 @@
         let expected_ms = self.expected_ms(accepted);
         let paths = spec.longest_paths_ms(|number| expected_ms[number]);
         let chain_ms = paths.iter().max().copied().unwrap_or_default();
-        let allowed_ms =
-            stretched_ms(accepted.policy.stretch, chain_ms) + accepted.policy.target_ms;
+        let allowed_ms = allowed_ms(&accepted.policy, chain_ms);
         let accepted_ms = as_ms(job.accepted_at);
         let mut found = None;
         let (mut before_start_ms, mut work_ms, mut started) = (0.0, 0.0, false);
@@ -482,7 +486,7 @@
                 if step.unblocked {
                     before_start_ms += (width - 1.0).max(0.0) * duration_ms;
                 }
-                let latest = (accepted_ms + allowed_ms).saturating_sub(paths[number]);
+                let latest = accepted_ms.saturating_add(allowed_ms).saturating_sub(paths[number]);
                 found = Some(found.map_or(latest, |other: u64| other.min(latest)));
             }
         }
@@ -492,7 +496,7 @@
             job: job.id,
             class: (!job.within_share, accepted.policy.priority),
             latest_start_ms: found?,
-            worthless_ms: accepted_ms + u64::from(LATE_FACTOR) * allowed_ms,
+            worthless_ms: accepted_ms.saturating_add(allowed_ms.saturating_mul(LATE_FACTOR)),
             before_start_ms,
             work_ms,
             density: worth * preference * lottery(job.id) / work_ms.max(f64::MIN_POSITIVE),
@@ -525,13 +529,7 @@
     work.sum()
 }
 
-/// Time allowed for a chain of work, in ms.
-fn stretched_ms(stretch: f64, chain_ms: u64) -> u64 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the time allowed for a job is some minutes"
-    )]
-    let allowed_ms = (stretch * chain_ms as f64) as u64;
-    allowed_ms
+/// Time allowed for a job with a chain of work, in ms.
+fn allowed_ms(policy: &Policy, chain_ms: u64) -> u64 {
+    as_ms(allowed_time(policy, chain_ms))
 }
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -8,6 +8,7 @@
 use crosspath_job::record::{Accepted, Policy};
 use crosspath_job::spec::{Resources, Step};
 use crosspath_quota::Limits;
+use crosspath_schedule::admission::Rules;
 use crosspath_schedule::overload::Counts;
 use crosspath_schedule::{Event, Settings};
 use rand::rngs::StdRng;
@@ -251,8 +252,13 @@
 
 /// Owner of one worker of 32 cores, on which all is taken by a job that runs for long.
 fn full_worker() -> Load {
-    let mut harness =
-        Harness::with_settings_in(Settings { prefer_feasible: true, ..settings() }, 1);
+    full_worker_with(Rules::default())
+}
+
+/// The same with these rules for new jobs.
+fn full_worker_with(admission: Rules) -> Load {
+    let settings = Settings { prefer_feasible: true, admission, ..settings() };
+    let mut harness = Harness::with_settings_in(settings, 1);
     harness.take_over(Vec::new(), &["a"]);
     harness.polled("a", Vec::new(), Vec::new());
     let mut load = Load::new(harness, &["a"]);
@@ -515,3 +521,34 @@
         assert_eq!((counts.chosen, counts.deferred), (1, 1));
     }
 }
+
+#[test]
+fn huge_numbers_of_callers_neither_overflow_nor_displace_others() {
+    for reject_hopeless in [false, true] {
+        let admission = Rules { by_customer: false, reject_hopeless };
+        let mut load = full_worker_with(admission);
+        load.send(single(32), vec![ms(800)]);
+        let first = Step { estimate_ms: u64::MAX / 2, ..step(1_000, 32) };
+        let second = Step { after: vec![0], ..first.clone() };
+        let job = (*accepted(vec![first, second])).clone();
+        for (stretch, target_ms) in [(1e300, u64::MAX), (1.0, 0), (1e300, 0), (0.0, u64::MAX)] {
+            let policy = Policy { stretch, target_ms, ..job.policy };
+            let mut huge = Accepted { policy, ..job.clone() };
+            load.send(huge.clone(), vec![ms(800); 2]);
+            load.let_plan();
+            assert!(load.harness.scheduler.overload().chosen > 0);
+            // Such a job is never placed, but its treatment is asked for.
+            huge.spec.steps[0].resources.mem_mb = u64::MAX;
+            let backlog = load.harness.scheduler.backlog(load.harness.now, &huge);
+            assert_eq!(backlog.completion, Duration::MAX);
+            let _ = load.harness.scheduler.admit(load.harness.now, JobId(1_000), &huge);
+            for estimate_ms in [1, u64::MAX] {
+                for step in &mut huge.spec.steps {
+                    step.estimate_ms = estimate_ms;
+                }
+                let backlog = load.harness.scheduler.backlog(load.harness.now, &huge);
+                assert!(backlog.is_full);
+            }
+        }
+    }
+}
