A plan without jobs is not made twice a round

Whether a plan is due was read from its turns, so a plan without any, as when only long-running tasks lack workers, was made anew before and after each round, each time with a pass over all jobs. A flag of its own now tells that a plan was made, until there is room for all.

Test: a job sent after such a plan waits for the next one. With the turns in place of the flag, the test is red.

--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -156,6 +156,8 @@
     counts: Counts,
     /// Resources when the plan was made.
     room: Room,
+    /// Whether a plan was made since there last was room for all. It may have no turns.
+    is_planned: bool,
     /// When the plan was made.
     planned_at: Duration,
     /// Whether a job was accepted since the plan was made.
@@ -170,7 +172,7 @@
         self.turns.get(&job).copied()
     }
 
-    /// Whether there is a plan, which means that there is more work than room.
+    /// Whether there is a plan with turns, which means that there is more work than room.
     pub(crate) fn is_active(&self) -> bool {
         !self.turns.is_empty()
     }
@@ -186,6 +188,7 @@
         self.counting_ms = 0.0;
         self.counts = Counts::default();
         self.room = Room::default();
+        self.is_planned = false;
     }
 }
 
@@ -364,7 +367,7 @@
             return self.overload.clear();
         }
         let interval = if self.overload.stale { MIN_PLAN_INTERVAL } else { PLAN_INTERVAL };
-        if self.overload.is_active() && now < self.overload.planned_at + interval {
+        if self.overload.is_planned && now < self.overload.planned_at + interval {
             // Another round considers the new job, even if nothing else happens.
             self.placement_due |= self.overload.stale;
             return;
@@ -377,6 +380,7 @@
         candidates.sort_by_key(|one| (one.class, one.latest_start_ms, one.job));
         self.overload.clear();
         self.overload.room = room;
+        self.overload.is_planned = true;
         // Jobs that are late already cannot displace others.
         let now_ms = as_ms(now);
         let (late, timely): (Vec<_>, Vec<_>) =
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -552,3 +552,16 @@
         }
     }
 }
+
+#[test]
+fn a_plan_without_jobs_is_not_made_anew_before_its_time() {
+    let mut load = full_worker();
+    let endless = Step { long_running: true, ..step(1, 64) };
+    load.send((*accepted(vec![endless])).clone(), vec![ms(MAX_SIMULATED_MS)]);
+    load.step();
+    load.send(single(32), vec![ms(800)]);
+    load.step();
+    assert_eq!(load.harness.scheduler.overload(), Counts::default());
+    load.let_plan();
+    assert_eq!(load.harness.scheduler.overload().chosen, 1);
+}
