Repeating jobs and those blocked on quota get no turn

The latest start of a repeating job counts from its acceptance and not from the time at which an occurrence is due, so that later occurrences were late or worthless at once. The work of jobs blocked on quota was counted though no worker could take it, so that others were deferred for it. Both are left out of the plan, and keep the order without it.

The plan is now made before usage is counted for a round, since that count forgets which customers the round before found blocked. Only tasks that find a worker are known to be blocked: those for which there is no room are still planned.

Tests: one for each; leaving out either check, or planning after the count, turns one of them red.

--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -448,12 +448,14 @@
         room
     }
 
-    /// Unstarted work of a job; `None` if it has none, a long-running step, or unstarted tasks that
-    /// fit on no worker.
+    /// Unstarted work of a job; `None` if it has none, repeats, is blocked on quota, or has a
+    /// long-running step or unstarted tasks that fit on no worker.
     fn candidate(&self, job: &Job, room: &Room) -> Option<Candidate> {
         let accepted = &job.accepted;
         let spec = &accepted.spec;
-        if spec.steps.iter().any(|step| step.long_running) {
+        // The latest start of a repeating job counts from its acceptance, not from an occurrence.
+        let takes_turns = spec.repeat.is_none() && !spec.steps.iter().any(|step| step.long_running);
+        if !takes_turns || self.is_quota_blocked(job.id) {
             return None;
         }
         let expected_ms = self.expected_ms(accepted);
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -178,10 +178,11 @@
     /// Runs one round of placement.
     pub(crate) fn place(&mut self, now: Duration) {
         self.update_quarantine(now);
+        // Before the count of usage forgets which customers the last round found blocked on quota.
+        self.update_plan(now);
         self.recount_usage(now);
         self.reserve_for_isolation(now);
         self.count_cold_workers(now);
-        self.update_plan(now);
         self.place_in_order(now);
         // The round shows whether there is room for all.
         self.update_plan(now);
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -6,7 +6,7 @@
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Policy};
-use crosspath_job::spec::{Resources, Step};
+use crosspath_job::spec::{Repeat, Resources, Step};
 use crosspath_quota::Limits;
 use crosspath_schedule::admission::Rules;
 use crosspath_schedule::overload::Counts;
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-use crate::common::{Harness, accepted, ms, settings, step};
+use crate::common::{Harness, WALL_MS, accepted, ms, settings, step};
 use crate::load::{Load, Sent};
 
 /// Workers of 32 cores each.
@@ -553,6 +553,36 @@
     }
 }
 
+#[test]
+fn a_repeating_job_gets_no_turn() {
+    let mut load = full_worker();
+    load.send(single(32), vec![ms(800)]);
+    let mut repeating = single(32);
+    repeating.spec.repeat = Some(Repeat { count: 2, first_ms: WALL_MS, every_ms: 600_000 });
+    load.send(repeating, vec![ms(800)]);
+    load.let_plan();
+    assert_eq!(load.harness.scheduler.overload(), Counts { chosen: 1, deferred: 0, late: 0 });
+}
+
+#[test]
+fn jobs_that_are_blocked_on_quota_get_no_turn() {
+    let mut load = full_worker();
+    let maximum = Resources { cpu_millis: 1_000, ..Resources::UNLIMITED };
+    load.harness.send(Event::Limits([("water".into(), maximum)].into()));
+    // The others find room, which is too little for the first one.
+    load.send(single(32), vec![ms(800)]);
+    load.end_one_task();
+    for _ in 0..3 {
+        load.send(of_customer(8), vec![ms(800)]);
+    }
+    for _ in 0..20 {
+        load.step();
+        let Counts { chosen, deferred, late } = load.harness.scheduler.overload();
+        assert!(chosen + deferred + late <= 1 || load.elapsed_ms() < 100);
+    }
+    assert_eq!(load.running(), 3);
+}
+
 #[test]
 fn a_plan_without_jobs_is_not_made_anew_before_its_time() {
     let mut load = full_worker();
