One word for jobs that end too late to count

Jobs that end too late to be of any use were hopeless, useless and worthless in turn; they are worthless now, but for the setting `reject_hopeless` and the field that it is read into, which keep their name. The draw that varies a job's worth is `worth_variation`. No change of behaviour.

--- a/crates/crosspath_schedule/src/admission.rs
+++ b/crates/crosspath_schedule/src/admission.rs
@@ -35,7 +35,7 @@
 /// the owner's memory and the time of a decision.
 const MAX_KNOWN: usize = 4_096;
 /// Multiple of its objective after which the end of a job is of no use.
-const USELESS_FACTOR: u32 = 3;
+const WORTHLESS_FACTOR: u32 = 3;
 /// Multiple of its part of the weights above which a customer's part of the waiting work counts as
 /// beyond its share. Single jobs of small customers may exceed their part by chance.
 const DOMINANCE: f64 = 1.5;
@@ -118,8 +118,8 @@
 
 impl Submission {
     /// Time after which the end of the job is of no use.
-    fn useful_time(&self) -> Duration {
-        self.objective.saturating_mul(USELESS_FACTOR)
+    fn worthless_after(&self) -> Duration {
+        self.objective.saturating_mul(WORTHLESS_FACTOR)
     }
 }
 
@@ -232,8 +232,8 @@
         if rules.by_customer && self.next_token(submission).is_some_and(|wait| !wait.is_zero()) {
             return Some(Reason::OverShare);
         }
-        let is_useless = backlog.completion > submission.useful_time();
-        (rules.reject_hopeless && is_useless).then_some(Reason::Overload)
+        let is_worthless = backlog.completion > submission.worthless_after();
+        (rules.reject_hopeless && is_worthless).then_some(Reason::Overload)
     }
 
     /// Time until the customer's share covers the job; `None` if the customer has no weight.
@@ -271,7 +271,7 @@
         let backlog = submission.backlog;
         let until_room = match reason {
             Reason::OverShare => backlog.wait,
-            Reason::Overload => backlog.completion.saturating_sub(submission.useful_time()),
+            Reason::Overload => backlog.completion.saturating_sub(submission.worthless_after()),
         };
         let latest = now + MAX_RETRY_AFTER;
         let room_at = self.next_room_at.max(now + until_room).min(latest);
--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -226,7 +226,7 @@
 
 /// Pseudo-random number from 0.5 to 1.5 that stays the same for a job. Worth for work alone would
 /// always defer the largest jobs first, whose callers would be served worst.
-fn lottery(job: JobId) -> f64 {
+fn worth_variation(job: JobId) -> f64 {
     // The multiplier of Knuth's multiplicative hash, which spreads consecutive identifiers.
     let hash = job.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
     0.5 + hash as f64 / f64::from(u32::MAX)
@@ -505,7 +505,7 @@
             worthless_ms: accepted_ms.saturating_add(allowed_ms.saturating_mul(LATE_FACTOR)),
             before_start_ms,
             work_ms,
-            density: worth * preference * lottery(job.id) / work_ms.max(f64::MIN_POSITIVE),
+            density: worth * preference * worth_variation(job.id) / work_ms.max(f64::MIN_POSITIVE),
         })
     }
 
--- a/crates/crosspath_schedule/tests/schedule/admission.rs
+++ b/crates/crosspath_schedule/tests/schedule/admission.rs
@@ -21,7 +21,7 @@
 
 const ALL: Rules = Rules { by_customer: true, reject_hopeless: true };
 const BY_CUSTOMER: Rules = Rules { by_customer: true, reject_hopeless: false };
-const HOPELESS: Rules = Rules { by_customer: false, reject_hopeless: true };
+const WORTHLESS: Rules = Rules { by_customer: false, reject_hopeless: true };
 
 /// Full shard in which a job would start after `wait_ms` and end after `completion_ms`.
 fn full(wait_ms: u64, completion_ms: u64) -> Backlog {
@@ -67,7 +67,7 @@
     assert_eq!(admission.decide(ms(0), BY_CUSTOMER, &other), Verdict::Admit);
     let without_weight = Submission { share: None, ..submission(3, 0.0, full) };
     assert_eq!(admission.decide(ms(0), BY_CUSTOMER, &without_weight), Verdict::Admit);
-    assert_eq!(admission.decide(ms(0), HOPELESS, &submission(4, 0.0, full)), Verdict::Admit);
+    assert_eq!(admission.decide(ms(0), WORTHLESS, &submission(4, 0.0, full)), Verdict::Admit);
 }
 
 #[test]
@@ -108,14 +108,14 @@
 }
 
 #[test]
-fn a_job_is_hopeless_if_it_would_end_after_three_times_its_objective() {
+fn a_job_is_worthless_if_it_would_end_after_three_times_its_objective() {
     let mut admission = Admission::default();
     let in_time = submission(1, 9.0, full(5_000, 6_000));
-    assert_eq!(admission.decide(ms(0), HOPELESS, &in_time), Verdict::Admit);
+    assert_eq!(admission.decide(ms(0), WORTHLESS, &in_time), Verdict::Admit);
     let late = submission(2, 9.0, full(7_000, 8_400));
     assert_eq!(admission.decide(ms(0), BY_CUSTOMER, &late), Verdict::Admit);
     let late = submission(3, 9.0, full(7_000, 8_400));
-    let refusal = refused(admission.decide(ms(0), HOPELESS, &late));
+    let refusal = refused(admission.decide(ms(0), WORTHLESS, &late));
     // After 2.4 s it would end in 6 s.
     assert_eq!(refusal, Refusal { reason: Reason::Overload, retry_after_ms: 3_000 });
 }
@@ -134,7 +134,7 @@
     let mut admission = Admission::default();
     let refusals = (0..40).map(|job| {
         let late = submission(job, 9.0, full(7_000, 8_000));
-        refused(admission.decide(ms(0), HOPELESS, &late)).retry_after_ms
+        refused(admission.decide(ms(0), WORTHLESS, &late)).retry_after_ms
     });
     let waits: Vec<u64> = refusals.collect();
     assert!(waits.is_sorted(), "{waits:?}");
@@ -165,9 +165,9 @@
     let mut admission = Admission::default();
     let late = |job| submission(job, 9.0, full(7_000, 8_000));
     for job in 0..30 {
-        refused(admission.decide(ms(0), HOPELESS, &late(job)));
+        refused(admission.decide(ms(0), WORTHLESS, &late(job)));
     }
-    let early = refused(admission.decide(ms(500), HOPELESS, &late(0)));
+    let early = refused(admission.decide(ms(500), WORTHLESS, &late(0)));
     assert_eq!(early.retry_after_ms, 2_000);
     // Its own place does not keep a job from its customer's share.
     let full = full(30_000, 0);
@@ -201,7 +201,7 @@
     let mut admission = Admission::default();
     for job in 0..4_500 {
         let late = submission(job, 0.0, full(9_000, 30_000));
-        let refusal = refused(admission.decide(ms(0), HOPELESS, &late));
+        let refusal = refused(admission.decide(ms(0), WORTHLESS, &late));
         assert!(refusal.retry_after_ms <= 60_000);
     }
     let admitted = |job| submission(job, 1e9, Backlog::default());
@@ -247,10 +247,10 @@
                     assert!(!kept, "seed {seed}: job {job} came back at {now:?} as told");
                     assert!(!may_be_stored, "seed {seed}: job {job} may be stored");
                     assert!(backlog.is_full && backlog.wait >= ms(1_000), "seed {seed}: room");
-                    let is_useless = backlog.completion > submission.objective * 3;
+                    let is_worthless = backlog.completion > submission.objective * 3;
                     let claims = unstored.len() + told.len();
                     let is_over_share = tokens < claims as f64 + 1.0;
-                    assert!(is_useless || is_over_share, "seed {seed}: job {job} has a place");
+                    assert!(is_worthless || is_over_share, "seed {seed}: job {job} has a place");
                     assert_eq!(refusal.retry_after_ms % 1_000, 0);
                     told.insert(job, now + ms(refusal.retry_after_ms));
                 }
