--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -19,12 +19,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_job::record::Accepted;
+use crosspath_job::record::{Accepted, Policy};
 use crosspath_job::spec::{Resources, Spec};
 use crosspath_job::{JobId, TaskId};
 
-use crate::durations::Durations;
-use crate::job::{Job, Run, Task};
+use crate::durations::{Durations, MAX_QUEUES};
+use crate::job::{Job, Run, Task, allowed_time};
 use crate::scheduler::Scheduler;
 
 /// Maximum age of a plan. Runs end all the time, and each end changes little.
@@ -41,7 +41,7 @@
 /// deferred jobs.
 const CHOSEN_SHARE: f64 = 0.5;
 /// A job counts if it ends by so many times its objective, although it is late then.
-const LATE_FACTOR: u32 = 3;
+const LATE_FACTOR: u64 = 3;
 /// Fixed part of a job's worth, relative to that of an average job; the rest grows with its work.
 const FIXED_WORTH: f64 = 0.3;
 /// Maximum worth of a job, relative to that of an average job.
@@ -154,6 +154,10 @@
     /// Unstarted work of all jobs that still count, in ms of all resources of the shard.
     counting_ms: f64,
     counts: Counts,
+    /// Resources when the plan was made.
+    room: Room,
+    /// Whether a plan was made since there last was room for all. It may have no turns.
+    is_planned: bool,
     /// When the plan was made.
     planned_at: Duration,
     /// Whether a job was accepted since the plan was made.
@@ -168,16 +172,47 @@
         self.turns.get(&job).copied()
     }
 
-    /// Whether there is a plan, which means that there is more work than room.
+    /// Whether there is a plan with turns, which means that there is more work than room.
     pub(crate) fn is_active(&self) -> bool {
         !self.turns.is_empty()
     }
 
+    /// Whether a request fits on some worker that had room for finite tasks when the plan was made.
+    pub(crate) fn fits(&self, resources: &Resources) -> bool {
+        self.room.fits(resources)
+    }
+
     fn clear(&mut self) {
         self.turns.clear();
         self.chosen.clear();
         self.counting_ms = 0.0;
         self.counts = Counts::default();
+        self.room = Room::default();
+        self.is_planned = false;
+    }
+}
+
+/// Resources for finite tasks.
+#[derive(Debug, Clone, Default)]
+struct Room {
+    /// Sum over the workers.
+    total: Resources,
+    /// Those of single workers that no other worker exceeds.
+    largest: Vec<Resources>,
+}
+
+impl Room {
+    fn add(&mut self, worker: Resources) {
+        self.total.add(&worker);
+        if !self.fits(&worker) {
+            self.largest.retain(|other| !other.fits(&worker));
+            self.largest.push(worker);
+        }
+    }
+
+    /// Whether a request fits on one worker, once its finite tasks have ended.
+    fn fits(&self, resources: &Resources) -> bool {
+        self.largest.iter().any(|worker| resources.fits(worker))
     }
 }
 
@@ -191,7 +226,7 @@
 
 /// Pseudo-random number from 0.5 to 1.5 that stays the same for a job. Worth for work alone would
 /// always defer the largest jobs first, whose callers would be served worst.
-fn lottery(job: JobId) -> f64 {
+fn worth_variation(job: JobId) -> f64 {
     // The multiplier of Knuth's multiplicative hash, which spreads consecutive identifiers.
     let hash = job.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
     0.5 + hash as f64 / f64::from(u32::MAX)
@@ -274,23 +309,24 @@
             return Backlog { is_full: false, wait: Duration::ZERO, completion: chain };
         }
         let policy = &job.policy;
-        let slack_ms =
-            (stretched_ms(policy.stretch, chain_ms) + policy.target_ms).saturating_sub(chain_ms);
+        let slack_ms = allowed_ms(policy, chain_ms).saturating_sub(chain_ms);
         // A job within its customer's share; one over the share would wait longer.
         let class = (false, policy.priority);
-        let ahead = self.overload.chosen.range(..=(class, as_ms(now) + slack_ms));
+        let ahead = self.overload.chosen.range(..=(class, as_ms(now).saturating_add(slack_ms)));
         let ahead_ms: f64 = ahead.map(|(_, work_ms)| work_ms).sum();
         let fits = ahead_ms <= CHOSEN_SHARE * slack_ms as f64;
         // A job that does not fit waits behind all jobs that still count.
         let ahead_ms = if fits { ahead_ms } else { self.overload.counting_ms };
-        let room = self.room(now);
+        let room = self.room(now).total;
         let tasks = steps.iter().map(|step| {
             let task = dominant_share(&step.reserved(), &room) * expected(step.estimate_ms) as f64;
             f64::from(step.tasks) * task
         });
-        let served_in = |work_ms: f64| Duration::from_secs_f64(work_ms / FILL / 1_000.0);
+        let served_in = |work_ms: f64| {
+            Duration::try_from_secs_f64(work_ms / FILL / 1_000.0).unwrap_or(Duration::MAX)
+        };
         let wait = served_in(ahead_ms);
-        let completion = wait + chain.max(served_in(tasks.sum()));
+        let completion = wait.saturating_add(chain.max(served_in(tasks.sum())));
         Backlog { is_full: true, wait, completion }
     }
 
@@ -303,7 +339,11 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let work = core_ms(&job.accepted.spec, &self.expected_ms(&job.accepted));
         let queue = Arc::clone(&job.accepted.queue);
-        let mean = self.overload.mean_work.entry(queue).or_insert(work);
+        let means = &mut self.overload.mean_work;
+        if !means.contains_key(&queue) && means.len() >= MAX_QUEUES {
+            return;
+        }
+        let mean = means.entry(queue).or_insert(work);
         *mean += (work - *mean) * MEAN_WORK_WEIGHT;
     }
 
@@ -327,7 +367,7 @@
             return self.overload.clear();
         }
         let interval = if self.overload.stale { MIN_PLAN_INTERVAL } else { PLAN_INTERVAL };
-        if self.overload.is_active() && now < self.overload.planned_at + interval {
+        if self.overload.is_planned && now < self.overload.planned_at + interval {
             // Another round considers the new job, even if nothing else happens.
             self.placement_due |= self.overload.stale;
             return;
@@ -339,6 +379,8 @@
         let mut candidates: Vec<_> = jobs.filter_map(|job| self.candidate(job, &room)).collect();
         candidates.sort_by_key(|one| (one.class, one.latest_start_ms, one.job));
         self.overload.clear();
+        self.overload.room = room;
+        self.overload.is_planned = true;
         // Jobs that are late already cannot displace others.
         let now_ms = as_ms(now);
         let (late, timely): (Vec<_>, Vec<_>) =
@@ -389,34 +431,37 @@
     }
 
     /// Resources of the usable workers, without those that long-running tasks reserve.
-    fn room(&self, now: Duration) -> Resources {
-        let mut room = Resources::default();
+    fn room(&self, now: Duration) -> Room {
+        let mut room = Room::default();
         for worker in self.workers.values() {
             if !worker.is_usable(now) || self.must_be_vacated(worker) {
                 continue;
             }
-            room.add(&worker.entry.capacity);
+            let mut own = worker.entry.capacity;
             for ((task, _), reserved) in &worker.runs {
                 if self.step_of(*task).is_some_and(|step| step.long_running) {
-                    room = room.minus(reserved);
+                    own = own.minus(reserved);
                 }
             }
+            room.add(own);
         }
         room
     }
 
-    /// Unstarted work of a job; `None` if it has none, or a long-running step.
-    fn candidate(&self, job: &Job, room: &Resources) -> Option<Candidate> {
+    /// Unstarted work of a job; `None` if it has none, repeats, is blocked on quota, or has a
+    /// long-running step or unstarted tasks that fit on no worker.
+    fn candidate(&self, job: &Job, room: &Room) -> Option<Candidate> {
         let accepted = &job.accepted;
         let spec = &accepted.spec;
-        if spec.steps.iter().any(|step| step.long_running) {
+        // The latest start of a repeating job counts from its acceptance, not from an occurrence.
+        let takes_turns = spec.repeat.is_none() && !spec.steps.iter().any(|step| step.long_running);
+        if !takes_turns || self.is_quota_blocked(job.id) {
             return None;
         }
         let expected_ms = self.expected_ms(accepted);
         let paths = spec.longest_paths_ms(|number| expected_ms[number]);
         let chain_ms = paths.iter().max().copied().unwrap_or_default();
-        let allowed_ms =
-            stretched_ms(accepted.policy.stretch, chain_ms) + accepted.policy.target_ms;
+        let allowed_ms = allowed_ms(&accepted.policy, chain_ms);
         let accepted_ms = as_ms(job.accepted_at);
         let mut found = None;
         let (mut before_start_ms, mut work_ms, mut started) = (0.0, 0.0, false);
@@ -436,14 +481,18 @@
                 if waiting == 0 {
                     continue;
                 }
-                let share = dominant_share(&spec.steps[number].reserved(), room);
+                let resources = spec.steps[number].reserved();
+                if !room.fits(&resources) {
+                    return None;
+                }
+                let share = dominant_share(&resources, &room.total);
                 let width = waiting as f64 * share;
                 let duration_ms = expected_ms[number] as f64;
                 work_ms += width * duration_ms;
                 if step.unblocked {
                     before_start_ms += (width - 1.0).max(0.0) * duration_ms;
                 }
-                let latest = (accepted_ms + allowed_ms).saturating_sub(paths[number]);
+                let latest = accepted_ms.saturating_add(allowed_ms).saturating_sub(paths[number]);
                 found = Some(found.map_or(latest, |other: u64| other.min(latest)));
             }
         }
@@ -453,10 +502,10 @@
             job: job.id,
             class: (!job.within_share, accepted.policy.priority),
             latest_start_ms: found?,
-            worthless_ms: accepted_ms + u64::from(LATE_FACTOR) * allowed_ms,
+            worthless_ms: accepted_ms.saturating_add(allowed_ms.saturating_mul(LATE_FACTOR)),
             before_start_ms,
             work_ms,
-            density: worth * preference * lottery(job.id) / work_ms.max(f64::MIN_POSITIVE),
+            density: worth * preference * worth_variation(job.id) / work_ms.max(f64::MIN_POSITIVE),
         })
     }
 
@@ -486,13 +535,7 @@
     work.sum()
 }
 
-/// Time allowed for a chain of work, in ms.
-fn stretched_ms(stretch: f64, chain_ms: u64) -> u64 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the time allowed for a job is some minutes"
-    )]
-    let allowed_ms = (stretch * chain_ms as f64) as u64;
-    allowed_ms
+/// Time allowed for a job with a chain of work, in ms.
+fn allowed_ms(policy: &Policy, chain_ms: u64) -> u64 {
+    as_ms(allowed_time(policy, chain_ms))
 }
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -6,14 +6,15 @@
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Policy};
-use crosspath_job::spec::{Resources, Step};
+use crosspath_job::spec::{Repeat, Resources, Step};
 use crosspath_quota::Limits;
+use crosspath_schedule::admission::Rules;
 use crosspath_schedule::overload::Counts;
 use crosspath_schedule::{Event, Settings};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-use crate::common::{Harness, accepted, ms, settings, step};
+use crate::common::{Harness, WALL_MS, accepted, ms, settings, step};
 use crate::load::{Load, Sent};
 
 /// Workers of 32 cores each.
@@ -251,8 +252,13 @@
 
 /// Owner of one worker of 32 cores, on which all is taken by a job that runs for long.
 fn full_worker() -> Load {
-    let mut harness =
-        Harness::with_settings_in(Settings { prefer_feasible: true, ..settings() }, 1);
+    full_worker_with(Rules::default())
+}
+
+/// The same with these rules for new jobs.
+fn full_worker_with(admission: Rules) -> Load {
+    let settings = Settings { prefer_feasible: true, admission, ..settings() };
+    let mut harness = Harness::with_settings_in(settings, 1);
     harness.take_over(Vec::new(), &["a"]);
     harness.polled("a", Vec::new(), Vec::new());
     let mut load = Load::new(harness, &["a"]);
@@ -384,6 +390,42 @@
     assert!(load.jobs[&late].took.is_some());
 }
 
+#[test]
+fn a_chosen_job_that_fits_on_no_worker_does_not_hold_up_others() {
+    let mut load = full_worker();
+    // Keeps the plan from being empty.
+    let chosen = load.send(single(32), vec![ms(800)]);
+    load.send((*accepted(vec![Step { estimate_ms: 60_000, ..step(1, 64) }])).clone(), Vec::new());
+    let late = load.send_aged(single(8), vec![ms(800)], 1_500);
+    load.let_plan();
+    assert_eq!(load.harness.scheduler.overload(), Counts { chosen: 1, deferred: 0, late: 1 });
+    for _ in 0..200 {
+        load.step();
+    }
+    assert!(load.jobs[&chosen].took.is_some() && load.jobs[&late].took.is_some());
+}
+
+#[test]
+fn a_chosen_job_over_its_share_does_not_overtake_late_ones_that_are_held() {
+    let mut load = full_worker();
+    limit_share(&mut load);
+    // Takes the customer's bucket, so that the next job is over the share.
+    let within = [0, 1].map(|_| load.send_aged(of_customer(32), vec![ms(10)], 1_500));
+    let late = load.send_aged(single(8), vec![ms(800)], 1_500);
+    let over = load.send(of_customer(8), vec![ms(800)]);
+    let chosen = load.send(single(16), vec![ms(800)]);
+    load.let_plan();
+    // Room for the late job and the one over its share, not for the chosen one.
+    load.end_one_task();
+    load.step();
+    load.let_plan();
+    assert_eq!(load.running(), 3, "the cores are left to the chosen job");
+    while load.unfinished() > 0 {
+        load.step();
+    }
+    assert_eq!(by_end(&load, &[chosen, late, over, within[0], within[1]])[0], chosen);
+}
+
 #[test]
 fn among_late_jobs_those_that_still_count_go_first() {
     let mut load = full_worker();
@@ -404,17 +446,24 @@
     }
 }
 
+/// Gives the customer a share whose bucket holds two jobs of 32 cores.
+fn limit_share(load: &mut Load) {
+    let weights = [("water".into(), 0.001)].into();
+    load.harness.send(Event::Limits(Limits::new()));
+    load.harness.send(Event::Weights { weights, shard_fraction: 1.0 });
+}
+
+fn of_customer(cores: u64) -> Accepted {
+    Accepted { customer: Some("water".into()), ..single(cores) }
+}
+
 /// Which of four jobs ends last: three of a customer whose share covers two, and one without a
 /// customer that is `age_ms` old.
 fn last_beside_a_late_job(age_ms: u64) -> &'static str {
     let mut load = full_worker();
-    let weights = [("water".into(), 0.001)].into();
-    load.harness.send(Event::Limits(Limits::new()));
-    load.harness.send(Event::Weights { weights, shard_fraction: 1.0 });
-    let of_customer = || Accepted { customer: Some("water".into()), ..single(32) };
-    // The customer's bucket holds two jobs.
-    let within = [0, 1].map(|_| load.send_aged(of_customer(), vec![ms(10)], 1_500));
-    let over = load.send(of_customer(), vec![ms(10)]);
+    limit_share(&mut load);
+    let within = [0, 1].map(|_| load.send_aged(of_customer(32), vec![ms(10)], 1_500));
+    let over = load.send(of_customer(32), vec![ms(10)]);
     let late = load.send_aged(single(32), vec![ms(800)], age_ms);
     while load.unfinished() > 0 {
         load.step();
@@ -472,3 +521,77 @@
         assert_eq!((counts.chosen, counts.deferred), (1, 1));
     }
 }
+
+#[test]
+fn huge_numbers_of_callers_neither_overflow_nor_displace_others() {
+    for reject_hopeless in [false, true] {
+        let admission = Rules { by_customer: false, reject_hopeless };
+        let mut load = full_worker_with(admission);
+        load.send(single(32), vec![ms(800)]);
+        let first = Step { estimate_ms: u64::MAX / 2, ..step(1_000, 32) };
+        let second = Step { after: vec![0], ..first.clone() };
+        let job = (*accepted(vec![first, second])).clone();
+        for (stretch, target_ms) in [(1e300, u64::MAX), (1.0, 0), (1e300, 0), (0.0, u64::MAX)] {
+            let policy = Policy { stretch, target_ms, ..job.policy };
+            let mut huge = Accepted { policy, ..job.clone() };
+            load.send(huge.clone(), vec![ms(800); 2]);
+            load.let_plan();
+            assert!(load.harness.scheduler.overload().chosen > 0);
+            // Such a job is never placed, but its treatment is asked for.
+            huge.spec.steps[0].resources.mem_mb = u64::MAX;
+            let backlog = load.harness.scheduler.backlog(load.harness.now, &huge);
+            assert_eq!(backlog.completion, Duration::MAX);
+            let _ = load.harness.scheduler.admit(load.harness.now, JobId(1_000), &huge);
+            for estimate_ms in [1, u64::MAX] {
+                for step in &mut huge.spec.steps {
+                    step.estimate_ms = estimate_ms;
+                }
+                let backlog = load.harness.scheduler.backlog(load.harness.now, &huge);
+                assert!(backlog.is_full);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_repeating_job_gets_no_turn() {
+    let mut load = full_worker();
+    load.send(single(32), vec![ms(800)]);
+    let mut repeating = single(32);
+    repeating.spec.repeat = Some(Repeat { count: 2, first_ms: WALL_MS, every_ms: 600_000 });
+    load.send(repeating, vec![ms(800)]);
+    load.let_plan();
+    assert_eq!(load.harness.scheduler.overload(), Counts { chosen: 1, deferred: 0, late: 0 });
+}
+
+#[test]
+fn jobs_that_are_blocked_on_quota_get_no_turn() {
+    let mut load = full_worker();
+    let maximum = Resources { cpu_millis: 1_000, ..Resources::UNLIMITED };
+    load.harness.send(Event::Limits([("water".into(), maximum)].into()));
+    // The others find room, which is too little for the first one.
+    load.send(single(32), vec![ms(800)]);
+    load.end_one_task();
+    for _ in 0..3 {
+        load.send(of_customer(8), vec![ms(800)]);
+    }
+    for _ in 0..20 {
+        load.step();
+        let Counts { chosen, deferred, late } = load.harness.scheduler.overload();
+        assert!(chosen + deferred + late <= 1 || load.elapsed_ms() < 100);
+    }
+    assert_eq!(load.running(), 3);
+}
+
+#[test]
+fn a_plan_without_jobs_is_not_made_anew_before_its_time() {
+    let mut load = full_worker();
+    let endless = Step { long_running: true, ..step(1, 64) };
+    load.send((*accepted(vec![endless])).clone(), vec![ms(MAX_SIMULATED_MS)]);
+    load.step();
+    load.send(single(32), vec![ms(800)]);
+    load.step();
+    assert_eq!(load.harness.scheduler.overload(), Counts::default());
+    load.let_plan();
+    assert_eq!(load.harness.scheduler.overload().chosen, 1);
+}
