Chains of huge estimates do not overflow; one factor for jobs that end too late

Spec::longest_paths_ms added estimates of a chain without bounds: two steps near the largest number panicked in debug builds, and wrapped in a release. The test that sends such jobs now uses the largest number itself.

--- a/crates/crosspath_job/src/spec.rs
+++ b/crates/crosspath_job/src/spec.rs
@@ -262,8 +262,8 @@
     pub fn longest_paths_ms(&self, duration_ms: impl Fn(usize) -> u64) -> Vec<u64> {
         let mut remaining = vec![0; self.steps.len()];
         for (number, step) in self.steps.iter().enumerate().rev() {
-            remaining[number] += duration_ms(number);
-            let through = remaining[number];
+            let through = duration_ms(number).saturating_add(remaining[number]);
+            remaining[number] = through;
             for after in &step.after {
                 let before = &mut remaining[*after as usize];
                 *before = through.max(*before);
--- a/crates/crosspath_schedule/src/admission.rs
+++ b/crates/crosspath_schedule/src/admission.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::allowed_time;
-use crate::overload::Backlog;
+use crate::overload::{Backlog, LATE_FACTOR};
 use crate::scheduler::Scheduler;
 
 /// Resolution of `Retry-After`, and with it the shortest delay. A job that would wait for less is
@@ -34,8 +34,6 @@
 /// Maximum number of jobs that have a place, and of admitted jobs that are not stored yet. Bounds
 /// the owner's memory and the time of a decision.
 const MAX_KNOWN: usize = 4_096;
-/// Multiple of its objective after which the end of a job is of no use.
-const WORTHLESS_FACTOR: u32 = 3;
 /// Multiple of its part of the weights above which a customer's part of the waiting work counts as
 /// beyond its share. Single jobs of small customers may exceed their part by chance.
 const DOMINANCE: f64 = 1.5;
@@ -119,7 +117,7 @@
 impl Submission {
     /// Time after which the end of the job is of no use.
     fn worthless_after(&self) -> Duration {
-        self.objective.saturating_mul(WORTHLESS_FACTOR)
+        self.objective.saturating_mul(LATE_FACTOR)
     }
 }
 
--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -41,7 +41,7 @@
 /// deferred jobs.
 const CHOSEN_SHARE: f64 = 0.5;
 /// A job counts if it ends by so many times its objective, although it is late then.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u32 = 3;
 /// Fixed part of a job's worth, relative to that of an average job; the rest grows with its work.
 const FIXED_WORTH: f64 = 0.3;
 /// Maximum worth of a job, relative to that of an average job.
@@ -502,7 +502,8 @@
             job: job.id,
             class: (!job.within_share, accepted.policy.priority),
             latest_start_ms: found?,
-            worthless_ms: accepted_ms.saturating_add(allowed_ms.saturating_mul(LATE_FACTOR)),
+            worthless_ms: accepted_ms
+                .saturating_add(allowed_ms.saturating_mul(u64::from(LATE_FACTOR))),
             before_start_ms,
             work_ms,
             density: worth * preference * worth_variation(job.id) / work_ms.max(f64::MIN_POSITIVE),
--- a/crates/crosspath_schedule/tests/schedule/overload.rs
+++ b/crates/crosspath_schedule/tests/schedule/overload.rs
@@ -528,7 +528,7 @@
         let admission = Rules { by_customer: false, reject_hopeless };
         let mut load = full_worker_with(admission);
         load.send(single(32), vec![ms(800)]);
-        let first = Step { estimate_ms: u64::MAX / 2, ..step(1_000, 32) };
+        let first = Step { estimate_ms: u64::MAX, ..step(1_000, 32) };
         let second = Step { after: vec![0], ..first.clone() };
         let job = (*accepted(vec![first, second])).clone();
         for (stretch, target_ms) in [(1e300, u64::MAX), (1.0, 0), (1e300, 0), (0.0, u64::MAX)] {
