Take a VM for down only if the platform lists it as down

A state that this version does not know, or none, was decoded as down. A VM that is down and names no worker ends that worker for its pool's owner, so a state that the platform adds could have let the tasks of a running worker run twice. Such VMs now have the state Unknown: the planner leaves them out of a pool's size as before, and they neither end workers nor make up a lost data centre; leases decide. The gauge of VMs names them "unknown".

--- a/crates/crosspath_border/src/vm.rs
+++ b/crates/crosspath_border/src/vm.rs
@@ -15,8 +15,11 @@
     Moving,
     /// The VM is being serviced.
     Maintenance,
-    /// The VM is out of service for any other reason, or the platform reports an unknown state.
+    /// The VM is down: it has no worker.
     Down,
+    /// The platform reports no state or one that this version does not know. The VM may have a
+    /// worker, but gets no orders.
+    Unknown,
 }
 
 /// Virtual machine, as listed by the platform.
--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -13,6 +13,11 @@
 use crate::intent::Intent;
 use crate::planner::{Planner, View};
 
+/// Whether the VM serves no pool, as far as is known, until its state changes by itself.
+fn is_out_of_service(vm: &Vm) -> bool {
+    matches!(vm.state, State::Down | State::Unknown)
+}
+
 /// A pool whose deficit is below this share of its target gets no VM that another pool uses:
 /// targets change all the time, and a move takes a VM out of service for some seconds.
 const MIN_DEFICIT_SHARE: f64 = 0.1;
@@ -199,7 +204,7 @@
             let unusable = index.reported(vm).is_some_and(|reported| !reported.usable);
             let in_maintenance = intent.is_some_and(|intent| intent.maintenance_wave().is_some());
             let evacuated = index.view.is_evacuated(vm);
-            if vm.state == State::Down
+            if is_out_of_service(vm)
                 || (unusable && intent.is_none())
                 || in_maintenance
                 || evacuated
@@ -246,7 +251,7 @@
         }
         let vms = index.vms().iter();
         let all: BTreeSet<_> = vms.clone().map(|vm| &vm.data_centre).collect();
-        let usable = vms.filter(|vm| vm.state != State::Down && !index.view.is_evacuated(vm));
+        let usable = vms.filter(|vm| !is_out_of_service(vm) && !index.view.is_evacuated(vm));
         let usable: BTreeSet<_> = usable.map(|vm| &vm.data_centre).collect();
         let count = |set: &BTreeSet<_>| u32::try_from(set.len()).unwrap_or(u32::MAX);
         let missing = count(&all) - count(&usable);
@@ -260,7 +265,7 @@
         let in_known_pool = requests.contains_key(&vm.pool) || view.is_spare(vm);
         let intent = self.intents.get(&vm.name);
         let in_maintenance = intent.is_some_and(|intent| intent.maintenance_wave().is_some());
-        in_known_pool && vm.state != State::Down && !in_maintenance && !view.is_evacuated(vm)
+        in_known_pool && !is_out_of_service(vm) && !in_maintenance && !view.is_evacuated(vm)
     }
 
     fn is_long_idle(&self, now: Duration, vm: &Arc<str>) -> bool {
--- a/crates/crosspath_fleet/tests/fleet/domains.rs
+++ b/crates/crosspath_fleet/tests/fleet/domains.rs
@@ -58,7 +58,7 @@
     assert!(!is_lost(&domains));
 }
 
-/// A VM in an unknown state may run its worker.
+/// The list may be behind.
 #[test]
 fn a_vm_with_a_worker_is_not_down() {
     let with_worker = Vm { state: State::Down, worker: Some("w".into()), ..vm("x1", "counter") };
@@ -66,3 +66,16 @@
     assert!(is_down(&Vm { worker: None, ..with_worker.clone() }));
     assert!(!is_down(&Vm { state: State::Moving, worker: None, ..with_worker }));
 }
+
+/// Such VMs neither end their workers nor make up a lost data centre.
+#[test]
+fn a_vm_in_an_unknown_state_is_not_down() {
+    let unknown = Vm { state: State::Unknown, worker: None, ..vm("x1", "counter") };
+    assert!(!is_down(&unknown));
+    let mut domains = Domains::default();
+    domains.update(&list(0));
+    let mut vms = list(10);
+    vms.iter_mut().filter(|vm| vm.state == State::Down).for_each(|vm| vm.state = State::Unknown);
+    domains.update(&vms);
+    assert!(!is_lost(&domains));
+}
--- a/crates/crosspath_node/src/metrics/fleet.rs
+++ b/crates/crosspath_node/src/metrics/fleet.rs
@@ -58,6 +58,7 @@
                 State::Moving => "moving",
                 State::Maintenance => "maintenance",
                 State::Down => "down",
+                State::Unknown => "unknown",
             };
             let labels = VmLabels { data_centre: vm.data_centre.to_string(), state };
             self.vms.get_or_create(&labels).inc();
