Plainer comments, and what evacuations without a limit promise

The comment on the time after which an evacuation is said to be in force claimed that it holds everywhere. Without a configured limit, a daemon that is cut off from the store may still start tasks there. Comments only.

--- a/crates/crosspath_node/src/progress.rs
+++ b/crates/crosspath_node/src/progress.rs
@@ -18,8 +18,9 @@
 /// Maximum time between two records while nothing changes, by which operators see that somebody
 /// still observes.
 const MAX_INTERVAL: Duration = Duration::from_secs(3);
-/// Time from the request of an evacuation until it is in force everywhere, if no limit is
-/// configured: the store answers within this time, or is away.
+/// Time from the request of an evacuation until it is said to be in force, if no limit is configured.
+/// Daemons that reach the store have read it by then. Without a limit, one that is cut off from the
+/// store may still start tasks in the data centre.
 const DEFAULT_LIMIT: Duration = Duration::from_secs(5);
 
 /// Publication by one owner of the fleet.
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -25,7 +25,7 @@
 //! that job at once, whatever `max_unavailable` says. A finite task is cleared only by its
 //! successful end, since it may crash its worker late in its run.
 //!
-//! The loss of a whole data centre is nobody's fault: runs that end with it are not counted.
+//! The loss of a whole data centre is not attributed to any task: runs that end with it are not counted.
 //!
 //! A silent worker that is still listed may merely be cut off from the network. Its runs count as
 //! lost until it answers again, but such losses alone do not fail a job.
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -478,7 +478,7 @@
                 }
             }
         }
-        // Finite steps need no ranks, and are placed some thousand times a second.
+        // Finite steps need no ranks, and are placed most often.
         let ranked = candidates.iter().filter(|_| step.long_running);
         let best = ranked.map(|worker| siblings.rank(&worker.domain)).min().unwrap_or_default();
         StepSpread { siblings, best, long_running: step.long_running }
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -76,7 +76,7 @@
     pub(crate) store: Arc<Store>,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_proxies: Vec<Proxy>,
-    /// Names of the data centres. Daemons and workers are dealt to them in turn.
+    /// Names of the data centres. Daemons and workers are assigned round-robin.
     pub(crate) data_centres: Vec<String>,
     pub(crate) daemons: Vec<Mutex<Daemon>>,
     /// Between each daemon and the store, in the order of the daemons.
