Ignore the instructions of late planning rounds

Requests from the fleet's owner to a pool's owner are hedged and relayed, so a duplicate of an earlier round can arrive after a later one. It replaced the newer set of VMs to vacate, and tasks could start on a VM that was about to be moved. Requests now carry the epoch of the fleet's owner and a number; a pool's owner reports on a lower one but follows neither its set nor its list of VMs that are down. Daemons of earlier versions skip the field, and requests without it are followed as before.

Also names the constant of rounds with the full wait for what it counts.

The test fails without the comparison of rounds.

--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -44,12 +44,12 @@
 const INCARNATION_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time for which a round waits for a pool's report where failure domains are lost: an owner that is
-/// lost with its data centre must not delay what the others have to know of it. Reports take some
+/// lost with its data centre must not delay the other owners' reports. Reports take some
 /// milliseconds.
 const REPORT_WAIT: Duration = Duration::from_millis(200);
 /// Every so many rounds, an owner whose reports come late is given the full time of a call, so that
 /// the pool of a slow owner is still planned for.
-const PATIENT_ROUNDS: u32 = 4;
+const FULL_WAIT_ROUNDS: u32 = 4;
 
 /// Runs the planning rounds while this daemon owns the fleet's shard. Without access to the VM
 /// platform it only runs the quota ledger.
@@ -86,6 +86,7 @@
         unreported_rounds: BTreeMap::new(),
         listing: Listing::new(Arc::clone(&fleet)),
         sequence: claimed.sequence,
+        rounds: 0,
         published: BTreeMap::new(),
         progress: Publisher::default(),
         claimed,
@@ -191,6 +192,8 @@
     authority: Authority,
     claimed: Claim,
     sequence: u64,
+    /// Number of planning rounds that this owner has begun.
+    rounds: u64,
     settings: Settings,
     history: History,
     /// VMs that must not be ordered yet, after orders of previous owners.
@@ -309,6 +312,8 @@
     /// Sends the owners of pools the VMs to vacate, and collects their reports.
     async fn poll_pools(&mut self) {
         let map = self.node.map();
+        self.rounds += 1;
+        let round = Some((self.claimed.epoch, self.rounds));
         let mut requests = Vec::new();
         for (number, slice) in (0..).zip(&self.slices) {
             let vacate = slice.planner.vms_to_vacate(&slice.view.vms);
@@ -320,7 +325,7 @@
                 let node = Arc::clone(&self.node);
                 let wait = self.report_wait(&pool_slice);
                 requests.push(async move {
-                    let request = Request::Pool { shard, vacate, down };
+                    let request = Request::Pool { shard, vacate, down, round };
                     let call = rpc::call_holder(&node, shard, request);
                     // A later report could name a VM as vacant that this round selects.
                     let reply = tokio::time::timeout(wait, call).await;
@@ -354,8 +359,8 @@
     /// Time for which this round waits for the report on a pool slice.
     fn report_wait(&self, pool_slice: &PoolSlice) -> Duration {
         let unreported = self.unreported_rounds.get(pool_slice).copied().unwrap_or(0);
-        let is_patient = unreported % PATIENT_ROUNDS == PATIENT_ROUNDS - 1;
-        if !self.settings.spread || is_patient { Duration::MAX } else { REPORT_WAIT }
+        let waits_fully = unreported % FULL_WAIT_ROUNDS == FULL_WAIT_ROUNDS - 1;
+        if !self.settings.spread || waits_fully { Duration::MAX } else { REPORT_WAIT }
     }
 
     /// VMs of a pool that the last list shows as down, if there are any and the list's age can be
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -34,6 +34,7 @@
 use crate::paths::{Miss, Paths, Relayed};
 use crate::pending::Outcome;
 use crate::relay::{self, Call, Forward, Forwarded};
+use crate::shard::Round;
 use crate::workers;
 
 /// Timeout of a call to a peer. The network takes at most some ms.
@@ -65,6 +66,9 @@
         /// VMs that are down; earlier versions skip it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         down: Option<Down>,
+        /// Planning round that the request belongs to; earlier versions skip it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        round: Option<Round>,
     },
     /// Appends records for another daemon. Goes to the shard's owner, which batches the records of
     /// all daemons since the store may be slow, or to any daemon if the store refuses the sender.
@@ -410,9 +414,9 @@
             let queued = owned.get(&shard).and_then(|handle| handle.queued_jobs(&queue));
             queued.map_or(Reply::NotOwner, Reply::QueuedJobs)
         }
-        Request::Pool { shard, vacate, down } => {
+        Request::Pool { shard, vacate, down, round } => {
             let owned = node.owned();
-            let pool = owned.get(&shard).and_then(|handle| handle.report(vacate, down));
+            let pool = owned.get(&shard).and_then(|handle| handle.report(vacate, down, round));
             pool.map_or(Reply::NotOwner, Reply::Pool)
         }
         Request::Append { shard, records, may_refuse } => {
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -55,8 +55,14 @@
     events: mpsc::UnboundedSender<Event>,
     scheduler: SharedScheduler,
     task: JoinHandle<()>,
+    /// Newest planning round whose instructions were followed.
+    last_round: Mutex<Option<Round>>,
 }
 
+/// Planning round of the fleet's owners: epoch of the owner's claim, and number of the round within
+/// it. A later round is greater.
+pub(crate) type Round = (u64, u64);
+
 fn scheduler(shared: &SharedScheduler) -> std::sync::MutexGuard<'_, Option<Scheduler>> {
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -82,7 +88,7 @@
         } else {
             tokio::spawn(crate::fleet::run(Arc::clone(node)))
         };
-        Self { pool_slice, events, scheduler: shared, task }
+        Self { pool_slice, events, scheduler: shared, task, last_round: Mutex::default() }
     }
 
     /// Pool slice of the shard; `None` for the fleet's shard.
@@ -149,10 +155,14 @@
         &self,
         vacate: BTreeSet<Arc<str>>,
         down: Option<Down>,
+        round: Option<Round>,
     ) -> Option<report::Pool> {
         let mut shared = scheduler(&self.scheduler);
         let scheduler = shared.as_mut()?;
         let now = clock::now();
+        if !self.is_current(round) {
+            return Some(scheduler.report(now));
+        }
         // Takes effect before the report, so that no task is placed on a VM reported as vacant.
         scheduler.handle(now, clock::wall_ms(), Event::Vacate(vacate));
         if let Some(down) = down {
@@ -161,6 +171,19 @@
         Some(scheduler.report(now))
     }
 
+    /// Whether a request of this round is not a late one: requests are repeated and can be delayed.
+    /// Senders of earlier versions give no round, and are always followed.
+    fn is_current(&self, round: Option<Round>) -> bool {
+        let Some(round) = round else { return true };
+        let mut last = self.last_round.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.is_some_and(|last| round < last) {
+            log::info!("event=late_round_ignored epoch={} round={}", round.0, round.1);
+            return false;
+        }
+        *last = Some(round);
+        true
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         self.task.is_finished()
     }
--- a/crates/crosspath_node/tests/node/relay.rs
+++ b/crates/crosspath_node/tests/node/relay.rs
@@ -20,7 +20,7 @@
 use crosspath_job::{JobId, TaskId};
 use serde_json::{Value, json};
 
-use crate::common::{Daemon, SETTLE_TIME, SMALL_MILLICORES, Site, log_with_one_pool};
+use crate::common::{Daemon, SETTLE_TIME, SHARDS, SMALL_MILLICORES, Site, log_with_one_pool};
 
 /// Time in which a direct call to a worker behind the cut gets no answer.
 const CUT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -385,3 +385,37 @@
     assert!(matches!(reply, Err(CallError::Status { status, .. }) if status == 400), "{reply:?}");
     assert_eq!(worker.starts().len(), 0);
 }
+
+/// Sends a daemon the VMs to vacate, as the fleet's owner does in a planning round. The number of
+/// the worker's shard is not known here.
+async fn send_round(to: SocketAddr, round: u64, vacate: &[&str]) {
+    let mut reports = 0;
+    for shard in 0..SHARDS {
+        let request = json!({ "pool": { "shard": shard, "vacate": vacate, "round": [1, round] } });
+        let client = Client::new(to, CALL_TIMEOUT);
+        let reply: Value =
+            client.call(Method::POST, "/peer", Some(&request)).await.expect("a reply");
+        reports += usize::from(reply.get("pool").is_some());
+    }
+    assert!(reports > 0, "late rounds get reports, too");
+}
+
+/// A request of an earlier round that arrives late would have tasks start on a VM that is about to
+/// be moved.
+#[tokio::test]
+async fn a_late_request_of_an_earlier_round_vacates_and_frees_no_vm() {
+    let log = log_with_one_pool().await;
+    list_worker(&log).await;
+    let worker = Arc::new(FakeWorker::default());
+    let daemon =
+        Daemon::start_on("entry-1", &log, Site { fleet: None, ..site("a", &worker) }).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    worker.wait_for(|state| state.owner).await;
+    send_round(daemon.peers, 5, &["vm-1"]).await;
+    send_round(daemon.peers, 4, &[]).await;
+    assert_eq!(daemon.submit(1).await, Submitted::Accepted);
+    tokio::time::sleep(WATCH_TIME).await;
+    assert!(worker.starts().is_empty(), "the VM is being vacated");
+    send_round(daemon.peers, 6, &[]).await;
+    worker.wait_for(|state| state.starts.first().cloned()).await;
+}
