Try another relay if the first does not reach the destination

A relay can itself be cut off from the destination. A call was given up at the first relay that said so, and the report made the data centre look lost though the next relay might reach it. Now the next relay is tried: after a call that surely did not leave always, after one without an answer only if the call is idempotent. The link learns that the destination was not reached only after the last relay.

The test of an undelivered order expected one attempt; it now expects two for orders that surely did not leave, and one still for those without an answer. Without the further attempt that test and a new one fail; with a report per relay the new test of a data centre that is not lost fails.

--- a/crates/crosspath_node/src/paths.rs
+++ b/crates/crosspath_node/src/paths.rs
@@ -229,6 +229,8 @@
     {
         let relays = self.known().links.relays(clock::now(), &to.data_centre, Some(to.address));
         let mut miss = Miss::NotReached;
+        // One relay may be cut off from the destination too.
+        let mut unreached = false;
         for (index, relay) in relays.iter().take(MAX_RELAYS).enumerate() {
             let sent = clock::now();
             let left = deadline.saturating_sub(sent);
@@ -242,7 +244,10 @@
             self.observe_relay(to, *relay, sent, &result);
             match result {
                 Relayed::Answered(answer) => return Ok(answer),
-                Relayed::Unreached(other) => return Err(miss.and(other)),
+                Relayed::Unreached(other) => {
+                    unreached = true;
+                    miss = miss.and(other);
+                }
                 Relayed::RelaySilent(other) => miss = miss.and(other),
                 Relayed::Refused => {}
             }
@@ -250,9 +255,19 @@
                 break;
             }
         }
+        if unreached {
+            self.observe_delivery(to, false);
+        }
         Err(miss)
     }
 
+    /// Records whether relays that answered reached the destination.
+    fn observe_delivery(&self, to: &Destination, reached: bool) {
+        let now = clock::now();
+        let change = self.known().links.relayed_ended(now, &to.data_centre, to.address, reached);
+        self.announce(change);
+    }
+
     /// Records the result of a direct call.
     async fn observe<A>(
         &self,
@@ -277,26 +292,22 @@
     ) {
         let now = clock::now();
         let outcome = result.name();
-        let reached = match result {
-            Relayed::Answered(_) => Some(true),
-            Relayed::Unreached(_) => Some(false),
-            Relayed::RelaySilent(_) | Relayed::Refused => None,
-        };
         self.metrics.count_relayed(outcome);
         log::debug!("event=call_relayed to={} relay={relay} outcome={outcome}", to.address);
+        if matches!(result, Relayed::Answered(_)) {
+            self.observe_delivery(to, true);
+        }
         let mut known = self.known();
-        let mut changes = Vec::new();
-        if let Some(reached) = reached {
-            changes.push(known.links.relayed_ended(now, &to.data_centre, to.address, reached));
-        } else {
+        if matches!(result, Relayed::RelaySilent(_) | Relayed::Refused) {
             known.links.relay_unavailable(now, relay);
         }
-        if let Some(own_data_centre) = known.data_centres.get(&relay).cloned() {
+        let own_data_centre = known.data_centres.get(&relay).cloned();
+        let change = own_data_centre.and_then(|own_data_centre| {
             let answered = !matches!(result, Relayed::RelaySilent(_));
-            changes.push(known.links.direct_ended(now, sent, &own_data_centre, relay, answered));
-        }
+            known.links.direct_ended(now, sent, &own_data_centre, relay, answered)
+        });
         drop(known);
-        changes.into_iter().for_each(|change| self.announce(change));
+        self.announce(change);
     }
 
     fn announce(&self, change: Option<Transition>) {
--- a/crates/crosspath_node/tests/node/paths.rs
+++ b/crates/crosspath_node/tests/node/paths.rs
@@ -9,8 +9,11 @@
 
 use crosspath_node::member::Member;
 use crosspath_node::paths::{Destination, Miss, PathMetrics, Paths, Relayed};
+use tokio::sync::Barrier;
 
 const TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without an answer after which a data centre may count as lost.
+const LOSS_DELAY: Duration = Duration::from_millis(1_300);
 /// Time after which a call that waits for a relay has not taken one.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -82,11 +85,70 @@
 #[tokio::test]
 async fn an_order_that_a_relay_could_not_deliver_is_reported_as_the_relay_says() {
     let unreached = order(|| Relayed::Unreached(Miss::NotReached)).await;
-    assert_eq!(unreached, (1, Err(Miss::NotReached)));
+    assert_eq!(unreached, (2, Err(Miss::NotReached)));
     let unanswered = order(|| Relayed::Unreached(Miss::NoAnswer)).await;
     assert_eq!(unanswered, (1, Err(Miss::NoAnswer)));
 }
 
+/// Result of an idempotent call over the broken link if the first relay did not reach the
+/// destination and the second one does.
+async fn call_by_second_relay(first: Miss) -> Result<u8, Miss> {
+    let paths = paths();
+    break_link(&paths).await;
+    let tried = AtomicUsize::new(0);
+    let direct = |_| async { Err(Miss::NoAnswer) };
+    let relayed = |_, _| {
+        let is_first = tried.fetch_add(1, Ordering::SeqCst) == 0;
+        async move { if is_first { Relayed::Unreached(first) } else { Relayed::Answered(7) } }
+    };
+    paths.call_idempotent(&to(&paths, 1), TIMEOUT, direct, relayed).await
+}
+
+/// The relay's own way to the destination may be cut.
+#[tokio::test]
+async fn an_idempotent_call_that_a_relay_could_not_deliver_takes_another() {
+    assert_eq!(call_by_second_relay(Miss::NotReached).await, Ok(7));
+    assert_eq!(call_by_second_relay(Miss::NoAnswer).await, Ok(7));
+}
+
+/// A data centre that counts as lost gets no relayed calls. Here two relays, one for each address
+/// there, do not reach it, while two other ones still try.
+#[tokio::test]
+async fn a_data_centre_is_not_lost_before_the_last_relay_has_failed() {
+    let paths = paths();
+    break_link(&paths).await;
+    tokio::time::sleep(LOSS_DELAY).await;
+    let barrier = Barrier::new(3);
+    let order = async |number| {
+        let tried = AtomicUsize::new(0);
+        let by_second = |_, _| {
+            let is_first = tried.fetch_add(1, Ordering::SeqCst) == 0;
+            let barrier = &barrier;
+            async move {
+                if is_first {
+                    return Relayed::Unreached(Miss::NotReached);
+                }
+                barrier.wait().await;
+                barrier.wait().await;
+                Relayed::Answered(())
+            }
+        };
+        let direct = async { panic!("an order over a broken link is not sent directly") };
+        paths.call_once(&to(&paths, number), TIMEOUT, direct, by_second).await
+    };
+    let meanwhile = async {
+        barrier.wait().await;
+        let direct = async { panic!("the data centre counts as lost") };
+        let relayed = |_, _| async { Relayed::Answered(()) };
+        let result = paths.call_once(&to(&paths, 1), TIMEOUT, direct, relayed).await;
+        barrier.wait().await;
+        result
+    };
+    let orders = async { tokio::join!(order(1), order(2), meanwhile) };
+    let results = tokio::time::timeout(PATIENCE, orders).await;
+    assert_eq!(results, Ok((Ok(()), Ok(()), Ok(()))));
+}
+
 #[tokio::test]
 async fn a_direct_order_without_an_answer_takes_no_relay() {
     let paths = paths();
