Keep names of data centres with a slash in the text form of members

The text was split at each slash, so such a name lost its rest, and the daemon was taken for one in another data centre. The test fails with the former split.

--- a/crates/crosspath_node/src/member.rs
+++ b/crates/crosspath_node/src/member.rs
@@ -23,6 +23,9 @@
     pub data_centre: Option<Arc<str>>,
 }
 
+/// Number of fields of the text form. The last one, the data centre, may contain the separator.
+const FIELDS: usize = 5;
+
 /// Error for a text that is not the text form of a member.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display(
@@ -44,7 +47,7 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let mut parts = text.split('/');
+        let mut parts = text.splitn(FIELDS, '/');
         let mut parse = || {
             Some(Self {
                 address: parts.next()?.parse().ok()?,
--- a/crates/crosspath_node/tests/node/paths.rs
+++ b/crates/crosspath_node/tests/node/paths.rs
@@ -214,3 +214,11 @@
     let relayed = |_, _| async { panic!("there is no relay") };
     assert_eq!(paths.call_once(&to(&paths, 1), TIMEOUT, direct, relayed).await, Ok(3));
 }
+
+#[test]
+fn the_text_form_of_a_member_keeps_any_name_of_its_data_centre() {
+    for name in [None, Some("b"), Some("eu/west/1"), Some("")] {
+        let member = member(1, name);
+        assert_eq!(member.to_string().parse(), Ok(member));
+    }
+}
