--- a/crates/crosspath_node/src/relay.rs
+++ b/crates/crosspath_node/src/relay.rs
@@ -34,6 +34,8 @@
 const RETURN_DIVISOR: u32 = 5;
 /// Time without a relayed order after which the connections to a worker are closed.
 const WORKER_IDLE: Duration = Duration::from_secs(15);
+/// Minimum time between two searches for idle workers.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Call to be passed on. `R` is [`Request`], or a reference to one at the sender.
 #[derive(Debug, Serialize, Deserialize)]
@@ -59,6 +61,19 @@
     Throttle { target: Target, task: TaskId, run: u64, percent: u32, token: u64 },
 }
 
+impl<R> Call<R> {
+    /// Worker that the call goes to; `None` if it goes to a peer.
+    fn worker(&self) -> Option<&Target> {
+        match self {
+            Self::Peer { .. } => None,
+            Self::Start { target, .. }
+            | Self::Stop { target, .. }
+            | Self::Poll { target, .. }
+            | Self::Throttle { target, .. } => Some(target),
+        }
+    }
+}
+
 /// Reply of a relay.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -83,13 +98,21 @@
     Full,
 }
 
+/// Workers that have connections.
+#[derive(Debug, Default)]
+struct Workers {
+    /// Time of the last relayed order to each worker.
+    used_at: HashMap<Target, Duration>,
+    /// Time of the next search for idle ones.
+    next_sweep: Duration,
+}
+
 /// Passes on the calls of other daemons.
 #[derive(Debug)]
 pub(crate) struct Relay {
     runner: Arc<dyn Runner>,
     slots: Semaphore,
-    /// Time of the last relayed order to each worker that has connections.
-    workers: Mutex<HashMap<Target, Duration>>,
+    workers: Mutex<Workers>,
 }
 
 impl Relay {
@@ -113,7 +136,11 @@
     }
 
     async fn make(&self, peers: &Peers, call: Call<Request>, timeout: Duration) -> Forwarded {
-        let (target, answer) = match call {
+        // Before the call, which may be dropped at its timeout and leave a connection.
+        if let Some(target) = call.worker() {
+            self.close_idle(target.clone(), clock::now());
+        }
+        let answer = match call {
             Call::Peer { address, once, request } => {
                 let reply = if once {
                     peers.call_once_directly(address, &request, timeout).await
@@ -124,22 +151,21 @@
             }
             Call::Start { target, start } => {
                 let answer = self.runner.start(&target, &start).await;
-                (target, answer.map(Forwarded::Started))
+                answer.map(Forwarded::Started)
             }
             Call::Stop { target, task, run, token } => {
                 let answer = self.runner.stop(&target, task, run, token).await;
-                (target, answer.map(Forwarded::Executed))
+                answer.map(Forwarded::Executed)
             }
             Call::Poll { target, poll } => {
                 let answer = self.runner.poll(&target, &poll).await;
-                (target, answer.map(Forwarded::Polled))
+                answer.map(Forwarded::Polled)
             }
             Call::Throttle { target, task, run, percent, token } => {
                 let answer = self.runner.throttle(&target, task, run, percent, token).await;
-                (target, answer.map(Forwarded::Executed))
+                answer.map(Forwarded::Executed)
             }
         };
-        self.close_idle(target, clock::now());
         answer.unwrap_or_else(|error| match error {
             worker::Error::NotReached => Forwarded::NotReached,
             worker::Error::NoAnswer => Forwarded::NoAnswer,
@@ -147,11 +173,15 @@
         })
     }
 
-    /// Closes the connections to workers that have had no relayed order for long.
+    /// Records an order to a worker, and closes the connections to those that have had none for long.
     fn close_idle(&self, used: Target, now: Duration) {
         let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        workers.insert(used, now);
-        workers.retain(|target, used_at| {
+        workers.used_at.insert(used, now);
+        if now < workers.next_sweep {
+            return;
+        }
+        workers.next_sweep = now + SWEEP_INTERVAL;
+        workers.used_at.retain(|target, used_at| {
             let is_idle = now > *used_at + WORKER_IDLE;
             if is_idle {
                 self.runner.forget(target);
