Rank relays only for calls that take one

Each call to another data centre ranked all relays, only to see whether there is one. Behaviour is unchanged; the tests of crosspath_path pass.

--- a/crates/crosspath_path/src/links.rs
+++ b/crates/crosspath_path/src/links.rs
@@ -82,12 +82,26 @@
 
     /// Decides which paths a call to a data centre takes. Without a relay the call is direct.
     pub fn plan(&mut self, now: Duration, data_centre: &Arc<str>, idempotent: bool) -> Plan {
-        if !self.is_tracked(data_centre) || self.relays(now, data_centre, None).is_empty() {
+        if !self.is_tracked(data_centre) || !self.has_relay(now, data_centre) {
             return Plan::Direct;
         }
         self.link(data_centre).plan(now, idempotent)
     }
 
+    fn has_relay(&self, now: Duration, data_centre: &str) -> bool {
+        self.relays.iter().any(|relay| self.is_usable(now, data_centre, relay))
+    }
+
+    /// Whether a relay can pass on calls to a data centre.
+    fn is_usable(&self, now: Duration, data_centre: &str, relay: &Relay) -> bool {
+        let is_cut_off = matches!(self.state(&relay.data_centre), State::Broken | State::Lost);
+        let is_cooling = self.cooldowns.get(&relay.address).is_some_and(|until| now < *until);
+        relay.data_centre != self.own
+            && *relay.data_centre != *data_centre
+            && !is_cut_off
+            && !is_cooling
+    }
+
     /// Relays for a call to `destination` in a data centre, the preferred one first: daemons in
     /// neither data centre that are not cut off from this one, those on large VMs first, in an
     /// order that differs by destination (rendezvous hashing).
@@ -98,20 +112,13 @@
         data_centre: &str,
         destination: Option<SocketAddr>,
     ) -> Vec<SocketAddr> {
-        let is_usable = |relay: &&Relay| {
-            let is_cut_off = matches!(self.state(&relay.data_centre), State::Broken | State::Lost);
-            let is_cooling = self.cooldowns.get(&relay.address).is_some_and(|until| now < *until);
-            relay.data_centre != self.own
-                && *relay.data_centre != *data_centre
-                && !is_cut_off
-                && !is_cooling
-        };
         let rank = |relay: &&Relay| {
             let mut hasher = DefaultHasher::new();
             (destination, relay.address).hash(&mut hasher);
             (relay.millicores < LARGE_MILLICORES, hasher.finish())
         };
-        let mut usable: Vec<_> = self.relays.iter().filter(is_usable).collect();
+        let mut usable: Vec<_> =
+            self.relays.iter().filter(|relay| self.is_usable(now, data_centre, relay)).collect();
         usable.sort_unstable_by_key(rank);
         usable.into_iter().map(|relay| relay.address).collect()
     }
