--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -33,6 +33,7 @@
 mod scheduler;
 mod shares;
 mod stall;
+mod step_spread;
 pub mod takeover;
 mod throttle;
 mod tickets;
