One copy of what several places decided or repeated

A function of the links was public without need.

Left as they are: pairs that only share the signature of a trait, and the two records of results in links.rs, which differ in all that they do.

--- a/crates/crosspath/src/commands/evacuate.rs
+++ b/crates/crosspath/src/commands/evacuate.rs
@@ -88,8 +88,8 @@
     let store = LogStore::new(address, TIMEOUT);
     let Request { data_centre, undo, force, timeout } = request;
     if !undo {
-        let states = states(&store).await.context(StoreSnafu { address })?;
         let workers = worker_entries(&store).await.context(StoreSnafu { address })?;
+        let states = states(&store, &workers).await.context(StoreSnafu { address })?;
         check(data_centre, force, &workers, &states)?;
     }
     let evacuation = Evacuation { data_centre: data_centre.into(), requested: !undo };
@@ -107,7 +107,8 @@
 /// Shows the evacuated data centres, their workers and the tasks that remain.
 pub(crate) async fn show(format: Format, address: SocketAddr) -> Result<ExitStatus, Error> {
     let store = LogStore::new(address, TIMEOUT);
-    let states = states(&store).await.context(StoreSnafu { address })?;
+    let workers = worker_entries(&store).await.context(StoreSnafu { address })?;
+    let states = states(&store, &workers).await.context(StoreSnafu { address })?;
     let pools: BTreeMap<_, _> = states.iter().map(|(name, state)| (name, &state.pools)).collect();
     output::print(format, &pools, || text(&states));
     Ok(ExitStatus::Success)
@@ -141,7 +142,7 @@
 ) -> Result<(), Error> {
     let started_at = Instant::now();
     loop {
-        let mut states = states(store).await.context(StoreSnafu { address })?;
+        let mut states = states(store, &[]).await.context(StoreSnafu { address })?;
         let Some(state) = states.remove(data_centre) else {
             return WithdrawnSnafu { data_centre }.fail();
         };
@@ -161,8 +162,8 @@
     }
 }
 
-/// Evacuated data centres, with their workers and what remains there.
-async fn states(store: &LogStore) -> Result<States, StoreError> {
+/// Evacuated data centres, with those of the `workers` that are there, and what remains.
+async fn states(store: &LogStore, workers: &[Entry]) -> Result<States, StoreError> {
     let records = newest_records(store, Topic::Operators).await?;
     let mut states = States::new();
     for record in &records {
@@ -177,9 +178,9 @@
     if states.is_empty() {
         return Ok(states);
     }
-    for entry in worker_entries(store).await? {
+    for entry in workers {
         let Some(state) = states.get_mut(&entry.data_centre) else { continue };
-        let pool = state.pools.entry(entry.pool).or_default();
+        let pool = state.pools.entry(Arc::clone(&entry.pool)).or_default();
         pool.workers += 1;
         pool.leaving += usize::from(entry.draining);
     }
--- a/crates/crosspath_node/src/clock.rs
+++ b/crates/crosspath_node/src/clock.rs
@@ -70,5 +70,10 @@
         log::warn!("event=clock_before_1970 error=\"{error}\"");
         Duration::ZERO
     });
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    as_ms(since)
+}
+
+/// Whole ms of a duration; the maximum if they do not fit.
+pub(crate) fn as_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/crosspath_node/src/config_sync.rs
+++ b/crates/crosspath_node/src/config_sync.rs
@@ -80,7 +80,6 @@
     }
     let newer = node.table().filter(|table| known.is_none_or(|known| table.version > known));
     let newer = newer.map(|table| Box::new(Config::clone(&table.config)));
-    let confirmed_ms_ago =
-        u64::try_from(now.saturating_sub(read_at).as_millis()).unwrap_or(u64::MAX);
+    let confirmed_ms_ago = clock::as_ms(now.saturating_sub(read_at));
     Reply::Config { newer, evacuated: node.evacuated(), confirmed_ms_ago }
 }
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -317,11 +317,12 @@
         let mut requests = Vec::new();
         for (number, slice) in (0..).zip(&self.slices) {
             let vacate = slice.planner.vms_to_vacate(&slice.view.vms);
+            let mut down = self.vms_down(&slice.view);
             for pool in &slice.view.serving {
                 let pool_slice = PoolSlice { pool: Arc::clone(pool), slice: number };
                 let Some(shard) = map.shard(&pool_slice) else { continue };
                 let vacate = vacate.get(pool).cloned().unwrap_or_default();
-                let down = self.vms_down(&slice.view, &pool_slice);
+                let down = down.remove(pool).and_then(|vms| self.down(&pool_slice, vms));
                 let node = Arc::clone(&self.node);
                 let wait = self.report_wait(&pool_slice);
                 requests.push(async move {
@@ -340,19 +341,17 @@
             slice.view.pools.clear();
         }
         for (pool_slice, reply) in join_all(requests).await {
-            if matches!(reply, Some(Reply::Pool(_))) {
-                self.unreported_rounds.remove(&pool_slice);
-            } else {
-                *self.unreported_rounds.entry(pool_slice.clone()).or_default() += 1;
-            }
-            if let Some(Reply::Pool(report)) = reply {
-                if let Some(stamp) = report.stamp {
-                    let stamps = self.stamps.entry(pool_slice.clone()).or_default();
-                    stamps.add(clock::now(), stamp);
-                }
-                let slice = &mut self.slices[pool_slice.slice as usize];
-                slice.view.pools.insert(pool_slice.pool, report);
+            let Some(Reply::Pool(report)) = reply else {
+                *self.unreported_rounds.entry(pool_slice).or_default() += 1;
+                continue;
+            };
+            self.unreported_rounds.remove(&pool_slice);
+            if let Some(stamp) = report.stamp {
+                let stamps = self.stamps.entry(pool_slice.clone()).or_default();
+                stamps.add(clock::now(), stamp);
             }
+            let slice = &mut self.slices[pool_slice.slice as usize];
+            slice.view.pools.insert(pool_slice.pool, report);
         }
     }
 
@@ -363,17 +362,20 @@
         if !self.settings.spread || waits_fully { Duration::MAX } else { REPORT_WAIT }
     }
 
-    /// VMs of a pool that the last list shows as down, if there are any and the list's age can be
-    /// told.
-    fn vms_down(&self, view: &View, pool_slice: &PoolSlice) -> Option<Down> {
-        if !self.settings.spread {
-            return None;
+    /// VMs of a slice that the last list shows as down, by pool.
+    fn vms_down(&self, view: &View) -> BTreeMap<Arc<str>, BTreeSet<Arc<str>>> {
+        let mut by_pool = BTreeMap::<_, BTreeSet<_>>::new();
+        for vm in view.vms.iter().filter(|vm| self.settings.spread && is_down(vm)) {
+            by_pool.entry(Arc::clone(&vm.pool)).or_default().insert(Arc::clone(&vm.name));
         }
+        by_pool
+    }
+
+    /// What to tell the owner of a pool slice about its `vms` that are down; `None` if the age of
+    /// the list cannot be told.
+    fn down(&self, pool_slice: &PoolSlice, vms: BTreeSet<Arc<str>>) -> Option<Down> {
         let stamp = self.stamps.get(pool_slice)?.last_before(self.listed_at)?;
-        let down = view.vms.iter().filter(|vm| vm.pool == pool_slice.pool && is_down(vm));
-        let vms: BTreeSet<_> = down.map(|vm| Arc::clone(&vm.name)).collect();
-        let lost_data_centres = self.domains.lost().clone();
-        (!vms.is_empty()).then_some(Down { stamp, vms, lost_data_centres })
+        Some(Down { stamp, vms, lost_data_centres: self.domains.lost().clone() })
     }
 
     /// Plans each slice. The concurrency limit of a wave is shared by all slices.
@@ -511,20 +513,12 @@
         let partition = only_partition(Topic::Evacuations);
         // The orders of the next round must not wait for a store that is slow or away.
         let append = self.node.store.append(partition, &records, Precondition::Unconditional);
-        match tokio::time::timeout(PROGRESS_TIMEOUT, append).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(error)) => {
-                log::info!(
-                    "event=evacuation_progress_error store={} error=\"{error}\"",
-                    self.node.settings.log
-                );
-            }
-            Err(_) => {
-                log::info!(
-                    "event=evacuation_progress_error store={} error=\"no answer\"",
-                    self.node.settings.log
-                );
-            }
-        }
+        let error = match tokio::time::timeout(PROGRESS_TIMEOUT, append).await {
+            Ok(Ok(_)) => return,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer".to_owned(),
+        };
+        let store = self.node.settings.log;
+        log::info!("event=evacuation_progress_error store={store} error=\"{error}\"");
     }
 }
--- a/crates/crosspath_node/src/routed_runner.rs
+++ b/crates/crosspath_node/src/routed_runner.rs
@@ -47,6 +47,24 @@
         Err(miss)
     }
 
+    /// Sends an order, which must not be repeated.
+    async fn order<T, R>(
+        &self,
+        target: &Target,
+        direct: impl Future<Output = Result<T, Error>>,
+        relayed: impl Fn(SocketAddr, Duration) -> R,
+    ) -> Result<T, Error>
+    where
+        R: Future<Output = Relayed<Result<T, Error>>>,
+    {
+        let direct = async { self.attempt(direct.await) };
+        let paths = self.peers.paths();
+        answer(match paths.destination(target.address, &target.data_centre) {
+            Some(to) => paths.call_once(&to, ORDER_TIMEOUT, direct, relayed).await,
+            None => direct.await,
+        })
+    }
+
     async fn forward<T>(
         &self,
         relay: SocketAddr,
@@ -75,11 +93,6 @@
 #[async_trait]
 impl Runner for RoutedRunner {
     async fn start(&self, target: &Target, start: &Start) -> Result<Timestamped<Started>, Error> {
-        let direct = async { self.attempt(self.direct.start(target, start).await) };
-        let paths = self.peers.paths();
-        let Some(to) = paths.destination(target.address, &target.data_centre) else {
-            return answer(direct.await);
-        };
         let relayed = |relay, timeout| async move {
             let call = Call::Start { target: target.clone(), start: start.clone() };
             let decode = |reply| {
@@ -95,7 +108,7 @@
             );
             result
         };
-        answer(paths.call_once(&to, ORDER_TIMEOUT, direct, relayed).await)
+        self.order(target, self.direct.start(target, start), relayed).await
     }
 
     async fn stop(
@@ -105,16 +118,11 @@
         run: u64,
         token: u64,
     ) -> Result<Timestamped<()>, Error> {
-        let direct = async { self.attempt(self.direct.stop(target, task, run, token).await) };
-        let paths = self.peers.paths();
-        let Some(to) = paths.destination(target.address, &target.data_centre) else {
-            return answer(direct.await);
-        };
         let relayed = |relay, timeout| {
             let call = Call::Stop { target: target.clone(), task, run, token };
             self.forward(relay, timeout, call, executed)
         };
-        answer(paths.call_once(&to, ORDER_TIMEOUT, direct, relayed).await)
+        self.order(target, self.direct.stop(target, task, run, token), relayed).await
     }
 
     async fn poll(&self, target: &Target, poll: &Poll) -> Result<PollReply, Error> {
@@ -146,17 +154,12 @@
         percent: u32,
         token: u64,
     ) -> Result<Timestamped<()>, Error> {
-        let direct =
-            async { self.attempt(self.direct.throttle(target, task, run, percent, token).await) };
-        let paths = self.peers.paths();
-        let Some(to) = paths.destination(target.address, &target.data_centre) else {
-            return answer(direct.await);
-        };
         let relayed = |relay, timeout| {
             let call = Call::Throttle { target: target.clone(), task, run, percent, token };
             self.forward(relay, timeout, call, executed)
         };
-        answer(paths.call_once(&to, ORDER_TIMEOUT, direct, relayed).await)
+        let direct = self.direct.throttle(target, task, run, percent, token);
+        self.order(target, direct, relayed).await
     }
 
     fn forget(&self, target: &Target) {
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -187,7 +187,7 @@
 
     /// Records that a peer or a worker has answered.
     pub(crate) fn record_answer(&self) {
-        let now_ms = u64::try_from(clock::now().as_millis()).unwrap_or(u64::MAX);
+        let now_ms = clock::as_ms(clock::now());
         self.answered_at_ms.fetch_max(now_ms, Ordering::Relaxed);
     }
 
@@ -263,7 +263,7 @@
         call: Call<&Request>,
         timeout: Duration,
     ) -> Result<Forwarded, CallError> {
-        let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let timeout_ms = clock::as_ms(timeout);
         let forward = Forward { timeout_ms, call };
         let client = self.client(relay);
         self.observe(client.call_within(Method::POST, relay::PATH, Some(&forward), timeout).await)
@@ -441,9 +441,7 @@
         Request::StoreStatus => {
             let answered_ago =
                 clock::now().saturating_sub(node.member_status().reachability.last_answer());
-            Reply::StoreStatus {
-                answered_ms_ago: u64::try_from(answered_ago.as_millis()).unwrap_or(u64::MAX),
-            }
+            Reply::StoreStatus { answered_ms_ago: clock::as_ms(answered_ago) }
         }
     }
 }
@@ -452,9 +450,7 @@
 fn handover_reply(node: &Node, shard: u32, epoch: u64) -> Reply {
     let now = clock::now();
     let Some(handover) = node.handover(shard, epoch) else { return Reply::NotOwner };
-    let remaining_ms = |expiry: Duration| {
-        u64::try_from(expiry.saturating_sub(now).as_millis()).unwrap_or(u64::MAX)
-    };
+    let remaining_ms = |expiry: Duration| clock::as_ms(expiry.saturating_sub(now));
     let remaining =
         handover.expiries.into_iter().map(|(worker, expiry)| (worker, remaining_ms(expiry)));
     Reply::Handover(remaining.collect())
--- a/crates/crosspath_path/src/links.rs
+++ b/crates/crosspath_path/src/links.rs
@@ -62,8 +62,7 @@
     }
 
     /// Whether the link to the data centre is tracked.
-    #[must_use]
-    pub fn is_tracked(&self, data_centre: &str) -> bool {
+    fn is_tracked(&self, data_centre: &str) -> bool {
         *data_centre != *self.own
             && (self.links.contains_key(data_centre) || self.links.len() < MAX_LINKS)
     }
--- a/crates/crosspath_schedule/src/admission.rs
+++ b/crates/crosspath_schedule/src/admission.rs
@@ -18,6 +18,7 @@
 use crosspath_job::spec::Spec;
 use serde::{Deserialize, Serialize};
 
+use crate::as_ms;
 use crate::job::allowed_time;
 use crate::overload::{Backlog, LATE_FACTOR};
 use crate::scheduler::Scheduler;
@@ -192,7 +193,7 @@
         if self.places.len() < MAX_KNOWN || self.places.contains_key(&submission.job) {
             self.places.insert(submission.job, Place { return_at: now + wait, ..place });
         }
-        let retry_after_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let retry_after_ms = as_ms(wait);
         Verdict::Refuse(Refusal { reason, retry_after_ms })
     }
 
--- a/crates/crosspath_schedule/src/domains.rs
+++ b/crates/crosspath_schedule/src/domains.rs
@@ -18,6 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::as_ms;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -50,7 +51,7 @@
 impl Scheduler {
     /// Reading of this owner's clock, for its reports.
     pub(crate) fn stamp(&self, now: Duration) -> Stamp {
-        Stamp { epoch: self.epoch, at_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX) }
+        Stamp { epoch: self.epoch, at_ms: as_ms(now) }
     }
 
     /// Ends the workers on VMs that are down.
--- a/crates/crosspath_schedule/src/durations.rs
+++ b/crates/crosspath_schedule/src/durations.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::as_ms;
+
 /// Maximum number of queues of which something is learnt. Bounds memory; estimates of further queues
 /// are used as they are.
 pub(crate) const MAX_QUEUES: usize = 1_024;
@@ -66,9 +68,8 @@
         if !self.0.contains_key(queue) && self.0.len() >= MAX_QUEUES {
             return;
         }
-        let actual_ms = u64::try_from(actual.as_millis()).unwrap_or(u64::MAX);
         let fit = self.0.entry(Arc::clone(queue)).or_default();
-        fit.record(log_ms(estimate_ms), log_ms(actual_ms));
+        fit.record(log_ms(estimate_ms), log_ms(as_ms(actual)));
     }
 
     /// Expected duration of a task in ms; the estimate itself while too few runs have ended.
--- a/crates/crosspath_schedule/src/lacks.rs
+++ b/crates/crosspath_schedule/src/lacks.rs
@@ -46,8 +46,8 @@
     /// Counts the waiting tasks that no worker in service can take, by what they lack. Tasks that
     /// wait for something else, such as quota or the next round of placement, are not counted.
     pub(crate) fn count_lacks(&self, now: Duration) -> Lacks {
-        let in_service = |worker: &&Worker| worker.is_usable(now) && !self.must_be_vacated(worker);
-        let workers: Vec<_> = self.workers.values().filter(in_service).collect();
+        let workers = self.workers.values().filter(|worker| self.is_in_service(now, worker));
+        let workers: Vec<_> = workers.collect();
         let zero = Resources::default();
         let most_free = workers.iter().fold(zero, |most, one| most.component_max(&one.free()));
         let mut lacks = Lacks::default();
--- a/crates/crosspath_schedule/src/lease.rs
+++ b/crates/crosspath_schedule/src/lease.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::as_ms;
+
 /// Lengths of the leases that a shard owner grants, and the bound on clock drift.
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
@@ -38,7 +40,7 @@
     #[must_use]
     pub fn deadline_ms(&self, now: Duration, length: Duration) -> u64 {
         let since = now.saturating_sub(self.received);
-        let ahead = u64::try_from((since + length).as_millis()).unwrap_or(u64::MAX);
+        let ahead = as_ms(since + length);
         self.reading_ms.saturating_add(ahead)
     }
 }
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -44,3 +44,8 @@
 pub use action::Action;
 pub use event::Event;
 pub use scheduler::{Scheduler, Settings};
+
+/// Whole ms of a duration; the maximum if they do not fit.
+fn as_ms(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -136,9 +136,8 @@
     ) {
         let Some(run) = self.run(id, number) else { return };
         let never_sent = run.phase == Phase::Planned;
-        let known = self.workers.get(worker);
-        let exempt = known.is_some_and(|worker| worker.entry.draining || worker.is_domain_lost);
-        if never_sent || exempt || self.is_ruled_out_as_cause(id, number) {
+        if never_sent || self.is_end_unattributed(worker) || self.is_ruled_out_as_cause(id, number)
+        {
             return;
         }
         let Colocation { others, alone } = colocation;
@@ -155,9 +154,7 @@
     /// ended or its leases have expired.
     pub(crate) fn record_unreported_losses(&mut self, now: Duration, incarnation: &Arc<str>) {
         let (worker, _) = incarnations::parse(incarnation);
-        let known = self.workers.get(worker);
-        let exempt = known.is_some_and(|worker| worker.entry.draining || worker.is_domain_lost);
-        if exempt && self.is_current_incarnation(incarnation) {
+        if self.is_end_unattributed(worker) && self.is_current_incarnation(incarnation) {
             return;
         }
         let mut lost = Vec::new();
@@ -176,6 +173,13 @@
         }
     }
 
+    /// Whether the end of a worker is attributed to none of its runs: it drains, or it is lost with
+    /// its data centre.
+    fn is_end_unattributed(&self, worker: &str) -> bool {
+        let known = self.workers.get(worker);
+        known.is_some_and(|worker| worker.entry.draining || worker.is_domain_lost)
+    }
+
     /// Adds a loss to a task that is not done, unless the loss of that run is already counted.
     fn add_loss(&mut self, now: Duration, id: TaskId, loss: Loss) {
         let Some(task) = self.task_mut(id) else { return };
--- a/crates/crosspath_schedule/src/overload.rs
+++ b/crates/crosspath_schedule/src/overload.rs
@@ -23,6 +23,7 @@
 use crosspath_job::spec::{Resources, Spec};
 use crosspath_job::{JobId, TaskId};
 
+use crate::as_ms;
 use crate::durations::{Durations, MAX_QUEUES};
 use crate::job::{Job, Run, Task, allowed_time};
 use crate::scheduler::Scheduler;
@@ -232,10 +233,6 @@
     0.5 + hash as f64 / f64::from(u32::MAX)
 }
 
-fn as_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Total order of densities, for the heap.
 #[derive(Debug, Clone, Copy)]
 struct Density(f64, usize);
@@ -433,10 +430,7 @@
     /// Resources of the usable workers, without those that long-running tasks reserve.
     fn room(&self, now: Duration) -> Room {
         let mut room = Room::default();
-        for worker in self.workers.values() {
-            if !worker.is_usable(now) || self.must_be_vacated(worker) {
-                continue;
-            }
+        for worker in self.workers.values().filter(|worker| self.is_in_service(now, worker)) {
             let mut own = worker.entry.capacity;
             for ((task, _), reserved) in &worker.runs {
                 if self.step_of(*task).is_some_and(|step| step.long_running) {
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -8,6 +8,7 @@
 use crosspath_job::spec::{Resources, Step};
 
 use crate::action::Action;
+use crate::as_ms;
 use crate::job::{Job, Phase, Run, Task};
 use crate::losses;
 use crate::overload::Rank;
@@ -68,7 +69,7 @@
         let step = &job.accepted.spec.steps[task.step as usize];
         let losses = job.task(task).map_or(0, |task| task.lost.len());
         let remaining_ms = job.critical_paths_ms[task.step as usize];
-        let deadline_ms = u64::try_from(job.deadline().as_millis()).unwrap_or(u64::MAX);
+        let deadline_ms = as_ms(job.deadline());
         Self {
             priority: job.accepted.policy.priority,
             finite: !step.long_running,
@@ -417,8 +418,7 @@
         let below_max = step.max_per_worker == 0 || siblings_on(worker, id) < step.max_per_worker;
         has_label
             && below_max
-            && worker.is_usable(now)
-            && !self.must_be_vacated(worker)
+            && self.is_in_service(now, worker)
             && !worker.isolates()
             && !self.is_quarantined(now, worker)
             && self.tickets.allows(id, &worker.entry.id)
--- a/crates/crosspath_schedule/src/vacate.rs
+++ b/crates/crosspath_schedule/src/vacate.rs
@@ -47,6 +47,11 @@
         self.vms_to_vacate.contains(&worker.entry.vm) || self.is_evacuated(worker)
     }
 
+    /// Whether a worker takes new work, apart from what single tasks require.
+    pub(crate) fn is_in_service(&self, now: Duration, worker: &Worker) -> bool {
+        worker.is_usable(now) && !self.must_be_vacated(worker)
+    }
+
     /// Whether a run on a worker that is to be vacated should be stopped now.
     fn should_stop(&self, now: Duration, id: TaskId, number: u64) -> bool {
         let Some(step) = self.step_of(id) else { return false };
--- a/crates/crosspath_schedule/src/warm_up.rs
+++ b/crates/crosspath_schedule/src/warm_up.rs
@@ -113,9 +113,8 @@
     /// Counts the cold workers for this round of placement, and logs when they become many or few.
     pub(crate) fn count_cold_workers(&mut self, now: Duration) {
         let cold = self.cold_workers(now);
-        let serves_warm = |worker: &Worker| {
-            worker.is_usable(now) && !self.must_be_vacated(worker) && !worker.warm_up.is_cold(now)
-        };
+        let serves_warm =
+            |worker: &Worker| self.is_in_service(now, worker) && !worker.warm_up.is_cold(now);
         let any_warm = cold > 0 && self.workers.values().any(serves_warm);
         let many = cold > 0 && cold as f64 >= self.workers.len() as f64 * MANY_COLD_SHARE;
         if many != self.temperature.logged_as_cold {
--- a/crates/crosspath_soak/src/faults.rs
+++ b/crates/crosspath_soak/src/faults.rs
@@ -7,6 +7,7 @@
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
+use tokio::task::JoinHandle;
 
 use crate::audit::Audit;
 use crate::proxy::Impairment;
@@ -139,13 +140,7 @@
             }
         }));
     }
-    let count = in_progress.len();
-    for fault in in_progress {
-        if let Err(error) = fault.await {
-            log::warn!("event=fault_failed error={error}");
-        }
-    }
-    count
+    finish(in_progress).await
 }
 
 /// Cuts the daemons of each of two data centres from the workers of the other.
@@ -250,6 +245,11 @@
             apply(&cluster, fault, fault_duration, downtime).await;
         }));
     }
+    finish(in_progress).await
+}
+
+/// Waits for faults to end. Returns their number.
+async fn finish(in_progress: Vec<JoinHandle<()>>) -> usize {
     let count = in_progress.len();
     for fault in in_progress {
         if let Err(error) = fault.await {
