--- a/review/3/run.py
+++ b/review/3/run.py
@@ -66,7 +66,7 @@
         deployment.add_daemon()
     daemon = deployment.daemons[0]
     step = {"count": len(TASKS), "cpu": 1000, "mem_mb": 256, "estimated_ms": 500,
-            "long_running": True, "anti_affinity": 1, "may_miss": MAY_MISS}
+            "long_running": True, "anti_affinity": 1, "may_miss": MAY_MISS, "image": "vigia-1"}
     await deployment.submit(daemon, "vigia", JOB,
                             {"spec": '{"lasts":true,"start_ms":800}', "steps": [step]})
     for task in TASKS:
