Review case 1: lasting tasks that find no worker stop all other jobs

A rack with half of a service's workers is lost for good, 100 tasks of lasting jobs then wait for a worker, and no payment starts any more, with 24 of 32 cores free. A round of placement ends after 96 tasks in a row without a worker, and lasting tasks come first.

The harness gains the platform's list of machines, racks of workers and an index of runs by task.

--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -25,6 +25,8 @@
 STOP_S = 0.2
 """Time that a stop takes; at most `stop_ms` = 900."""
 SHARDS = 8
+CAPACITY = {"cpu": 8000, "mem_mb": 32768, "gpu": 0}
+"""Room of a worker."""
 SHARDS_TOPIC = "keyed.crosspath.shards"
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request", 503: "Service Unavailable"}
@@ -288,12 +290,13 @@
 class Run:
     def __init__(self, worker, task, number, work):
         self.worker, self.task, self.number, self.work = worker, task, number, work
+        self.job = task.partition(".")[0]
         self.started, self.ended, self.how = time.monotonic(), None, None
 
     def percent(self):
         """Progress; a lasting task is at work when it is 100."""
-        total = self.work["start_ms"] if self.work.get("lasts") else self.work["ms"]
-        return min(100, int((time.monotonic() - self.started) * 100_000 / max(1, total)))
+        total = max(1, self.work["start_ms"] if self.work.get("lasts") else self.work["ms"])
+        return min(100, int((time.monotonic() - self.started) * 100_000 / total))
 
 
 class Judge:
@@ -301,37 +304,41 @@
 
     def __init__(self, record):
         self.record, self.runs, self.broken = record, [], []
-        # Called with each run that a worker is told to stop.
-        self.on_stop = lambda run: None
+        self.by_task = {}
+        # Jobs whose starts and ends are not written one by one.
+        self.unlisted = set()
 
     def violation(self, text):
         self.record.line(f"RULE BROKEN: {text}")
         self.broken.append(text)
 
     def start(self, run):
-        self.record.line(f"{run.worker.id}: starts {run.task} run {run.number}")
-        for other in self.runs:
-            if other.task == run.task and other.ended is None and other.worker.is_up:
+        if run.job not in self.unlisted:
+            self.record.line(f"{run.worker.id}: starts {run.task} run {run.number}")
+        for other in self.by_task.get(run.task, []):
+            if other.ended is None and other.worker.is_up:
                 self.violation(f"TWICE: {run.task} run {run.number} starts on {run.worker.id} while "
                                f"run {other.number} is still running on {other.worker.id}, "
                                f"which is up")
         self.runs.append(run)
+        self.by_task.setdefault(run.task, []).append(run)
 
     def end(self, run, how):
         run.ended, run.how = time.monotonic(), how
-        self.record.line(f"{run.worker.id}: {run.task} run {run.number} ends `{how}` after "
-                         f"{run.ended - run.started:.2f} s")
+        if run.job not in self.unlisted:
+            self.record.line(f"{run.worker.id}: {run.task} run {run.number} ends `{how}` after "
+                             f"{run.ended - run.started:.2f} s")
 
     def running(self, task):
-        return [run for run in self.runs if run.task == task and run.ended is None]
+        return [run for run in self.by_task.get(task, []) if run.ended is None]
 
 
 class Worker:
     """One machine's worker. The text of a job says what its tasks do: `ms` of work, or `lasts`."""
 
-    def __init__(self, store, judge, name, service):
+    def __init__(self, store, judge, name, service, rack):
         self.store, self.judge, self.record = store, judge, judge.record
-        self.name, self.service = name, service
+        self.name, self.service, self.rack = name, service, rack
         self.life, self.is_up, self.is_cut = 0, False, False
         self.state, self.leaves_at = "ready", None
         self.server, self.tasks = None, []
@@ -369,14 +376,20 @@
         self.record.line(f"{self.id}: says `draining`, remaining_ms {int(seconds * 1000)}")
         self.beat_now.set()
 
+    def machine(self):
+        """Row of the platform's list of machines."""
+        return {"machine": f"m-{self.name}", "pool": self.service, "zone": "zone-a",
+                "state": "up" if self.is_up else "down", "id": self.id if self.is_up else "",
+                "labels": ["a", self.rack], "capacity": CAPACITY}
+
     def write_entry(self):
         if self.is_cut or not self.is_up:
             return
         self.call_seq += 1
         entry = {"service": self.service, "address": f"127.0.0.1:{self.server.port}",
                  "zone": "zone-a", "version": "v1", "slots": 8, "state": self.state,
-                 "cold_remaining_ms": 0, "machine": f"m-{self.name}", "labels": ["a", "r1-1"],
-                 "capacity": {"cpu": 8000, "mem_mb": 32768, "gpu": 0},
+                 "cold_remaining_ms": 0, "machine": f"m-{self.name}", "labels": ["a", self.rack],
+                 "capacity": CAPACITY,
                  "clock_ms": self.clock_ms(), "call_seq": self.call_seq, "born": self.born}
         if self.leaves_at:
             entry["remaining_ms"] = max(0, int((self.leaves_at - time.monotonic()) * 1000))
@@ -460,7 +473,6 @@
         run = self.runs.get(task)
         self.record.line(f"{self.id}: told to stop {task} run {number}")
         if run and run.number == number:
-            self.judge.on_stop(run)
             loop = asyncio.get_running_loop()
             loop.call_later(STOP_S, lambda: run.ended is None and self._end(run, "stopped"))
         else:
@@ -482,6 +494,24 @@
                      "ended": self.ends[:500]}
 
 
+class Machines:
+    """The platform's list of machines, a worker each. None is spare, and no order is taken."""
+
+    def __init__(self, record, workers):
+        self.record, self.workers, self.address = record, workers, None
+
+    async def start(self):
+        server = Server(self._handle)
+        await server.start()
+        self.address = f"127.0.0.1:{server.port}"
+
+    async def _handle(self, connection, method, path, query, headers, body):
+        if path == "/crosspath/machines":
+            return 200, {"machines": [worker.machine() for worker in self.workers]}
+        self.record.line(f"platform: {path} {body.decode()} -> 409 busy")
+        return 409, {"reason": "busy"}
+
+
 def free_ports(ip, count):
     """Ports of an address that nobody uses now."""
     sockets = [socket.socket() for _ in range(count)]
@@ -496,7 +526,7 @@
 class Daemon:
     """A `crosspathd` process, started with the deploy file's command."""
 
-    def __init__(self, root, directory, record, number, store_address):
+    def __init__(self, root, directory, record, number, store_address, machines_address):
         self.name, self.record, self.process = f"edge-{number}", record, None
         # Each daemon has a loopback address of its own.
         high, low = divmod(os.getpid() % 62_500, 250)
@@ -512,6 +542,8 @@
                           "reject_hopeless": False},
             "leases": {"longest_hold_ms": HOLD_MAX_MS, "membership_least_ms": 1000,
                        "vm_order_ms": 3000, "keep_ended_s": 120, "stop_grace_s": 6}}
+        if machines_address:
+            settings["platform"]["vms"] = machines_address
         self.settings = os.path.join(directory, f"{self.name}.json")
         self.log = os.path.join(directory, f"{self.name}.log")
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -591,16 +623,18 @@
     async def open(self):
         self.store = Store(self.record)
         await self.store.start()
+        # Started by the cases that need it.
+        self.machines = Machines(self.record, self.workers)
         self.background.append(asyncio.create_task(self.store.expire_servers()))
 
     def add_daemon(self):
         daemon = Daemon(self.root, self.directory, self.record, len(self.daemons) + 1,
-                        self.store.address)
+                        self.store.address, self.machines.address)
         self.daemons.append(daemon)
         daemon.start()
 
-    async def add_worker(self, name, service):
-        worker = Worker(self.store, self.judge, name, service)
+    async def add_worker(self, name, service, rack="r1-1"):
+        worker = Worker(self.store, self.judge, name, service, rack)
         self.workers.append(worker)
         await worker.start()
         return worker
