A draining worker that is cut off keeps its runs under their leases

Cause: an owner removed a worker that drains, is gone from the worker list and fails one poll, and released its runs at once. A worker that is merely cut off shows all three and works on under its lease.

Evidence: on the record of the case has run 10002 at 5.967 s, 0.11 s after the entry went, beside run 10001 at work; leases last 5.2 s, and the last poll was answered before the cut at 2.775. Ruled out: a takeover (one epoch), an unheard end (`why=left`), a lease that was too short.

Fix: a worker that is neither listed nor answering is removed at once only if it has answered this owner and holds no run; otherwise its leases decide, as for every other silent worker. `worker_over` tells what was left of the lease.

Related paths: a new owner that never reached the draining worker dropped the previous owner's placements by the same condition. release_expired, release_expired_unaccounted and handover go by leases; end_incarnation has other evidence.

Tests: before the fix three fail, departures::a_draining_worker_that_is_cut_off…, departures::a_failed_poll_of_an_unlisted… and takeover::a_silent_draining_worker…, and so does the model with its new fault, a worker that drains and is cut off (random_faults::draining_workers_that_are_cut_off…, "starts on w-5 while the task runs on w-2").

--- a/crates/crosspath_schedule/src/polls.rs
+++ b/crates/crosspath_schedule/src/polls.rs
@@ -73,7 +73,16 @@
     pub(crate) fn worker_unlisted(&mut self, now: Duration, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.listed = false;
-        if worker.entry.draining && worker.failures > 0 {
+        self.remove_if_left(now, id);
+    }
+
+    /// Removes a worker that is neither listed nor answering, if no run can be left on it. A worker
+    /// with runs is kept until their leases have expired: a draining one may also be cut off, lose
+    /// its entry and work on.
+    fn remove_if_left(&mut self, now: Duration, id: &Arc<str>) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let has_left = !worker.listed && worker.failures > 0;
+        if has_left && worker.synced && worker.runs.is_empty() {
             self.remove_worker(now, id, "left");
         }
     }
@@ -115,7 +124,11 @@
     /// Removes a worker that has ended, and all runs on it. The log line gives `reason` as `why`.
     pub(crate) fn remove_worker(&mut self, now: Duration, id: &Arc<str>, reason: &str) {
         let Some(worker) = self.workers.get(id) else { return };
-        log::info!("event=worker_over worker={id} why={reason} runs={}", worker.runs.len());
+        log::info!(
+            "event=worker_over worker={id} why={reason} runs={} lease_left_ms={}",
+            worker.runs.len(),
+            worker.lease_expiry.saturating_sub(now).as_millis()
+        );
         let incarnation = worker.incarnation();
         self.actions.push(Action::StopPolling { worker: worker.target() });
         self.release_runs(now, id, reason);
@@ -179,10 +192,7 @@
         if extended && error == Error::NoAnswer {
             worker.extend_lease(terms.latest_expiry(sent, terms.extension));
         }
-        let has_left = worker.entry.draining || (worker.synced && worker.runs.is_empty());
-        if has_left && !worker.listed {
-            self.remove_worker(now, id, "left");
-        }
+        self.remove_if_left(now, id);
     }
 
     pub(crate) fn poll_answered(
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod common;
 mod customer;
+mod departures;
 mod domains;
 mod evacuation;
 mod failed_runs;
--- a/crates/crosspath_schedule/tests/schedule/random_faults.rs
+++ b/crates/crosspath_schedule/tests/schedule/random_faults.rs
@@ -17,6 +17,7 @@
     task_failure: 8,
     crash: 0,
     outage: 0,
+    departure: 0,
 };
 
 fn simulate(first: u64, faults: Faults) -> u64 {
@@ -66,10 +67,27 @@
         task_failure: 2,
         restart: 0,
         outage: 0,
+        departure: 0,
     };
     assert!(simulate(first_seed() + 2_000, faults) > 5_000);
 }
 
+/// Guards against tasks that run twice: an entry that goes does not show that a draining worker has
+/// ended.
+#[test]
+fn draining_workers_that_are_cut_off_run_no_task_twice_and_lose_none() {
+    let faults = Faults {
+        takeover: 1,
+        departure: 2,
+        partition: 1,
+        reply_loss: 3,
+        late_delivery: 30,
+        task_failure: 2,
+        ..Faults::default()
+    };
+    assert!(simulate(first_seed() + 5_000, faults) > 5_000);
+}
+
 /// The list of VMs is behind and arrives late: it must not end a worker that has begun since.
 #[test]
 fn vms_that_are_listed_as_down_run_no_task_twice_and_lose_none() {
@@ -82,6 +100,7 @@
         late_delivery: 30,
         task_failure: 2,
         restart: 0,
+        departure: 0,
     };
     assert!(simulate(first_seed() + 4_000, faults) > 5_000);
 }
--- a/crates/crosspath_schedule/tests/schedule/simulation.rs
+++ b/crates/crosspath_schedule/tests/schedule/simulation.rs
@@ -25,6 +25,7 @@
 
 use crate::common::{WALL_MS, accepted, entry, ms, settings, step};
 
+mod departures;
 mod orders;
 mod outages;
 mod worker;
@@ -69,6 +70,8 @@
     pub(crate) task_failure: u32,
     /// Up to three VMs go down for some seconds, which the platform's list shows.
     pub(crate) outage: u32,
+    /// A worker drains, is then cut off while it loses its entry, and ends at last.
+    pub(crate) departure: u32,
 }
 
 #[derive(Debug)]
@@ -198,7 +201,8 @@
     }
 
     fn entries(&self) -> Vec<Entry> {
-        self.workers.values().map(|worker| self.entry(worker)).collect()
+        let listed = self.workers.values().filter(|worker| worker.is_listed);
+        listed.map(|worker| self.entry(worker)).collect()
     }
 
     fn entry(&self, worker: &Worker) -> Entry {
@@ -278,6 +282,9 @@
             let worker = self.workers.values_mut().nth(index).expect("a worker");
             worker.is_partitioned = !worker.is_partitioned;
         }
+        if self.faults.departure > 0 && self.chance(self.faults.departure) {
+            self.advance_departure();
+        }
         self.step_vms();
         self.advance_workers();
         self.deliver();
@@ -471,6 +478,7 @@
         for worker in self.workers.values_mut() {
             worker.is_partitioned = false;
         }
+        self.end_departure();
         self.take_over();
         for _ in 0..2_000 {
             self.step();
--- a/crates/crosspath_schedule/tests/schedule/simulation/worker.rs
+++ b/crates/crosspath_schedule/tests/schedule/simulation/worker.rs
@@ -29,6 +29,8 @@
     pub(super) ended: Vec<Ended>,
     pub(super) end_count: u64,
     pub(super) is_partitioned: bool,
+    /// Whether the worker list has an entry of the worker.
+    pub(super) is_listed: bool,
 }
 
 impl Worker {
@@ -43,6 +45,7 @@
             ended: Vec::new(),
             end_count: 0,
             is_partitioned: false,
+            is_listed: true,
         }
     }
 
--- a/crates/crosspath_schedule/tests/schedule/takeover.rs
+++ b/crates/crosspath_schedule/tests/schedule/takeover.rs
@@ -119,11 +119,25 @@
 
 #[test]
 fn a_silent_worker_that_is_unlisted_still_delays_its_tasks() {
+    an_unlisted_worker_delays_its_tasks(false);
+}
+
+/// Guards against a task that runs twice: a worker that drains is cut off, and the owner that takes
+/// over never reaches it.
+#[test]
+fn a_silent_draining_worker_that_is_unlisted_still_delays_its_tasks() {
+    an_unlisted_worker_delays_its_tasks(true);
+}
+
+fn an_unlisted_worker_delays_its_tasks(draining: bool) {
     let (order, records) = start_under_previous_owner(&["a", "b"]);
     let other = if *order.worker == *"a" { "b" } else { "a" };
     let mut harness = Harness::new(2);
     harness.take_over(records, &["a", "b"]);
     let started_at = harness.now;
+    if draining {
+        harness.send(Event::WorkerListed(Entry { draining, ..entry(&order.worker) }));
+    }
     poll_unanswered(&mut harness, &order.worker);
     harness.send(Event::WorkerUnlisted(order.worker.clone()));
     while harness.now < started_at + ms(6_000) {
