The pools that a queue has used are records of the map

Cause: a job stays in the pool that its queue had when it was accepted, and the earlier pools of a queue were known only to processes that had applied those configurations (Table::known_pools). The operators' log keeps the newest one only, and nothing else in the store told.

Evidence: in the record of the case the two daemons that were not restarted answer `running` at the moment at which the restarted one answers 410. Ruled out: a lost record, a wrong owner.

Fix: the shard map has a record for each pool that a queue has used. Those of the first configuration are appended with the map, any other one before the first job is stored under it. Every daemon reads the map before it serves, and searches all recorded pools.

Related paths, each with a test: a daemon that missed a version between two others (configuration from a peer; log truncated); a cancellation whose search finds nothing, which went to the newest pool's shards only; an earlier pool that never got shards, for which the queue's jobs were refused until a restart. The routing table is read and replaced in one step.

--- a/crates/crosspath_node/src/config_sync.rs
+++ b/crates/crosspath_node/src/config_sync.rs
@@ -11,10 +11,13 @@
 
 use crosspath_border::operator::Config;
 use rand::seq::SliceRandom as _;
+use serde::{Deserialize, Serialize};
 
+use crate::assignment::Assignments;
 use crate::clock;
 use crate::feed;
 use crate::node::Node;
+use crate::routing::Sequence;
 use crate::rpc::{Reply, Request};
 
 /// Time since the last confirmation after which a newer configuration may be in effect. Covers a
@@ -53,10 +56,11 @@
     for peer in &*selected {
         let asked_at = clock::now();
         match node.peers.call(*peer, &Request::Config { known }).await {
-            Ok(Reply::Config { newer, evacuated, confirmed_ms_ago }) => {
+            Ok(Reply::Config { newer, evacuated, confirmed_ms_ago, assignments }) => {
+                let sequence = apply_assignments(node, assignments);
                 if let Some(config) = newer {
                     log::info!("event=config_of_peer version={} peer={peer}", config.version);
-                    feed::apply_config(node, *config);
+                    feed::apply_config(node, *config, sequence);
                 }
                 node.evacuations().merge(&evacuated);
                 let confirmed_at = asked_at.saturating_sub(Duration::from_millis(confirmed_ms_ago));
@@ -70,16 +74,42 @@
     }
 }
 
+/// Assignments of queues to pools that a daemon knows: all by configurations before its own.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct PeerAssignments {
+    /// Those that are recorded in the store.
+    recorded: Assignments,
+    /// Those by configurations that it has applied before the newest one.
+    earlier: Assignments,
+}
+
+/// Applies a peer's assignments. A configuration of that peer then counts as the next one, although
+/// this daemon may have missed some in between.
+fn apply_assignments(node: &Node, assignments: Option<PeerAssignments>) -> Sequence {
+    let Some(PeerAssignments { recorded, earlier }) = assignments else { return Sequence::Later };
+    if node.table().is_none() {
+        return Sequence::Later;
+    }
+    node.merge_assignments(&recorded);
+    node.change_table(|current| Some(current?.with_applied(&earlier)));
+    Sequence::Next
+}
+
 /// Reply to a daemon that has version `known` of the configuration. It contains a configuration
 /// only if that of this daemon is newer. [`Reply::NotOwner`] if this daemon's own data may be
-/// stale.
+/// stale or is incomplete.
 pub(crate) fn reply(node: &Node, known: Option<u64>) -> Reply {
     let (read_at, now) = (node.operator_log_read_at(), clock::now());
-    if may_be_stale(read_at, now) {
+    if may_be_stale(read_at, now) || !node.knows_assignments() {
         return Reply::NotOwner;
     }
-    let newer = node.table().filter(|table| known.is_none_or(|known| table.version > known));
+    let table = node.table();
+    let assignments = table.as_ref().map(|table| PeerAssignments {
+        recorded: node.map().assignments().clone(),
+        earlier: table.earlier(),
+    });
+    let newer = table.filter(|table| known.is_none_or(|known| table.version > known));
     let newer = newer.map(|table| Box::new(Config::clone(&table.config)));
     let confirmed_ms_ago = clock::as_ms(now.saturating_sub(read_at));
-    Reply::Config { newer, evacuated: node.evacuated(), confirmed_ms_ago }
+    Reply::Config { newer, evacuated: node.evacuated(), confirmed_ms_ago, assignments }
 }
--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -12,6 +12,7 @@
 use crate::config_sync;
 use crate::node::{Node, only_partition};
 use crate::pages::Pages;
+use crate::routing::Sequence;
 
 /// Time for which the store holds a read until records arrive. Short, so that a connection that
 /// fails silently is noticed soon.
@@ -97,7 +98,8 @@
         match feed.read(&node, wait).await {
             Ok(records) => {
                 backoff.reset();
-                let evacuations = apply_operator_records(&node, &records);
+                let sequence = if is_snapshot { Sequence::Later } else { Sequence::Next };
+                let evacuations = apply_operator_records(&node, &records, sequence);
                 if let Some(read_to) = feed.next_offset {
                     apply_evacuations(&node, &evacuations, is_snapshot.then_some(read_to));
                     node.set_operator_log_read(clock::now());
@@ -116,11 +118,15 @@
 }
 
 /// Applies configurations and waves. Returns the evacuation records with their offsets.
-fn apply_operator_records(node: &Node, records: &[Stored]) -> Vec<(u64, Evacuation)> {
+fn apply_operator_records(
+    node: &Node,
+    records: &[Stored],
+    sequence: Sequence,
+) -> Vec<(u64, Evacuation)> {
     let mut evacuations = Vec::new();
     for record in records {
         match node.store.decode_change(record) {
-            Ok(Change::Config(config)) => apply_config(node, config),
+            Ok(Change::Config(config)) => apply_config(node, config, sequence),
             Ok(Change::Wave(wave)) => apply_wave(node, wave),
             Ok(Change::Evacuation(evacuation)) => evacuations.push((record.offset, evacuation)),
             Ok(Change::Other) => {}
@@ -162,18 +168,18 @@
 }
 
 /// Puts a configuration into effect if it is newer than the current one.
-pub(crate) fn apply_config(node: &Node, config: Config) {
-    let table = node.table();
-    let known = table.as_ref().map_or(0, |table| table.version);
-    if table.is_some() && config.version <= known {
-        return;
-    }
-    log::info!(
-        "event=config version={} before={known} queues={} customers={}",
-        config.version,
-        config.queues.len(),
-        config.customers.len()
-    );
-    let table = table.as_deref().cloned().unwrap_or_default();
-    node.set_table(table.with_config(config));
+pub(crate) fn apply_config(node: &Node, config: Config, sequence: Sequence) {
+    node.change_table(|current| {
+        if current.is_some_and(|table| config.version <= table.version) {
+            return None;
+        }
+        log::info!(
+            "event=config version={} before={} queues={} customers={}",
+            config.version,
+            current.map_or(0, |table| table.version),
+            config.queues.len(),
+            config.customers.len()
+        );
+        Some(current.cloned().unwrap_or_default().with_config(config, sequence))
+    });
 }
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -1,17 +1,20 @@
 //! Handles callers' requests: submits, queries and cancels jobs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use crosspath_border::ingress::{Access, Cancelled, Handler, Lookup, Resolved, Submitted};
 use crosspath_border::operator::{DEFAULT_BODY_BYTES, Queue};
+use crosspath_border::store::Error as StoreError;
 use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record, Requester};
 use crosspath_job::{JobId, Spec};
 use futures::future::join_all;
 
 use crate::appender;
+use crate::assignment::{self, Assignment};
 use crate::clock;
 use crate::config_sync;
 use crate::metrics::Call;
@@ -58,6 +61,15 @@
     Unknown,
 }
 
+/// Shards where a job may be.
+#[derive(Debug, Default)]
+struct Candidates {
+    /// Known ones, the more likely first.
+    shards: Vec<u32>,
+    /// Whether there may be others, which are not known yet.
+    incomplete: bool,
+}
+
 /// Handler of the callers' requests at one daemon.
 #[derive(Debug)]
 pub struct Gateway {
@@ -89,41 +101,60 @@
         }
     }
 
-    /// Searches for a job by querying the owners of all shards where a job of this queue may be.
-    async fn locate(&self, access: &Access, job: JobId, deadline: Duration) -> Location {
-        let queue = &access.queue;
-        let pools = match self.node.table() {
-            Some(table) => table.pools_of(queue),
+    /// Pools in which jobs of the queue may be, as far as they are known.
+    fn pools_of(&self, queue: &Queue) -> BTreeSet<Arc<str>> {
+        match self.node.table() {
+            Some(table) => table.pools_of(queue, self.node.map().assignments()),
             None => [Arc::clone(&queue.pool)].into(),
-        };
-        let mut incomplete = false;
-        for pool in pools {
-            let Some(shards) = self.node.map().candidate_shards(&pool, job) else {
-                incomplete = true;
-                continue;
-            };
-            for shard in shards {
-                match self.query_state(shard, job, requester(access), deadline).await {
-                    Some(Some(state)) => return Location::InShard(shard, state),
-                    Some(None) => {}
-                    None => incomplete = true,
+        }
+    }
+
+    /// Finds the shards where a job of the queue may be, in its current pool and in earlier ones.
+    async fn candidates(&self, queue: &Queue, job: JobId, deadline: Duration) -> Candidates {
+        let incomplete = !assignment::wait_until_known(&self.node, deadline).await;
+        let mut candidates = Candidates { shards: Vec::new(), incomplete };
+        let map = self.node.map();
+        let mut pools = self.pools_of(queue);
+        pools.remove(&queue.pool);
+        for pool in [&queue.pool].into_iter().chain(&pools) {
+            match map.candidate_shards(pool, job) {
+                Some(shards) => candidates.shards.extend(shards),
+                // No job is stored in a pool before it has shards.
+                None => {
+                    candidates.incomplete |= *pool == queue.pool || self.node.is_map_outdated();
                 }
             }
         }
+        candidates
+    }
+
+    /// Searches for a job by querying the owners of all shards where a job of this queue may be.
+    async fn locate(&self, access: &Access, job: JobId, deadline: Duration) -> Location {
+        let candidates = self.candidates(&access.queue, job, deadline).await;
+        let mut incomplete = candidates.incomplete;
+        for shard in candidates.shards {
+            match self.query_state(shard, job, requester(access), deadline).await {
+                Some(Some(state)) => return Location::InShard(shard, state),
+                Some(None) => {}
+                None => incomplete = true,
+            }
+        }
         if incomplete { Location::Unknown } else { Location::NotFound }
     }
 
     /// Shards to which the job's cancellation is appended: the job's shard, or all where it may be
-    /// if the search does not find it. `None` if the pool's shards are unknown.
+    /// if the search does not find it. `None` if these are not all known.
     async fn shards_to_cancel(
         &self,
         access: &Access,
         job: JobId,
         deadline: Duration,
     ) -> Option<Vec<u32>> {
-        let queue = &access.queue;
-        let shards = self.node.map().candidate_shards(&queue.pool, job)?;
-        if shards.len() == 1 && !self.has_changed_pool(queue) {
+        let Candidates { shards, incomplete } = self.candidates(&access.queue, job, deadline).await;
+        if incomplete {
+            return None;
+        }
+        if shards.len() == 1 {
             return Some(shards);
         }
         let locate_deadline = deadline.min(clock::now() + LOCATE_TIMEOUT);
@@ -133,9 +164,46 @@
         }
     }
 
-    /// Whether the queue used another pool earlier in this process's lifetime.
-    fn has_changed_pool(&self, queue: &Queue) -> bool {
-        self.node.table().is_some_and(|table| table.pools_of(queue).len() > 1)
+    /// Answer to a job that may have been submitted before its queue changed pools: it stays in its
+    /// first pool. `None` if the job is in no pool of its queue.
+    async fn resubmitted(
+        &self,
+        access: &Access,
+        job: JobId,
+        within: Duration,
+    ) -> Option<Submitted> {
+        let queue = &access.queue;
+        let known_by = clock::now() + within.mul_f64(REFUSE_FRACTION);
+        // The pool has no shards while the daemon starts; the job is then refused without a wait.
+        let may_store = self.node.map().is_complete_for(&queue.pool);
+        if may_store && !assignment::wait_until_known(&self.node, known_by).await {
+            return Some(Submitted::NotTaken { retry_after_s: self.retry_after_s() });
+        }
+        if self.pools_of(queue).len() == 1 {
+            return None;
+        }
+        match self.locate(access, job, self.lookup_deadline(within)).await {
+            Location::InShard(..) => Some(Submitted::Accepted),
+            Location::NotFound => None,
+            Location::Unknown => Some(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S }),
+        }
+    }
+
+    /// Records that the queue uses its pool, before a job of it is stored there. Returns whether that
+    /// is recorded.
+    async fn record_assignment(&self, queue: &Queue, within: Duration) -> bool {
+        if self.node.map().assignments().contains(&Assignment::of(queue)) {
+            return true;
+        }
+        let timeout = within.mul_f64(REFUSE_FRACTION);
+        let recorded = tokio::time::timeout(timeout, assignment::record(&self.node, queue)).await;
+        let Err(error) = recorded.unwrap_or(Err(StoreError::NoAnswer)) else { return true };
+        log::info!(
+            "event=queue_not_assigned queue={} pool={} error=\"{error}\"",
+            queue.name,
+            queue.pool
+        );
+        false
     }
 
     async fn query_state(
@@ -205,16 +273,15 @@
     async fn submit(&self, access: &Access, job: JobId, spec: Spec, within: Duration) -> Submitted {
         let started_at = clock::now();
         let queue = &access.queue;
-        // A job that is submitted again after its queue changed pools stays in its first pool.
-        if self.has_changed_pool(queue) {
-            match self.locate(access, job, self.lookup_deadline(within)).await {
-                Location::InShard(..) => return Submitted::Accepted,
-                Location::NotFound => {}
-                Location::Unknown => return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S },
-            }
-        }
         let long_running = spec.steps.iter().any(|step| step.long_running);
-        let Some(shard) = self.node.map().shard_for_new_job(&queue.pool, job, long_running) else {
+        let shard = self.node.map().shard_for_new_job(&queue.pool, job, long_running);
+        if shard.is_some() && !self.record_assignment(queue, within).await {
+            return Submitted::NotTaken { retry_after_s: self.retry_after_s() };
+        }
+        if let Some(answer) = self.resubmitted(access, job, within).await {
+            return answer;
+        }
+        let Some(shard) = shard else {
             log::info!("event=submit job={job} queue={} outcome=no_shard", queue.name);
             return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S };
         };
@@ -292,9 +359,9 @@
     }
 
     async fn queued_jobs(&self, queue: &Queue) -> Option<u64> {
-        let table = self.node.table()?;
         let map = self.node.map();
-        let pools = table.pools_of(queue);
+        let mut pools = self.pools_of(queue);
+        pools.retain(|pool| *pool == queue.pool || map.is_complete_for(pool));
         let pool_slices = pools.iter().flat_map(|pool| map.pool_slices(pool));
         let shards =
             pool_slices.map(|pool_slice| map.shard(&pool_slice)).collect::<Option<Vec<_>>>()?;
--- a/crates/crosspath_node/src/lib.rs
+++ b/crates/crosspath_node/src/lib.rs
@@ -7,6 +7,7 @@
 //! `crosspath_fleet`. The platform's protocols are behind the traits of `crosspath_border`.
 
 mod appender;
+pub mod assignment;
 pub mod backoff;
 pub mod candidacy;
 mod change_log;
--- a/crates/crosspath_node/src/map.rs
+++ b/crates/crosspath_node/src/map.rs
@@ -5,21 +5,25 @@
 //! its slice when it moves between pools. The slice of a job depends on its identifier, except that
 //! the long-running jobs of a pool share one slice. The number of slices and the shard of each
 //! slice are records that are written once, by the daemon that is first; they are never derived
-//! from a list that may differ between two daemons.
+//! from a list that may differ between two daemons. The pools that each queue has used are recorded
+//! beside them, see [`crate::assignment`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::hash::Hasher as _;
+use std::pin::pin;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crosspath_border::operator::Queue;
 use crosspath_border::store::{Error, NewRecord, Precondition, Stored, Topic};
 use crosspath_job::JobId;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use snafu::Snafu;
 
+use crate::assignment::{Assignment, Assignments};
 use crate::backoff::{self, Backoff};
 use crate::clock;
 use crate::feed;
@@ -44,6 +48,8 @@
 const SLICES_KEY: &str = "slices";
 const INITIAL_POOLS_KEY: &str = "homes";
 const SHARD_KEY: &str = "shard/";
+/// Prefix of the keys of assignments.
+pub(crate) const QUEUE_KEY: &str = "queue/";
 
 /// One slice of one pool, owned through one shard.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -78,6 +84,7 @@
     /// of its own, as far as there are enough slices.
     initial_pools: u32,
     shards: BTreeMap<PoolSlice, u32>,
+    assignments: Assignments,
 }
 
 impl Map {
@@ -172,6 +179,17 @@
             && self.pool_slices(pool).iter().all(|pool_slice| self.shards.contains_key(pool_slice))
     }
 
+    /// Recorded assignments of queues to pools.
+    #[must_use]
+    pub fn assignments(&self) -> &Assignments {
+        &self.assignments
+    }
+
+    /// Recorded assignments, to add those that another daemon has read or this one has recorded.
+    pub(crate) fn assignments_mut(&mut self) -> &mut Assignments {
+        &mut self.assignments
+    }
+
     /// Assigned slices by shard.
     #[must_use]
     pub fn by_shard(&self) -> BTreeMap<u32, PoolSlice> {
@@ -180,6 +198,15 @@
 
     /// Applies a record of the shard map; an unreadable one is logged and skipped.
     pub fn apply(&mut self, record: &Stored) {
+        if let Some(key) = record.key.strip_prefix(QUEUE_KEY) {
+            match key.parse() {
+                Ok(assignment) => self.assignments.insert(assignment),
+                Err(error) => {
+                    log::warn!("event=map_record_unreadable key={} error=\"{error}\"", record.key);
+                }
+            }
+            return;
+        }
         let number = std::str::from_utf8(&record.value).ok().and_then(|text| text.parse().ok());
         let Some(number) = number else {
             log::warn!("event=map_record_unreadable key={}", record.key);
@@ -233,21 +260,54 @@
         );
         records
     }
+
+    /// Records of the assignments of `queues` that are not recorded.
+    #[must_use]
+    pub fn missing_assignments(&self, queues: &[Queue]) -> Vec<NewRecord> {
+        let assignments = queues.iter().map(Assignment::of);
+        let missing = assignments.filter(|assignment| !self.assignments.contains(assignment));
+        missing.map(|assignment| assignment.record(QUEUE_KEY)).collect()
+    }
 }
 
-/// Keeps the map up to date and extends it by pools without shards.
+/// Read of the map from the store, which continues after a failure where it stopped.
+#[derive(Debug, Default)]
+pub(crate) struct Reader {
+    pages: Pages,
+    /// Version of the configuration that was in effect when the read began.
+    version: Option<u64>,
+}
+
+impl Reader {
+    /// Reads and applies all records; returns the end of the log when the read began.
+    pub(crate) async fn read(&mut self, node: &Node) -> Result<u64, Error> {
+        let current = || node.table().map_or(0, |table| table.version);
+        let version = *self.version.get_or_insert_with(current);
+        let partition = only_partition(Topic::ShardMap);
+        let (records, end) = feed::newest(node, partition, &mut self.pages).await?;
+        self.version = None;
+        node.apply_map_records(&records);
+        node.set_map_read(version);
+        Ok(end)
+    }
+}
+
+/// Keeps the map up to date: extends it by pools without shards, and reads it again when it may lack
+/// records of configurations that this daemon has not applied, or only for a short time.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut counter = None;
     let mut backoff = Backoff::new(EXTEND_BACKOFF);
-    let mut pages = Pages::default();
+    let mut reader = Reader::default();
     loop {
+        let mut changed = pin!(node.routing_changed.notified());
+        changed.as_mut().enable();
         let missing = missing_pools(&node);
-        if missing.is_empty() {
+        if missing.is_empty() && !node.is_map_outdated() {
             backoff.reset();
-            node.routing_changed.notified().await;
+            changed.await;
             continue;
         }
-        let pause = match extend(&node, &missing, &mut counter, &mut pages).await {
+        let pause = match extend(&node, &missing, &mut counter, &mut reader).await {
             Ok(()) => continue,
             Err(ExtendError::Store { source }) => {
                 log::info!("event=map_not_extended error=\"{source}\"");
@@ -296,13 +356,10 @@
     node: &Node,
     pools: &BTreeSet<Arc<str>>,
     counter: &mut Option<Counter>,
-    pages: &mut Pages,
+    reader: &mut Reader,
 ) -> Result<(), ExtendError> {
-    let partition = only_partition(Topic::ShardMap);
-    let (records, end) = feed::newest(node, partition, pages).await?;
-    let mut map = Map::default();
-    records.iter().for_each(|record| map.apply(record));
-    node.set_map(map.clone());
+    let end = reader.read(node).await?;
+    let map = node.map();
     if pools.iter().all(|pool| map.is_complete_for(pool)) {
         return Ok(());
     }
@@ -315,16 +372,21 @@
         Some(_) => 0,
         None => count_vms(node, counter).await?.vms,
     };
-    let records = map.missing_records(pools, vms, node.settings.millicores, node.fleet_shard());
+    let mut records = map.missing_records(pools, vms, node.settings.millicores, node.fleet_shard());
     if records.is_empty() {
         return Err(ExtendError::NoShardLeft { pools: pools.len() });
     }
+    if let Some(table) = node.table() {
+        records.extend(map.missing_assignments(&table.config.queues));
+    }
+    let partition = only_partition(Topic::ShardMap);
     node.store.append(partition, &records, Precondition::EndOffset(end)).await?;
     log::info!("event=map_extended records={} vms={vms}", records.len());
-    for (record, offset) in records.into_iter().zip(end..) {
-        map.apply(&Stored { offset, key: record.key, value: record.value });
-    }
-    node.set_map(map);
+    let stored = |(record, offset): (NewRecord, u64)| {
+        let NewRecord { key, value } = record;
+        Stored { offset, key, value }
+    };
+    node.apply_map_records(&records.into_iter().zip(end..).map(stored).collect::<Vec<_>>());
     Ok(())
 }
 
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -4,12 +4,13 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crosspath_border::advice::Advisor;
 use crosspath_border::operator::Wave;
-use crosspath_border::store::{Error, NewRecord, Partition, Precondition, Store, Topic};
+use crosspath_border::store::{Error, NewRecord, Partition, Precondition, Store, Stored, Topic};
 use crosspath_border::vm::Fleet;
 use crosspath_border::worker::Runner;
 use crosspath_http::server::Stage;
@@ -18,6 +19,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::appender::Appenders;
+use crate::assignment::{Assignment, Assignments};
 use crate::clock;
 use crate::directory::Directory;
 use crate::evacuation::{self, Evacuated, Evacuations};
@@ -92,6 +94,10 @@
     /// Maintenance waves by number, each with the time at which it was first seen.
     waves: Mutex<BTreeMap<u64, (Arc<Wave>, Duration)>>,
     map: Mutex<Arc<Map>>,
+    /// Version of the configuration that was the newest one when the last read of the map began.
+    map_read_in: AtomicU64,
+    /// Held while an assignment is recorded.
+    pub(crate) recording_assignment: tokio::sync::Mutex<()>,
     /// Holder of each shard; `None` until that has been read.
     holders: Mutex<Option<HashMap<u32, Member>>>,
     /// Notified when a holder does not answer, answers that it is not the owner, or is unknown.
@@ -160,6 +166,8 @@
             directory: Mutex::default(),
             waves: Mutex::default(),
             map: Mutex::default(),
+            map_read_in: AtomicU64::new(0),
+            recording_assignment: tokio::sync::Mutex::default(),
             holders: Mutex::default(),
             owned: Mutex::default(),
             handovers: Mutex::default(),
@@ -172,8 +180,13 @@
         lock(&self.table).clone()
     }
 
-    pub(crate) fn set_table(&self, table: Table) {
-        *lock(&self.table) = Some(Arc::new(table));
+    /// Replaces the routing table, which is `None` before the first configuration, by what `change`
+    /// returns, if anything.
+    pub(crate) fn change_table(&self, change: impl FnOnce(Option<&Table>) -> Option<Table>) {
+        let mut table = lock(&self.table);
+        let Some(changed) = change(table.as_deref()) else { return };
+        *table = Some(Arc::new(changed));
+        drop(table);
         self.routing_changed.notify_waiters();
     }
 
@@ -231,8 +244,46 @@
         Arc::clone(&lock(&self.map))
     }
 
-    pub(crate) fn set_map(&self, map: Map) {
-        *lock(&self.map) = Arc::new(map);
+    /// Applies records of the shard map to what is known of it. No record is ever revoked.
+    pub(crate) fn apply_map_records(&self, records: &[Stored]) {
+        self.change_map(|map| records.iter().for_each(|record| map.apply(record)));
+    }
+
+    /// Adds an assignment that this daemon has recorded in the store.
+    pub(crate) fn add_assignment(&self, assignment: Assignment) {
+        self.change_map(|map| map.assignments_mut().insert(assignment));
+    }
+
+    /// Adds assignments that another daemon has found recorded in the store.
+    pub(crate) fn merge_assignments(&self, recorded: &Assignments) {
+        self.change_map(|map| map.assignments_mut().merge(recorded));
+    }
+
+    fn change_map(&self, change: impl FnOnce(&mut Map)) {
+        change(Arc::make_mut(&mut lock(&self.map)));
+        self.routing_changed.notify_waiters();
+    }
+
+    /// Whether the assignments by all configurations are known, also by those that this daemon has
+    /// not applied.
+    pub(crate) fn knows_assignments(&self) -> bool {
+        let complete_since = self.table().map_or(0, |table| table.complete_since);
+        self.map_read_in.load(Ordering::Relaxed) >= complete_since
+    }
+
+    /// Whether the map may lack records that were appended under earlier configurations: assignments,
+    /// or shards of pools that queues had for a short time.
+    pub(crate) fn is_map_outdated(&self) -> bool {
+        let Some(table) = self.table() else { return false };
+        let is_older = self.map_read_in.load(Ordering::Relaxed) < table.version;
+        let map = self.map();
+        !self.knows_assignments()
+            || (is_older && table.applied().all_pools().any(|pool| !map.is_complete_for(pool)))
+    }
+
+    /// Records that a read of the whole map began while this version was the newest configuration.
+    pub(crate) fn set_map_read(&self, version: u64) {
+        self.map_read_in.fetch_max(version, Ordering::Relaxed);
         self.routing_changed.notify_waiters();
     }
 
--- a/crates/crosspath_node/src/routing.rs
+++ b/crates/crosspath_node/src/routing.rs
@@ -1,12 +1,14 @@
 //! Maps requests to queues and customers by the newest configuration.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crosspath_border::operator::{Config, Queue};
 use crosspath_job::spec::Resources;
 use crosspath_quota::{Limits, Weights};
 
+use crate::assignment::{Assignment, Assignments};
+
 /// Queues of the newest configuration, and the pools that queues had in earlier ones.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Table {
@@ -14,8 +16,21 @@
     pub(crate) config: Arc<Config>,
     /// Queues by host, longest prefix first.
     by_host: HashMap<Arc<str>, Vec<Arc<Queue>>>,
-    /// Every pool that each queue has had since the process started, by name of the queue.
-    known_pools: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// Assignments by all configurations that this process has applied, and by those that the peers
+    /// have applied from which it has got some.
+    applied: Assignments,
+    /// Version since which this process has applied every configuration; it may have missed some
+    /// before.
+    pub(crate) complete_since: u64,
+}
+
+/// How a configuration relates to the one that was applied before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sequence {
+    /// It is the next one.
+    Next,
+    /// There may be others in between.
+    Later,
 }
 
 /// Party on whose behalf a call is made.
@@ -39,19 +54,40 @@
 
 impl Table {
     /// Returns the table for a configuration, which must be newer than this table's.
-    pub(crate) fn with_config(&self, config: Config) -> Self {
+    pub(crate) fn with_config(&self, config: Config, sequence: Sequence) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Queue>>> = HashMap::new();
-        let mut known_pools = self.known_pools.clone();
+        let mut applied = self.applied.clone();
         for queue in &config.queues {
-            let known = known_pools.entry(Arc::clone(&queue.name)).or_default();
-            known.insert(Arc::clone(&queue.pool));
+            applied.insert(Assignment::of(queue));
             let host = by_host.entry(Arc::clone(&queue.host)).or_default();
             host.push(Arc::new(queue.clone()));
         }
         for queues in by_host.values_mut() {
             queues.sort_by_key(|queue| std::cmp::Reverse(queue.prefix.len()));
         }
-        Self { version: config.version, config: Arc::new(config), by_host, known_pools }
+        let version = config.version;
+        let complete_since = match sequence {
+            Sequence::Next => self.complete_since,
+            Sequence::Later => version,
+        };
+        Self { version, config: Arc::new(config), by_host, applied, complete_since }
+    }
+
+    /// Returns the table with the assignments of a peer that has applied other configurations.
+    pub(crate) fn with_applied(&self, assignments: &Assignments) -> Self {
+        let mut table = self.clone();
+        table.applied.merge(assignments);
+        table
+    }
+
+    /// Assignments by all configurations that this process or its peers are known to have applied.
+    pub(crate) fn applied(&self) -> &Assignments {
+        &self.applied
+    }
+
+    /// Those that the newest configuration does not have.
+    pub(crate) fn earlier(&self) -> Assignments {
+        self.applied.without(self.config.queues.iter().map(Assignment::of))
     }
 
     /// Returns the queue of `host` with the longest prefix of `path`, and the path after that
@@ -84,10 +120,10 @@
         customers.map(|customer| (Arc::clone(&customer.name), customer.weight)).collect()
     }
 
-    /// Pools in which jobs of the queue may be: its current one and those it had before.
-    pub(crate) fn pools_of(&self, queue: &Queue) -> BTreeSet<Arc<str>> {
-        let mut pools = self.known_pools.get(&queue.name).cloned().unwrap_or_default();
-        pools.insert(Arc::clone(&queue.pool));
-        pools
+    /// Pools in which jobs of the queue may be: its current one, those that it had in other
+    /// configurations, and those that are recorded.
+    pub(crate) fn pools_of(&self, queue: &Queue, recorded: &Assignments) -> BTreeSet<Arc<str>> {
+        let earlier = self.applied.pools(&queue.name).chain(recorded.pools(&queue.name));
+        earlier.chain([&queue.pool]).cloned().collect()
     }
 }
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -26,7 +26,7 @@
 
 use crate::appender;
 use crate::clock;
-use crate::config_sync;
+use crate::config_sync::{self, PeerAssignments};
 use crate::directory::{Cursor, Update};
 use crate::evacuation::Evacuated;
 use crate::map::PoolSlice;
@@ -129,13 +129,16 @@
     /// Allotments of the customers' maxima.
     #[serde(rename = "parts")]
     Quota(QuotaGrant),
-    /// Configuration, if there is a newer one than the requester's; evacuated data centres; and
-    /// time in ms since these were last read from the store.
+    /// Configuration, if there is a newer one than the requester's; evacuated data centres; time in
+    /// ms since these were last read from the store; and the pools of queues.
     Config {
         newer: Option<Box<Config>>,
         evacuated: Evacuated,
         #[serde(rename = "heard_ms_ago")]
         confirmed_ms_ago: u64,
+        /// Assignments of queues to pools; earlier versions send and read none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        assignments: Option<PeerAssignments>,
     },
     /// Changes among the workers since the cursor.
     Workers(Update),
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 use crosspath_border::customer::{Customer, Keys, Registration};
-use crosspath_border::ingress::{Access, Handler, Lookup, Resolved, Submitted};
+use crosspath_border::ingress::{Access, Cancelled, Handler, Lookup, Resolved, Submitted};
 use crosspath_border::operator::{Change, Config, DEFAULT_BODY_BYTES, Pool, Queue, WaveState};
 use crosspath_border::store::{
     Appended, DecodeError, Error, Holder, Join, Membership, NewRecord, NewestPage, Page, Partition,
@@ -30,6 +30,8 @@
 use tokio::sync::watch;
 
 pub(crate) const SHARDS: u32 = 4;
+/// The one pool of a configuration that gives none.
+const POOL: &str = "counter";
 /// Processor capacity of a VM whose daemon is a candidate for ownership, and of one whose daemon is
 /// not while there are larger ones.
 const LARGE_MILLICORES: u32 = 250;
@@ -56,6 +58,8 @@
     append_delay_ms: AtomicU64,
     /// Whether the log refuses every call except conditional appends.
     down: AtomicBool,
+    /// Whether the next read of the operators' log finds its records gone.
+    truncated: AtomicBool,
     /// Number of unconditional appends that were refused.
     refused_appends: AtomicUsize,
     /// Number of reads of the worker list.
@@ -103,6 +107,9 @@
     async fn read(&self, partition: Partition, from: u64, wait: Duration) -> Result<Page, Error> {
         self.check_up()?;
         self.count(partition);
+        if partition.topic == Topic::Operators && self.truncated.swap(false, Ordering::SeqCst) {
+            return Err(Error::Truncated { first: from + 1 });
+        }
         let page = self.log.read(partition, from, wait).await?;
         if page.records.is_empty() {
             tokio::time::sleep(wait.min(POLL_INTERVAL)).await;
@@ -133,10 +140,13 @@
     }
 
     fn decode_change(&self, record: &Stored) -> Result<Change, DecodeError> {
-        let pools = vec![Pool { name: "counter".into(), spare: false }];
-        let queues = vec![queue()];
         let text = String::from_utf8_lossy(&record.value);
-        let (version, registrations) = registrations(&text);
+        let (text, names) = text.split_once(" >").unwrap_or((&*text, POOL));
+        let names: Vec<&str> = names.split(',').collect();
+        let queues = vec![Queue { pool: names[0].into(), ..queue() }];
+        let pools = names.into_iter().map(|name| Pool { name: name.into(), spare: false });
+        let pools = pools.collect();
+        let (version, registrations) = registrations(text);
         let keys = Keys::new(&registrations).expect("no key belongs to two customers");
         let customers = registrations.into_iter().map(|row| row.customer).collect();
         let body_bytes = DEFAULT_BODY_BYTES;
@@ -248,10 +258,7 @@
     };
     let value = serde_json::to_vec(&entry).expect("entries are serialisable as JSON");
     let record = NewRecord { key: entry.id.to_string(), value: value.into() };
-    let workers = Partition { topic: Topic::Workers, number: 0 };
-    log.append(workers, &[record], Precondition::Unconditional)
-        .await
-        .expect("log accepts the worker");
+    append(log, Partition { topic: Topic::Workers, number: 0 }, &[record]).await;
 }
 
 fn queue() -> Queue {
@@ -260,7 +267,7 @@
         name: "payments".into(),
         host: "pay.example".into(),
         prefix: "/jobs/".into(),
-        pool: "counter".into(),
+        pool: POOL.into(),
         policy,
         advice: None,
         open: false,
@@ -412,6 +419,7 @@
             lose_append_answers: AtomicBool::new(false),
             append_delay_ms: AtomicU64::new(0),
             down: AtomicBool::new(false),
+            truncated: AtomicBool::new(false),
             refused_appends: AtomicUsize::new(0),
             worker_reads: AtomicUsize::new(0),
             holder_reads: AtomicUsize::new(0),
@@ -452,6 +460,39 @@
         self.handler.state(&access(customer), JobId(job), CALL_TIMEOUT).await
     }
 
+    /// Access to the queue as the daemon's newest configuration has it.
+    fn current_access(&self) -> Access {
+        match self.resolve(None) {
+            Resolved::Access(access) => access,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Pool of the queue by the daemon's newest configuration.
+    pub(crate) fn pool(&self) -> Arc<str> {
+        Arc::clone(&self.current_access().queue.pool)
+    }
+
+    /// Submits a job to the queue as it is configured now.
+    pub(crate) async fn submit_now(&self, job: u64) -> Submitted {
+        self.handler.submit(&self.current_access(), JobId(job), spec(), CALL_TIMEOUT).await
+    }
+
+    /// Queries the state of a job of the queue as it is configured now.
+    pub(crate) async fn state_now(&self, job: u64) -> Lookup {
+        self.handler.state(&self.current_access(), JobId(job), CALL_TIMEOUT).await
+    }
+
+    /// Cancels a job of the queue as it is configured now.
+    pub(crate) async fn cancel_now(&self, job: u64) -> Cancelled {
+        self.handler.cancel(&self.current_access(), JobId(job), CALL_TIMEOUT).await
+    }
+
+    /// Number of the queue's jobs that are queued.
+    pub(crate) async fn queued_jobs(&self) -> Option<u64> {
+        self.handler.queued_jobs(&self.current_access().queue).await
+    }
+
     /// Routes and authorises a request that carries this key.
     pub(crate) fn resolve(&self, key: Option<&str>) -> Resolved {
         self.handler.resolve("pay.example", "/jobs/0000000000000001", key)
@@ -466,6 +507,11 @@
         self.store.down.store(down, Ordering::SeqCst);
     }
 
+    /// Removes the records of the operators' log that this daemon has not read, except the newest.
+    pub(crate) fn truncate_operator_log(&self) {
+        self.store.truncated.store(true, Ordering::SeqCst);
+    }
+
     pub(crate) fn worker_reads(&self) -> usize {
         self.store.worker_reads.load(Ordering::SeqCst)
     }
@@ -501,13 +547,17 @@
     log
 }
 
-/// Appends a configuration of the form "VERSION CUSTOMER=KEY,KEY ...".
+/// Appends a configuration of the form "VERSION CUSTOMER=KEY,KEY ... >POOL,POOL ...". The queue uses
+/// the first pool; without any, there is one pool.
 pub(crate) async fn write_config(log: &MemoryStore, text: &str) {
     let config = NewRecord { key: "config".into(), value: text.to_owned().into() };
-    let operators = Partition { topic: Topic::Operators, number: 0 };
-    log.append(operators, &[config], Precondition::Unconditional)
+    append(log, Partition { topic: Topic::Operators, number: 0 }, &[config]).await;
+}
+
+pub(crate) async fn append(log: &MemoryStore, partition: Partition, records: &[NewRecord]) {
+    log.append(partition, records, Precondition::Unconditional)
         .await
-        .expect("log accepts the configuration");
+        .expect("log accepts the records");
 }
 
 /// VM list that refuses the first calls.
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -18,6 +18,7 @@
 mod pending;
 mod progress;
 mod reachability;
+mod reassignment;
 mod relay;
 mod stamps;
 mod standby;
