Soak: queues that move between pools

A peer's assignments that are known already change nothing.

Job: the append of its first attempt reached its shard 3.9 s late, after the second attempt had found nothing there and was stored in another pool. Job: one daemon was cut off from the store and had the configuration of 3 s before when it stored the identifier in the earlier pool. Not fixed in this change: it takes a serialisation of an identifier over pools.

--- a/crates/crosspath_node/src/assignment.rs
+++ b/crates/crosspath_node/src/assignment.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Whether all of `others` are among these.
+    #[must_use]
+    pub fn includes(&self, others: &Self) -> bool {
+        others
+            .0
+            .iter()
+            .all(|(queue, pools)| self.0.get(queue).is_some_and(|known| known.is_superset(pools)))
+    }
+
     /// These assignments except `others`.
     #[must_use]
     pub fn without(&self, others: impl Iterator<Item = Assignment>) -> Self {
--- a/crates/crosspath_node/src/config_sync.rs
+++ b/crates/crosspath_node/src/config_sync.rs
@@ -91,7 +91,10 @@
         return Sequence::Later;
     }
     node.merge_assignments(&recorded);
-    node.change_table(|current| Some(current?.with_applied(&earlier)));
+    node.change_table(|current| {
+        let table = current.filter(|table| !table.applied().includes(&earlier))?;
+        Some(table.with_applied(&earlier))
+    });
     Sequence::Next
 }
 
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -256,7 +256,9 @@
 
     /// Adds assignments that another daemon has found recorded in the store.
     pub(crate) fn merge_assignments(&self, recorded: &Assignments) {
-        self.change_map(|map| map.assignments_mut().merge(recorded));
+        if !self.map().assignments().includes(recorded) {
+            self.change_map(|map| map.assignments_mut().merge(recorded));
+        }
     }
 
     fn change_map(&self, change: impl FnOnce(&mut Map)) {
--- a/crates/crosspath_soak/src/faults.rs
+++ b/crates/crosspath_soak/src/faults.rs
@@ -11,7 +11,8 @@
 
 use crate::audit::Audit;
 use crate::proxy::Impairment;
-use crate::run::{Cluster, Plan};
+use crate::run::{Cluster, FIRST_VERSION, Plan};
+use crate::traffic::QUEUES;
 
 /// Longest time that a killed daemon stays down.
 const MAX_DOWNTIME_MS: u64 = 2_500;
@@ -31,6 +32,11 @@
 /// As [`SILENCES_SEED`], for these crashes.
 const CRASH_SEED: u64 = 0xc4_a5_4e_5d;
 
+/// Interval between two configurations that assign queues to other pools.
+const REASSIGNMENT_INTERVAL_MS: std::ops::Range<u64> = 700..3_500;
+/// As [`SILENCE_SEED`], for these configurations.
+const REASSIGNMENT_SEED: u64 = 0x9a_55_19_20;
+
 /// Interval between two faults of data centres.
 const DATA_CENTRE_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
 /// As [`SILENCE_SEED`], for these faults.
@@ -102,13 +108,34 @@
             0
         }
     };
-    let (overlapping, silences, crashes, data_centres) = tokio::join!(
+    let reassignments = async {
+        if plan.reassign_queues { reassign_queues(cluster, seed, duration).await } else { 0 }
+    };
+    let (overlapping, silences, crashes, data_centres, reassignments) = tokio::join!(
         inject_overlapping(cluster, seed, duration),
         silence_connections(cluster, seed, duration),
         crashes,
-        data_centres
+        data_centres,
+        reassignments
     );
-    overlapping + silences + crashes + data_centres
+    overlapping + silences + crashes + data_centres + reassignments
+}
+
+/// Writes configurations that assign each queue to a random pool. Returns their number.
+async fn reassign_queues(cluster: &Cluster, seed: u64, duration: Duration) -> usize {
+    let mut rng = StdRng::seed_from_u64(seed ^ REASSIGNMENT_SEED);
+    let until = tokio::time::Instant::now() + duration;
+    let mut count = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(REASSIGNMENT_INTERVAL_MS))).await;
+        if tokio::time::Instant::now() >= until {
+            return count;
+        }
+        let pools = QUEUES.map(|_| QUEUES[rng.random_range(0..QUEUES.len())]);
+        log::info!("event=fault fault=Reassign({pools:?})");
+        count += 1;
+        cluster.configure(FIRST_VERSION + count as u64, pools);
+    }
 }
 
 /// Breaks links between data centres, takes the power of a data centre, and evacuates them, beside
--- a/crates/crosspath_soak/src/main.rs
+++ b/crates/crosspath_soak/src/main.rs
@@ -52,6 +52,9 @@
     /// Crash workers often, and let crashed workers restart under the same identifier.
     #[bpaf(long("reborn"))]
     reuse_worker_ids: bool,
+    /// Assign queues to other pools while their jobs run.
+    #[bpaf(long("reassign"))]
+    reassign_queues: bool,
     /// Number of data centres; from 2 on, links between them break, and they are lost and evacuated.
     #[bpaf(long("data-centres"), argument("N"), fallback(1))]
     data_centres: usize,
@@ -85,6 +88,7 @@
             workers: options.workers.max(1),
             crashing_jobs: options.crashing_jobs,
             reuse_worker_ids: options.reuse_worker_ids,
+            reassign_queues: options.reassign_queues,
             data_centres: options.data_centres.max(1),
             program: program.clone(),
         };
--- a/crates/crosspath_soak/src/run.rs
+++ b/crates/crosspath_soak/src/run.rs
@@ -31,6 +31,14 @@
 /// Time in which the tasks of long-running jobs must stop once these are cancelled.
 const STOP_DELAY: Duration = Duration::from_secs(6);
 
+/// Version of the configuration with which a run starts.
+pub(crate) const FIRST_VERSION: u64 = 1;
+
+/// Name of the pool that a queue has at first.
+fn pool_name(queue: &str) -> String {
+    format!("{queue}-pool")
+}
+
 /// Parameters of a run.
 #[derive(Debug, Clone)]
 pub(crate) struct Plan {
@@ -44,6 +52,8 @@
     pub(crate) crashing_jobs: bool,
     /// Whether workers crash often, and crashed workers restart under the same identifier.
     pub(crate) reuse_worker_ids: bool,
+    /// Whether configurations assign queues to other pools.
+    pub(crate) reassign_queues: bool,
     /// Number of data centres; from 2 on they are cut from each other, lost and evacuated.
     pub(crate) data_centres: usize,
     pub(crate) program: PathBuf,
@@ -86,12 +96,6 @@
 impl Cluster {
     async fn build(plan: &Plan, audit: &Audit, directory: &std::path::Path) -> Result<Self, Error> {
         let store = Arc::new(Store::start().await.context(SetupSnafu { what: "store" })?);
-        let route = |queue: &&str| Route {
-            name: (*queue).to_owned(),
-            pool: format!("{queue}-pool"),
-            priority: 0,
-        };
-        store.configure(1, &QUEUES.iter().map(route).collect::<Vec<_>>(), "spare-pool");
         let mut cluster = Self {
             store,
             workers: Vec::new(),
@@ -100,8 +104,9 @@
             daemons: Vec::new(),
             store_proxies: Vec::new(),
         };
+        cluster.configure(FIRST_VERSION, QUEUES);
         for number in 0..plan.workers * QUEUES.len() {
-            let pool = format!("{}-pool", QUEUES[number % QUEUES.len()]);
+            let pool = pool_name(QUEUES[number % QUEUES.len()]);
             let vm = format!("vm{number}");
             let observer = Arc::new(audit.clone());
             let data_centre = &cluster.data_centres[cluster.data_centre_of_worker(number)];
@@ -134,6 +139,16 @@
         Ok(cluster)
     }
 
+    /// Writes a configuration that assigns each queue to the pool of one of the queues.
+    pub(crate) fn configure(&self, version: u64, pools: [&str; QUEUES.len()]) {
+        let routes = QUEUES.iter().zip(pools).map(|(queue, pool)| Route {
+            name: (*queue).to_owned(),
+            pool: pool_name(pool),
+            priority: 0,
+        });
+        self.store.configure(version, &routes.collect::<Vec<_>>(), "spare-pool");
+    }
+
     /// Index of the data centre of a worker. Consecutive workers are of different pools, so that
     /// each data centre gets workers of all pools.
     pub(crate) fn data_centre_of_worker(&self, number: usize) -> usize {
