A payment is sent once the VMs that went down have closed their connections

Cause: the fake VM is told that it is down and closes its connections when their tasks run next. A payment that the daemon writes to an idle connection in between is cut off without an answer, and the daemon rightly does not know its outcome.

The test now waits until those connections are closed and the daemons can have noticed; the expected answers are as before.

--- a/crates/crosspath_fakes/src/platform.rs
+++ b/crates/crosspath_fakes/src/platform.rs
@@ -125,12 +125,19 @@
         }
     }
 
-    /// Takes a VM down or brings it up. Unknown names are ignored.
+    /// Takes a VM down or brings it up. Unknown names are ignored. The connections of a VM that goes
+    /// down are closed soon after, see [`Self::has_open_connections`].
     pub fn set_up(&self, vm: &VmName, up: bool) {
         if let Some(vm) = self.inner.vms.get(vm) {
             vm.set_up(up);
         }
     }
+
+    /// Whether some connection to a VM is open. Unknown names have none.
+    #[must_use]
+    pub fn has_open_connections(&self, vm: &VmName) -> bool {
+        self.inner.vms.get(vm).is_some_and(|vm| vm.has_open_connections())
+    }
 }
 
 impl Drop for Fakes {
--- a/crates/crosspath_fakes/src/vm.rs
+++ b/crates/crosspath_fakes/src/vm.rs
@@ -169,6 +169,11 @@
         });
     }
 
+    /// Whether some connection is open. Each holds a receiver of [`Self::power`], as the server does.
+    pub(crate) fn has_open_connections(&self) -> bool {
+        self.power.receiver_count() > 1
+    }
+
     /// Liveness that the VM list shows: the state of the VM `lag` ago.
     pub(crate) fn liveness(&self, lag: Duration) -> Liveness {
         let inner = self.inner();
--- a/crates/crosspathd/tests/site/payments.rs
+++ b/crates/crosspathd/tests/site/payments.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crosspath_fakes::fault::VmFault;
+use crosspath_fakes::site::Site;
+use crosspath_state::name::VmName;
 
 use crate::common::{self, Payment};
 
@@ -67,6 +69,18 @@
     ]
 }
 
+/// Time in which a daemon notices that an idle connection was closed.
+const CLOSE_NOTICE: Duration = Duration::from_millis(200);
+
+/// Waits until VMs that are down have closed their connections. A payment that is written to an idle
+/// connection just before that is cut off without an answer, so its outcome is unknown.
+async fn wait_until_closed(site: &Site, vms: &[VmName]) {
+    while vms.iter().any(|vm| site.fakes.has_open_connections(vm)) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(CLOSE_NOTICE).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_faults_are_reported_correctly() {
     let site = common::start(&common::plan(3)).await;
@@ -77,6 +91,9 @@
             site.fakes.set_vm_fault(vm, case.set);
             site.fakes.set_up(vm, !case.down);
         }
+        if case.down {
+            wait_until_closed(&site, &vms).await;
+        }
         for (keyed, (summary, runs)) in [(false, case.unkeyed), (true, case.keyed)] {
             let payment = Payment::new("pay", keyed);
             let reply = payment.send(&site, 0).await;
