--- a/review/stand_in_2/src/cloud.rs
+++ b/review/stand_in_2/src/cloud.rs
@@ -1,4 +1,4 @@
-//! The list of machines. The one service has all of them, so there is none to move and no upkeep.
+//! The list of machines. None is spare, so there is none to move, and there is no upkeep.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,14 +9,13 @@
 use crate::worker::{CPU, MEMORY_MB, Machines};
 
 /// Serves until the process ends.
-pub fn start(service: &str, machines: Machines) -> SocketAddr {
-    let service = service.to_owned();
+pub fn start(machines: Machines) -> SocketAddr {
     http::serve(Arc::new(move |call| match (call.method.as_str(), call.path.as_str()) {
         ("GET", "/crosspath/machines") => {
             let rows = machines.rows().into_iter().map(|machine| {
                 let state = if machine.id.is_some() { "up" } else { "down" };
                 json!({
-                    "machine": machine.name, "pool": service, "state": state, "zone": "z1",
+                    "machine": machine.name, "pool": machine.service, "state": state, "zone": "z1",
                     "labels": machine.labels, "id": machine.id.unwrap_or_default(),
                     "capacity": { "cpu": CPU, "mem_mb": MEMORY_MB, "gpu": 0 },
                 })
--- a/review/stand_in_2/src/daemons.rs
+++ b/review/stand_in_2/src/daemons.rs
@@ -36,7 +36,8 @@
 /// Addresses of what the platform serves.
 #[derive(Debug)]
 pub struct Platform {
-    pub store: SocketAddr,
+    /// Address of the store for each daemon.
+    pub gates: Vec<SocketAddr>,
     pub cloud: SocketAddr,
     pub adviser: Option<SocketAddr>,
 }
@@ -65,7 +66,7 @@
                     "metrics": http::free_address(),
                 },
                 "platform": {
-                    "log": platform.store, "vms": platform.cloud, "vm_orders_per_s": 64.0,
+                    "log": platform.gates[number], "vms": platform.cloud, "vm_orders_per_s": 64.0,
                     "shards": PARTS,
                 },
                 "admission": {
@@ -150,6 +151,11 @@
         self.all.iter().map(|daemon| daemon.peak_mb).max().unwrap_or(0)
     }
 
+    /// Address for callers of one daemon.
+    pub fn caller_address(&self, number: usize) -> SocketAddr {
+        self.all[number].callers
+    }
+
     /// Addresses for callers of the daemons that run.
     pub fn callers(&self) -> Vec<SocketAddr> {
         let running = self.all.iter().filter(|daemon| daemon.child.is_some());
--- a/review/stand_in_2/src/http.rs
+++ b/review/stand_in_2/src/http.rs
@@ -72,7 +72,8 @@
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     for _ in 0..PORTS {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(97));
+        let number =
+            NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(97));
         let port = u16::try_from(FIRST_PORT + number % PORTS).expect("the port is in range");
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
--- a/review/stand_in_2/src/long_tasks.rs
+++ b/review/stand_in_2/src/long_tasks.rs
@@ -31,9 +31,9 @@
         world.pass(Duration::from_millis(100));
         let runs = record.runs();
         let own: Vec<_> = runs.iter().filter(|(task, _)| task.starts_with(&job.id)).collect();
-        let over = own.iter().filter(|(_, runs)| {
-            runs.iter().any(|run| matches!(run.ended, Some((_, "done"))))
-        });
+        let over = own
+            .iter()
+            .filter(|(_, runs)| runs.iter().any(|run| matches!(run.ended, Some((_, "done")))));
         let over = over.count() as u64 == COUNT;
         if over || own.iter().any(|(_, runs)| runs.iter().any(|run| run.ended.is_none())) {
             idle_since = record.now();
--- a/review/stand_in_2/src/lost.rs
+++ b/review/stand_in_2/src/lost.rs
@@ -17,24 +17,16 @@
 const LAST: Duration = Duration::from_secs(10);
 /// Time for which a job may have nothing running although there is room for it.
 const IDLE: Duration = Duration::from_secs(3);
-/// Time after a disruption before which nothing counts.
-const CALM: Duration = Duration::from_secs(4);
 const SAMPLE: Duration = Duration::from_millis(100);
 /// Number of broken cases that are printed; all are in the record.
 const PRINTED: usize = 5;
 
-/// Plays usual jobs with `load` beside them, and `event` at its time. Tells whether an accepted job
-/// without times had nothing running for three seconds while its turn had come, there was room for
-/// it twice over, under half of the service was in use, and the three seconds and the four before
-/// were calm. Tasks that last are left out.
-pub fn play(
-    world: &mut World,
-    load: &[Job],
-    mut event: Option<(Duration, &mut dyn FnMut(&mut World))>,
-) -> Verdict {
+/// Plays usual jobs with `load` beside them. Tells whether an accepted job without times had nothing
+/// running for three seconds while its turn had come, there was room for it twice over, and under
+/// half of the service was in use.
+pub fn play(world: &mut World, load: &[Job]) -> Verdict {
     let record = world.record.clone();
     let began = record.now();
-    let mut calm_from = began;
     let (end, load_at) = (began + LENGTH, began + LOAD_AFTER);
     let (mut number, mut load_sent, mut next_job) = (0, false, record.now());
     let mut busy_at: BTreeMap<String, Duration> = BTreeMap::new();
@@ -51,18 +43,12 @@
             let tasks: u64 = load.iter().map(Job::tasks).sum();
             record.say(&format!("{tasks} tasks come as {} jobs, {taken} accepted", load.len()));
         }
-        if let Some((at, event)) = event.take_if(|(at, _)| record.now() >= began + *at) {
-            record.line(&format!("event that was due after {:.1} s", at.as_secs_f64()));
-            event(world);
-            calm_from = record.now() + CALM;
-        }
         world.pass(SAMPLE);
         let now = record.now();
         let runs = record.runs();
         let in_use = world.workers.share_in_use();
         // The turn of a job with times depends on the time of day.
-        let judged = |job: &Job| job.times.is_none() && !job.steps[0].long_running;
-        for (id, job) in world.accepted.iter().filter(|(_, job)| judged(job)) {
+        for (id, job) in world.accepted.iter().filter(|(_, job)| job.times.is_none()) {
             let own = runs.range(id.clone()..).take_while(|(task, _)| task.starts_with(id));
             let own: Vec<_> = own.map(|(_, runs)| runs).collect();
             let is_done = |runs: &&&Vec<_>| {
@@ -75,7 +61,7 @@
                 busy_at.insert(id.clone(), now);
                 continue;
             }
-            let since = (*busy_at.entry(id.clone()).or_insert(now)).max(calm_from);
+            let since = *busy_at.entry(id.clone()).or_insert(now);
             if now > since + IDLE && lost.insert(id.clone(), now).is_none() {
                 let (since, in_use) = (since.as_secs_f64(), in_use * 100.0);
                 let text = format!(
--- a/review/stand_in_2/src/main.rs
+++ b/review/stand_in_2/src/main.rs
@@ -6,7 +6,6 @@
 mod advice;
 mod advised;
 mod cloud;
-mod crashes;
 mod daemons;
 mod ends;
 mod http;
@@ -14,8 +13,8 @@
 mod long_tasks;
 mod lost;
 mod many_times;
+mod moved_queue;
 mod quiet;
-mod rack_down;
 mod record;
 mod store;
 mod timed_job;
@@ -26,8 +25,6 @@
 use std::process::ExitCode;
 use std::thread;
 
-
-
 /// Result of a scenario.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -46,13 +43,12 @@
     let record = Path::new(record).to_owned();
     let play = match scenario.as_str() {
         "advised" => advised::play,
-        "crashes" => crashes::play,
         "ends" => ends::play,
         "lasting_crashes" => lasting_crashes::play,
         "long_tasks" => long_tasks::play,
         "many_times" => many_times::play,
+        "moved_queue" => moved_queue::play,
         "quiet" => quiet::play,
-        "rack_down" => rack_down::play,
         "timed_job" => timed_job::play,
         _ => {
             eprintln!("unknown scenario {scenario}");
--- a/review/stand_in_2/src/many_times.rs
+++ b/review/stand_in_2/src/many_times.rs
@@ -25,5 +25,5 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let first_ms = u64::try_from(since.as_millis()).unwrap_or(0) + AHEAD_MS;
     job.times = Some((if trouble { TIMES } else { FEW_TIMES }, INTERVAL_MS, first_ms));
-    lost::play(&mut world, &[job], None)
+    lost::play(&mut world, &[job])
 }
--- a/review/stand_in_2/src/record.rs
+++ b/review/stand_in_2/src/record.rs
@@ -58,13 +58,8 @@
 
     pub fn started(&self, worker: &str, task: &str, number: u64) {
         self.line(&format!("worker {worker} starts {task} run {number}"));
-        let run = Run {
-            worker: worker.to_owned(),
-            number,
-            began: self.now(),
-            ended: None,
-            noted: None,
-        };
+        let run =
+            Run { worker: worker.to_owned(), number, began: self.now(), ended: None, noted: None };
         self.lock().runs.entry(task.to_owned()).or_default().push(run);
     }
 
--- a/review/stand_in_2/src/store.rs
+++ b/review/stand_in_2/src/store.rs
@@ -126,6 +126,8 @@
     group: Group,
     /// Whether every call is answered with 503 and has no effect.
     busy: bool,
+    /// Gate whose calls are answered so.
+    turned_away: Option<usize>,
     /// Appends that were refused because a record or the whole call is too large.
     too_large: u64,
 }
@@ -137,14 +139,22 @@
 }
 
 impl Store {
-    pub fn start() -> (Self, SocketAddr) {
-        let group =
-            Group { members: BTreeMap::new(), generation: 0, holders: vec![None; PARTS] };
-        let state = State { partitions: BTreeMap::new(), group, busy: false, too_large: 0 };
-        let store = Self { shared: Arc::new((Mutex::new(state), Condvar::new())) };
-        let serving = store.clone();
-        let address = http::serve(Arc::new(move |call| Some(serving.handle(&call))));
-        (store, address)
+    pub fn start() -> Self {
+        let group = Group { members: BTreeMap::new(), generation: 0, holders: vec![None; PARTS] };
+        let partitions = BTreeMap::new();
+        let state = State { partitions, group, busy: false, turned_away: None, too_large: 0 };
+        Self { shared: Arc::new((Mutex::new(state), Condvar::new())) }
+    }
+
+    /// Serves one daemon at an address of its own, the gate.
+    pub fn open_gate(&self, gate: usize) -> SocketAddr {
+        let serving = self.clone();
+        http::serve(Arc::new(move |call| Some(serving.handle(gate, &call))))
+    }
+
+    /// Turns the calls through one gate away with 503, or those of none.
+    pub fn turn_away(&self, gate: Option<usize>) {
+        self.lock().turned_away = gate;
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -173,14 +183,14 @@
         self.shared.1.notify_all();
     }
 
-    fn handle(&self, call: &Call) -> Reply {
+    fn handle(&self, gate: usize, call: &Call) -> Reply {
         thread::sleep(LATENCY);
-        if self.lock().busy {
+        if self.refuses(gate) {
             return Reply::empty(503);
         }
         match (call.method.as_str(), call.path.as_str()) {
             ("POST", "/crosspath/log-append") => self.append(call),
-            ("GET", "/crosspath/log-read") => self.read(call),
+            ("GET", "/crosspath/log-read") => self.read(gate, call),
             ("GET", "/crosspath/log-newest") => self.newest(call),
             ("POST", "/crosspath/log-join") => self.join(call),
             ("POST", "/crosspath/log-leave") => {
@@ -201,6 +211,11 @@
         }
     }
 
+    fn refuses(&self, gate: usize) -> bool {
+        let state = self.lock();
+        state.busy || state.turned_away == Some(gate)
+    }
+
     fn append(&self, call: &Call) -> Reply {
         let mut records = Vec::new();
         let mut rest = call.body.as_slice();
@@ -261,7 +276,7 @@
         Reply::json(200, &json!({ "offset": offset, "end": end }))
     }
 
-    fn read(&self, call: &Call) -> Reply {
+    fn read(&self, gate: usize, call: &Call) -> Reply {
         let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0).min(30_000));
         let deadline = Instant::now() + wait;
         let from = call.number("from").unwrap_or(0);
@@ -293,6 +308,10 @@
             }
             let waited = self.shared.1.wait_timeout(state, deadline - now);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            // A read that waits ends once its daemon is turned away.
+            if state.turned_away == Some(gate) {
+                return Reply::empty(503);
+            }
         }
     }
 
--- a/review/stand_in_2/src/worker.rs
+++ b/review/stand_in_2/src/worker.rs
@@ -133,6 +133,7 @@
 #[derive(Debug)]
 pub struct Machine {
     pub name: String,
+    pub service: String,
     pub labels: [String; 2],
     /// Identifier of its worker, if one lives.
     pub id: Option<String>,
@@ -151,6 +152,7 @@
         let all = self.lock().clone();
         let row = |worker: &Arc<Worker>| Machine {
             name: worker.machine.clone(),
+            service: worker.service.clone(),
             labels: worker.labels.clone(),
             id: worker.lock().as_ref().map(|life| life.id.clone()),
         };
@@ -162,6 +164,8 @@
 #[derive(Debug)]
 pub struct Workers {
     all: Vec<Arc<Worker>>,
+    /// Number of the first one among the workers of all services.
+    first: usize,
     machines: Machines,
     service: String,
     store: Store,
@@ -173,14 +177,29 @@
     pub fn start(service: &str, count: usize, store: &Store, record: &Arc<Record>) -> Self {
         let (service, store, record) = (service.to_owned(), store.clone(), Arc::clone(record));
         let (machines, needs) = (Machines::default(), Needs::default());
-        let mut workers = Self { all: Vec::new(), machines, service, store, record, needs };
+        let mut workers =
+            Self { all: Vec::new(), first: 0, machines, service, store, record, needs };
         workers.add(count);
         workers
     }
 
+    /// Starts the workers of another service beside these. They run until the process ends.
+    pub fn start_other(&self, service: &str, count: usize) {
+        let mut others = Self {
+            all: Vec::new(),
+            first: self.all.len(),
+            machines: self.machines.clone(),
+            service: service.to_owned(),
+            store: self.store.clone(),
+            record: Arc::clone(&self.record),
+            needs: Arc::clone(&self.needs),
+        };
+        others.add(count);
+    }
+
     /// Adds empty workers.
     pub fn add(&mut self, count: usize) {
-        let first = self.all.len();
+        let first = self.first + self.all.len();
         for number in first..first + count {
             let worker = Arc::new(Worker {
                 service: self.service.clone(),
@@ -240,11 +259,6 @@
         self.all[number].refuses.store(refuses, Ordering::Relaxed);
     }
 
-    /// Crashes a worker for good.
-    pub fn lose(&self, number: usize) {
-        self.all[number].crash();
-    }
-
     /// Crashes a worker. It begins a new life, under a new identifier, after `away`.
     pub fn crash(&self, number: usize, lives: u64, away: Duration) {
         let worker = Arc::clone(&self.all[number]);
@@ -262,7 +276,7 @@
 }
 
 /// Label of the rack of a worker; a rack holds four.
-pub fn rack(number: usize) -> String {
+fn rack(number: usize) -> String {
     format!("r1-{}", number / 4)
 }
 
@@ -455,9 +469,10 @@
             let now = Instant::now();
             let life = guard.as_ref().filter(|life| life.id == id)?;
             if !life.ends.is_empty() || now >= deadline {
-                let running = life.runs.iter().map(|(task, run)| {
-                    json!([task, run.number, "", run.percent(), run.cpu])
-                });
+                let running = life
+                    .runs
+                    .iter()
+                    .map(|(task, run)| json!([task, run.number, "", run.percent(), run.cpu]));
                 let running: Vec<_> = running.collect();
                 let ends = life.ends.iter().take(ENDS_AT_A_TIME);
                 let ends = ends.map(|end| json!([end.number, end.task, end.run, end.how, ""]));
--- a/review/stand_in_2/src/world.rs
+++ b/review/stand_in_2/src/world.rs
@@ -17,6 +17,7 @@
 use crate::worker::Workers;
 
 const SERVICE: &str = "wuno96b";
+const OTHER_SERVICE: &str = "huvo11a";
 const HOST: &str = "pule25.example";
 const PREFIX: &str = "/puxa400/";
 const DAEMONS: usize = 6;
@@ -44,7 +45,15 @@
 
 impl Step {
     pub const fn new(count: u64, cpu: u64, mem_mb: u64) -> Self {
-        Self { count, cpu, mem_mb, requirements: None, long_running: false, anti_affinity: 0, may_miss: 0 }
+        Self {
+            count,
+            cpu,
+            mem_mb,
+            requirements: None,
+            long_running: false,
+            anti_affinity: 0,
+            may_miss: 0,
+        }
     }
 }
 
@@ -115,53 +124,91 @@
     sent: usize,
 }
 
+/// Sends a configuration, as the operator does.
+fn configure(store: &Store, version: u64, service: &str, advised: bool) {
+    let service_row = |name: &str| {
+        json!({
+            "name": name, "health_path": "/health", "max_connections": 64, "protocol": "h1",
+            "tls": false, "admission_check": true, "spare": false,
+        })
+    };
+    let mut config = json!({
+        "version": version,
+        "routes": [{
+            "name": "r-u6wsjnb", "host": HOST, "path_prefix": PREFIX,
+            "route_type": "non_idempotent", "timeout_ms": 3_000, "target_latency_ms": 600,
+            "priority": 0, "service": service, "max_attempts": MAX_ATTEMPTS, "stretch": 1.6,
+        }],
+        "services": [service_row(SERVICE), service_row(OTHER_SERVICE)],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 262_144, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+    });
+    if advised {
+        config["routes"][0]["advice"] = json!({
+            "decide_ms": advice::DECIDE_MS, "each_ms": 0, "valid_ms": advice::VALID_MS,
+        });
+    }
+    store.write("keyed.op", "config", config.to_string().as_bytes());
+}
+
 impl World {
     /// Starts everything; `None` if the daemons did not get ready.
     pub fn start(record_path: &Path, workers: usize) -> Option<Self> {
-        Self::launch(record_path, workers, None)
+        Self::launch(record_path, workers, 0, None)
+    }
+
+    /// As [`Self::start`], with workers of another service.
+    pub fn start_with_others(record_path: &Path, workers: usize, others: usize) -> Option<Self> {
+        Self::launch(record_path, workers, others, None)
     }
 
     /// As [`Self::start`], with an advice service that the queue has to ask.
     pub fn start_with_advice(record_path: &Path, workers: usize) -> Option<Self> {
-        Self::launch(record_path, workers, Some(advice::start()))
+        Self::launch(record_path, workers, 0, Some(advice::start()))
     }
 
-    fn launch(record_path: &Path, workers: usize, adviser: Option<SocketAddr>) -> Option<Self> {
+    fn launch(
+        record_path: &Path,
+        workers: usize,
+        others: usize,
+        adviser: Option<SocketAddr>,
+    ) -> Option<Self> {
         let record = Arc::new(Record::create(record_path));
-        let (store, address) = Store::start();
-        let mut config = json!({
-            "version": 7,
-            "routes": [{
-                "name": "r-u6wsjnb", "host": HOST, "path_prefix": PREFIX,
-                "route_type": "non_idempotent", "timeout_ms": 3_000, "target_latency_ms": 600,
-                "priority": 0, "service": SERVICE, "max_attempts": MAX_ATTEMPTS, "stretch": 1.6,
-            }],
-            "services": [{
-                "name": SERVICE, "health_path": "/health", "max_connections": 64,
-                "protocol": "h1", "tls": false, "admission_check": true, "spare": false,
-            }],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 262_144,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
-        });
-        if adviser.is_some() {
-            config["routes"][0]["advice"] = json!({
-                "decide_ms": advice::DECIDE_MS, "each_ms": 0, "valid_ms": advice::VALID_MS,
-            });
-        }
+        let store = Store::start();
         let workers = Workers::start(SERVICE, workers, &store, &record);
-        let cloud = cloud::start(SERVICE, workers.machines());
-        let platform = Platform { store: address, cloud, adviser };
+        workers.start_other(OTHER_SERVICE, others);
+        let cloud = cloud::start(workers.machines());
+        let gates = (0..DAEMONS).map(|gate| store.open_gate(gate)).collect();
+        let platform = Platform { gates, cloud, adviser };
         let mut daemons = Daemons::start(DAEMONS, &platform, &record);
         std::thread::sleep(Duration::from_millis(300));
-        store.write("keyed.op", "config", config.to_string().as_bytes());
+        configure(&store, 7, SERVICE, adviser.is_some());
         if !daemons.wait_until_ready(Duration::from_secs(20)) {
             record.say("the daemons did not get ready");
             return None;
         }
         record.say("all daemons are ready");
-        Some(Self { record, store, workers, daemons, accepted: BTreeMap::new(), sent: 0 })
+        let accepted = BTreeMap::new();
+        Some(Self { record, store, workers, daemons, accepted, sent: 0 })
+    }
+
+    /// Sends a configuration by which the other service runs the queue.
+    pub fn move_queue(&self) {
+        configure(&self.store, 12, OTHER_SERVICE, false);
+    }
+
+    /// Sends a job once, at one daemon. Returns whether it was accepted.
+    pub fn submit_at(&mut self, daemon: usize, job: &Job) -> bool {
+        let needs: Vec<_> = job.steps.iter().map(|step| (step.cpu, step.mem_mb)).collect();
+        self.workers.expect(&job.id, &needs);
+        let address = self.daemons.caller_address(daemon);
+        let (path, body) = (format!("{PREFIX}{}", job.id), job.body().to_string());
+        let reply = http::send(address, "POST", &path, HOST, body.as_bytes(), DEADLINE);
+        let status = reply.as_ref().map_or(0, |reply| reply.status);
+        self.record.say(&format!("client POST {} at daemon {daemon}: {status}", job.id));
+        status == 200
     }
 
     fn next_daemon(&mut self) -> Option<SocketAddr> {
