Place waiting tasks when only time has passed

Cause: a refused start pauses its worker for 300 ms. The task is queued and the round of placement that follows at once finds no worker. A further round needs an event, and the end of a pause is none; in a shard in which nothing else happens, none ever comes.

Fix: while tasks wait, the tick starts a round at least each 100 ms, whatever they wait for. The conditions that the tick knew before (warm-up, isolation) are covered by that, and so are two loops that asked for rounds each 12 ms (a delayed task, missing advice); they are gone.

Looked at for the same cause: customers' usage that is counted each 50 ms (covered by the rule); stops to repeat, stalled runs, leases, due times, the fleet's rounds, polls, and the readers of the worker list, the map and the holders (sound: they go by a tick or wait with a limit).

--- a/crates/crosspath_schedule/src/losses.rs
+++ b/crates/crosspath_schedule/src/losses.rs
@@ -264,7 +264,6 @@
         self.reserved_for_isolation.clear();
         let isolated = self.waiting.iter().filter(|key| key.isolated).map(|key| key.task);
         let isolated: Vec<_> = isolated.collect();
-        self.isolation_pending = !isolated.is_empty();
         if isolated.is_empty() {
             return;
         }
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -256,7 +256,6 @@
             return Attempt::Settled;
         }
         if now < task.not_before {
-            self.placement_due = true;
             return Attempt::Settled;
         }
         if self.may_have_unreported_run(id) || !self.ensure_advice(now, id) {
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -30,6 +30,10 @@
 /// Minimum time between two placement rounds while there is a backlog. Without it, every reported
 /// end of a run would trigger a round.
 const BACKLOG_PLACEMENT_INTERVAL: Duration = Duration::from_millis(4);
+/// Maximum time between two placement rounds while tasks wait. No event marks the moment at which a
+/// worker's pause, quarantine or warm-up ends, a run passes its probation, a ticket expires, or the
+/// usage of a customer may be counted again, and other events may not come for long.
+const MAX_PLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Settings that stay the same while a daemon owns the shard.
 #[derive(Debug, Clone, Copy)]
@@ -77,8 +81,6 @@
     pub(crate) temperature: Temperature,
     /// Workers that accept only isolated tasks.
     pub(crate) reserved_for_isolation: BTreeSet<Arc<str>>,
-    /// Whether an isolated task was waiting in the last placement round.
-    pub(crate) isolation_pending: bool,
     /// Whether this owner may send orders to workers.
     pub(crate) may_act: bool,
     /// Whether something has changed that calls for a placement round.
@@ -125,7 +127,6 @@
             may_start: true,
             temperature: Temperature::default(),
             reserved_for_isolation: BTreeSet::new(),
-            isolation_pending: false,
             may_act: true,
             placement_due: false,
             unplaced_millis: 0,
@@ -245,13 +246,12 @@
             Event::Superseded => self.superseded = true,
             Event::Tick => {
                 self.review_due = true;
-                // Runs leave probation as time passes, and an isolated task starts only beside runs
-                // that have left it.
-                self.placement_due |= self.isolation_pending || self.may_wait_for_warm_up();
                 self.unblock_due_steps(now, wall_ms);
                 self.release_expired(now);
                 self.remove_ended_jobs(now);
                 self.prune_ended_incarnations(now);
+                self.placement_due |=
+                    !self.waiting.is_empty() && now >= self.last_placement + MAX_PLACEMENT_INTERVAL;
             }
         }
     }
--- a/crates/crosspath_schedule/src/tickets.rs
+++ b/crates/crosspath_schedule/src/tickets.rs
@@ -40,7 +40,6 @@
                 self.actions.push(Action::RequestAdvice { step, workers });
             }
         }
-        self.placement_due = true;
         false
     }
 }
--- a/crates/crosspath_schedule/src/warm_up.rs
+++ b/crates/crosspath_schedule/src/warm_up.rs
@@ -68,7 +68,6 @@
 /// Cold workers of a shard, counted once a round of placement.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Temperature {
-    cold: usize,
     /// Whether some worker that accepts new work is warm.
     any_warm: bool,
     /// Whether many workers were cold when that was logged last.
@@ -126,12 +125,7 @@
                 left.unwrap_or_default().as_millis()
             );
         }
-        self.temperature = Temperature { cold, any_warm, logged_as_cold: many };
-    }
-
-    /// Whether tasks may be waiting for workers to become warm.
-    pub(crate) fn may_wait_for_warm_up(&self) -> bool {
-        self.temperature.cold > 0 && !self.waiting.is_empty()
+        self.temperature = Temperature { any_warm, logged_as_cold: many };
     }
 
     /// Whether a task is better kept waiting than placed on a cold worker, if a warm one may take
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -17,6 +17,7 @@
 mod long_running;
 mod losses;
 mod overload;
+mod quiet;
 mod random_faults;
 mod shares;
 mod simulation;
