Conclude nothing from a reply that lacks ended runs

Cause: a worker reports 500 unacknowledged ends at a time, and an end is acknowledged once it is stored. While the store is down, the 501st end is in no reply, and its run is not among the running ones. The owner took such a run for lost, dropped it and queued its task (event=run_over why=end_not_heard). A new owner dropped what the log named in the same way.

From such a reply no run counts as missing, a takeover does not account for the worker (also not once all leases have expired: the end may still come), and its VM is not vacant.

--- a/crates/crosspath_border/src/worker.rs
+++ b/crates/crosspath_border/src/worker.rs
@@ -198,8 +198,12 @@
     pub started_ms: u64,
     /// All runs in progress on the worker.
     pub running: Vec<Running>,
-    /// Ended runs that are not acknowledged yet.
+    /// Ended runs that are not acknowledged yet, or the first of them.
     pub ended: Vec<Ended>,
+    /// Whether there may be further ended runs that are not acknowledged yet. A run that is neither
+    /// in `running` nor in `ended` may then be among them.
+    #[serde(default)]
+    pub has_more_ended: bool,
 }
 
 /// Answer of a worker, with a reading of its clock.
--- a/crates/crosspath_fakes/src/memory_store.rs
+++ b/crates/crosspath_fakes/src/memory_store.rs
@@ -20,6 +20,10 @@
 /// Number of most recent appends of an owner that can be retried and then get the same result.
 const MAX_CACHED_RESULTS: usize = 5;
 
+/// Maximum number of records in a page of the newest ones. Small, so that tests with few records read
+/// several pages.
+const MAX_PAGE_RECORDS: usize = 3;
+
 #[derive(Debug, Default)]
 struct Log {
     records: Vec<Stored>,
@@ -157,10 +161,11 @@
             newest.insert(record.key.clone(), record.clone());
         }
         let records = newest.into_values();
-        let records = records.filter(|record| {
+        let mut records = records.filter(|record| {
             !record.value.is_empty() && after.is_none_or(|after| record.key.as_str() > after)
         });
-        Ok(NewestPage { records: records.collect(), more: false, end: log.end() })
+        let page = records.by_ref().take(MAX_PAGE_RECORDS).collect();
+        Ok(NewestPage { records: page, more: records.next().is_some(), end: log.end() })
     }
 
     async fn join(&self, join: &Join) -> Result<Membership, Error> {
--- a/crates/crosspath_node/tests/node/relay.rs
+++ b/crates/crosspath_node/tests/node/relay.rs
@@ -157,7 +157,7 @@
             clock_ms: WORKER_CLOCK_MS,
             started_ms: target.started_ms,
             running: state.running.iter().map(listed).collect(),
-            ended: Vec::new(),
+            ..PollReply::default()
         })
     }
 
--- a/crates/crosspath_schedule/src/incarnations.rs
+++ b/crates/crosspath_schedule/src/incarnations.rs
@@ -119,6 +119,7 @@
         worker.known_since = now;
         worker.ends_seen = 0;
         worker.ends_acknowledged = 0;
+        worker.has_more_ended = false;
         worker.synced = false;
         let (worker, clock_ms) = (worker.target(), worker.entry.clock_ms);
         self.actions.push(Action::StartPolling { worker, clock_ms });
--- a/crates/crosspath_schedule/src/polls.rs
+++ b/crates/crosspath_schedule/src/polls.rs
@@ -218,6 +218,7 @@
         worker.synced = true;
         worker.last_answered_poll = worker.last_answered_poll.max(sent);
         worker.last_answer = now;
+        worker.has_more_ended = reply.has_more_ended;
         worker.correct_warm_up(now, reply.clock_ms);
         if extended {
             worker.extend_lease(terms.latest_expiry(sent, terms.extension));
@@ -233,10 +234,12 @@
             self.clear_loss(now, running.task, running.run);
             self.update_running(now, id, running);
         }
-        self.reconcile(now, id, sent, &reply.running);
-        self.account_for(now, &incarnation, Liveness::Answering);
-        // A progress record may name the worker without the start of its incarnation.
-        self.account_for(now, id, Liveness::Answering);
+        if !reply.has_more_ended {
+            self.reconcile(now, id, sent, &reply.running);
+            self.account_for(now, &incarnation, Liveness::Answering);
+            // A progress record may name the worker without the start of its incarnation.
+            self.account_for(now, id, Liveness::Answering);
+        }
         self.end_replaced_incarnations(now, id, sent);
     }
 
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -138,7 +138,7 @@
                 long_running: u32::try_from(long_running.len()).unwrap_or(u32::MAX),
                 usable: worker.is_usable(now) && !self.is_evacuated(worker),
                 // An ended run that is not durable yet would be lost with the worker.
-                confirmed: worker.is_answering() && worker.ends_seen == worker.ends_acknowledged,
+                confirmed: worker.has_durable_ends(),
                 capacity: worker.entry.capacity,
                 used: worker.reserved,
                 cold_percent: worker.cold_percent(now),
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -219,7 +219,7 @@
         for incarnation in expired {
             self.end_unaccounted(now, &incarnation);
         }
-        if !self.recovery.complete_at_deadline(now) {
+        if self.lacks_ended_runs() || !self.recovery.complete_at_deadline(now) {
             return;
         }
         self.placement_due = true;
@@ -231,6 +231,17 @@
         }
     }
 
+    /// Whether some incarnation is unaccounted for because its worker, which answers, has more ended
+    /// runs than it has reported yet.
+    fn lacks_ended_runs(&self) -> bool {
+        self.recovery.unaccounted.keys().any(|incarnation| {
+            let (worker, _) = incarnations::parse(incarnation);
+            let worker = self.workers.get(worker);
+            self.is_current_incarnation(incarnation)
+                && worker.is_some_and(|worker| worker.is_answering() && worker.has_more_ended)
+        })
+    }
+
     /// Whether a previous owner may have started a run of the task that no worker has reported yet.
     pub(crate) fn may_have_unreported_run(&self, id: TaskId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else { return false };
--- a/crates/crosspath_schedule/src/worker.rs
+++ b/crates/crosspath_schedule/src/worker.rs
@@ -34,6 +34,8 @@
     pub(crate) last_answered_poll: Duration,
     /// Time at which the last answer to a poll arrived.
     pub(crate) last_answer: Duration,
+    /// Whether the last answer to a poll may have left out some of the ended runs.
+    pub(crate) has_more_ended: bool,
     /// Number of polls that failed since the last answer.
     pub(crate) failures: u32,
     /// Time before which the worker gets no new work, after refused or unanswered orders.
@@ -81,6 +83,7 @@
             incarnation_changed: None,
             last_answered_poll: Duration::ZERO,
             last_answer: Duration::ZERO,
+            has_more_ended: false,
             failures: 0,
             cooldown_until: Duration::ZERO,
             lease_expiry: Duration::ZERO,
@@ -116,6 +119,11 @@
         self.synced && self.failures == 0
     }
 
+    /// Whether the worker answers, and every run that has ended on it is durable in the log.
+    pub(crate) fn has_durable_ends(&self) -> bool {
+        self.is_answering() && !self.has_more_ended && self.ends_seen == self.ends_acknowledged
+    }
+
     /// Whether the worker accepts new work, apart from the resources that it has left.
     pub(crate) fn is_usable(&self, now: Duration) -> bool {
         self.listed && self.is_answering() && !self.entry.draining && now >= self.cooldown_until
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -179,7 +179,7 @@
     pub(crate) fn polled(&mut self, worker: &str, running: Vec<Running>, ended: Vec<Ended>) {
         let sent = self.now;
         self.now += ms(1);
-        let reply = PollReply { clock_ms: 0, started_ms: 0, running, ended };
+        let reply = PollReply { running, ended, ..PollReply::default() };
         self.send(Event::Polled { worker: worker.into(), sent, extended: true, reply });
     }
 
--- a/crates/crosspath_schedule/tests/schedule/domains.rs
+++ b/crates/crosspath_schedule/tests/schedule/domains.rs
@@ -123,7 +123,7 @@
     let listed = down(&harness, &["x1", "x2", "x3"], &["x"]);
     harness.now += ms(10);
     let running = vec![running(start.task, start.run)];
-    let reply = PollReply { clock_ms: 0, started_ms: 0, running, ended: Vec::new() };
+    let reply = PollReply { running, ..PollReply::default() };
     harness.send(Event::Polled { worker: Arc::clone(&start.worker), sent, extended: true, reply });
     harness.send(Event::VmsDown(listed));
     harness.advance(ms(100));
--- a/crates/crosspath_schedule/tests/schedule/incarnations.rs
+++ b/crates/crosspath_schedule/tests/schedule/incarnations.rs
@@ -31,7 +31,7 @@
 ) {
     let sent = harness.now;
     harness.now += ms(1);
-    let reply = PollReply { clock_ms: 0, started_ms, running, ended };
+    let reply = PollReply { started_ms, running, ended, ..PollReply::default() };
     harness.send(Event::Polled { worker: id.into(), sent, extended: true, reply });
 }
 
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -7,6 +7,7 @@
 mod customer;
 mod departures;
 mod domains;
+mod ended_runs;
 mod evacuation;
 mod failed_runs;
 mod incarnations;
--- a/crates/crosspath_schedule/tests/schedule/simulation/worker.rs
+++ b/crates/crosspath_schedule/tests/schedule/simulation/worker.rs
@@ -9,6 +9,9 @@
 use super::MAX_LEASE;
 use crate::common::ms;
 
+/// Maximum number of ended runs in a reply. Small, since few tasks end at once in the simulation.
+const MAX_ENDED_PER_REPLY: usize = 2;
+
 #[derive(Debug)]
 pub(super) struct Run {
     pub(super) number: u64,
@@ -76,6 +79,12 @@
             gauge: 0,
         });
         let (clock_ms, started_ms) = (self.clock_ms(now), self.entry.started_ms);
-        PollReply { clock_ms, started_ms, running: running.collect(), ended: self.ended.clone() }
+        PollReply {
+            clock_ms,
+            started_ms,
+            running: running.collect(),
+            ended: self.ended.iter().take(MAX_ENDED_PER_REPLY).cloned().collect(),
+            has_more_ended: self.ended.len() >= MAX_ENDED_PER_REPLY,
+        }
     }
 }
--- a/crates/crosspath_schedule/tests/schedule/warm_up.rs
+++ b/crates/crosspath_schedule/tests/schedule/warm_up.rs
@@ -23,7 +23,7 @@
 /// Answers a poll at which the worker's clock showed `clock_ms`.
 fn polled_at(harness: &mut Harness, id: &str, clock_ms: u64) {
     let sent = harness.now;
-    let reply = PollReply { clock_ms, started_ms: 0, running: Vec::new(), ended: Vec::new() };
+    let reply = PollReply { clock_ms, ..PollReply::default() };
     harness.send(Event::Polled { worker: id.into(), sent, extended: true, reply });
 }
 
