Divide progress, commits and appends by the store's limits

Cause: the progress of a job was one record, which grew with each task that ended. The store refuses a record above 262,144 bytes with 400; the owner repeats a commit until the store takes it, and has one in flight at a time, so nothing of its shard starts any more. Commits (400 records) and appends for callers (128 records) were not bounded in bytes either.

Parts of a commit may be stored without the rest, so they go before the record that held their tasks, and the end of a job goes before the deletion of its parts.

Tests: schedule/parts.rs, ten, of which five fail if nothing is divided (the others guard the division), among them every prefix of a commit as the store may have it; writing the progress record first fails one. node/limits.rs, three, of which two fail without the division (the third needs the new answer). The in-memory store and the stand-in have limits now.

--- a/crates/crosspath_border/src/ingress.rs
+++ b/crates/crosspath_border/src/ingress.rs
@@ -45,6 +45,13 @@
     Accepted,
     /// The identifier is used by a job of another customer. Nothing was stored.
     Taken,
+    /// The job is larger than the store accepts. Nothing was stored.
+    TooLarge {
+        /// Size of the job with all that is stored about it, in bytes.
+        bytes: usize,
+        /// Maximum of that size.
+        max: usize,
+    },
     /// The job was not stored and will never run. The caller may retry.
     NotTaken {
         /// Delay in seconds after which the caller should retry.
--- a/crates/crosspath_border/src/store.rs
+++ b/crates/crosspath_border/src/store.rs
@@ -7,6 +7,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use crosspath_job::record::Record;
 use snafu::Snafu;
 
 use crate::operator::{Change, WaveState};
@@ -54,6 +55,63 @@
     pub value: Bytes,
 }
 
+impl NewRecord {
+    /// Size in bytes that counts against the limit on records: the key with its length, and the
+    /// value.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        1 + self.key.len() + self.value.len()
+    }
+}
+
+impl From<&Record> for NewRecord {
+    fn from(record: &Record) -> Self {
+        Self { key: record.key(), value: record.value().into() }
+    }
+}
+
+/// Largest appends that the store accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum size of a record in bytes, see [`NewRecord::size`].
+    pub record_bytes: usize,
+    /// Maximum size of all records of an append in bytes, the length of each included.
+    pub append_bytes: usize,
+}
+
+impl Default for Limits {
+    /// Limits of all known deployments.
+    fn default() -> Self {
+        Self { record_bytes: 256 * 1024, append_bytes: 2 * 1024 * 1024 }
+    }
+}
+
+impl Limits {
+    /// Size in bytes of a record's length in an append.
+    const LENGTH_BYTES: usize = 4;
+
+    /// Divides records, in their order, into as few appends as the limit on their size allows. A
+    /// record that is larger than that is left alone in one, which the store will reject.
+    #[must_use]
+    pub fn appends(self, records: &[NewRecord]) -> Vec<&[NewRecord]> {
+        let mut appends = Vec::new();
+        let mut first = 0;
+        let mut bytes = 0;
+        for (at, record) in records.iter().enumerate() {
+            let size = Self::LENGTH_BYTES + record.size();
+            if at > first && bytes + size > self.append_bytes {
+                appends.push(&records[first..at]);
+                (first, bytes) = (at, 0);
+            }
+            bytes += size;
+        }
+        if first < records.len() {
+            appends.push(&records[first..]);
+        }
+        appends
+    }
+}
+
 /// Record read from a partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stored {
@@ -201,6 +259,9 @@
 /// Client of the platform's log store.
 #[async_trait]
 pub trait Store: Send + Sync + fmt::Debug {
+    /// Largest appends that the store accepts.
+    fn limits(&self) -> Limits;
+
     /// Appends all records atomically.
     ///
     /// # Errors
--- a/crates/crosspath_fakes/src/memory_store.rs
+++ b/crates/crosspath_fakes/src/memory_store.rs
@@ -12,8 +12,8 @@
 use async_trait::async_trait;
 use crosspath_border::operator::{Change, WaveState};
 use crosspath_border::store::{
-    Appended, DecodeError, Error, Holder, Join, Membership, NewRecord, NewestPage, Page, Partition,
-    Precondition, Store, Stored,
+    Appended, DecodeError, Error, Holder, Join, Limits, Membership, NewRecord, NewestPage, Page,
+    Partition, Precondition, Store, Stored,
 };
 use crosspath_border::worker;
 
@@ -98,6 +98,7 @@
 #[derive(Debug, Default)]
 pub struct MemoryStore {
     shards: u32,
+    limits: Limits,
     state: Mutex<State>,
 }
 
@@ -105,7 +106,21 @@
     /// Creates an empty store whose group assigns `shards` shards.
     #[must_use]
     pub fn new(shards: u32) -> Self {
-        Self { shards, state: Mutex::default() }
+        Self { shards, limits: Limits::default(), state: Mutex::default() }
+    }
+
+    /// The same store with these limits.
+    #[must_use]
+    pub fn with_limits(self, limits: Limits) -> Self {
+        Self { limits, ..self }
+    }
+
+    fn check_size(&self, records: &[NewRecord]) -> Result<(), Error> {
+        let is_too_large = |record: &NewRecord| record.size() > self.limits.record_bytes;
+        if records.iter().any(is_too_large) || self.limits.appends(records).len() > 1 {
+            return Err(Error::Malformed { detail: "the append is too large".to_owned() });
+        }
+        Ok(())
     }
 
     /// Makes the next `count` appends take effect and return [`Error::NoAnswer`].
@@ -131,12 +146,17 @@
 
 #[async_trait]
 impl Store for MemoryStore {
+    fn limits(&self) -> Limits {
+        self.limits
+    }
+
     async fn append(
         &self,
         partition: Partition,
         records: &[NewRecord],
         precondition: Precondition,
     ) -> Result<Appended, Error> {
+        self.check_size(records)?;
         let mut state = self.state();
         let appended = state.logs.entry(partition).or_default().append(records, precondition)?;
         if state.lose_answers > 0 {
--- a/crates/crosspath_job/src/progress.rs
+++ b/crates/crosspath_job/src/progress.rs
@@ -31,7 +31,7 @@
 }
 
 /// A run that was lost together with its worker.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Loss {
     /// Number of the lost run, unique within its task.
     #[serde(rename = "r")]
@@ -46,7 +46,7 @@
 
 /// Stored progress of one task. The default value is not stored: it stands for a task that is not
 /// done and has no runs, failures, losses or checkpoint.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default)]
 pub struct TaskProgress {
     /// Whether the task ended successfully.
@@ -68,16 +68,29 @@
     pub checkpoint: Option<Arc<str>>,
 }
 
+/// Progress by task, keyed `TIME.STEP.INDEX`, where `TIME` is the occurrence.
+pub type Tasks = BTreeMap<String, TaskProgress>;
+
+/// Progress of consecutive tasks of a job, where one record is too small for all of them. Each part
+/// is a record of its own, which only the shard owner writes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Progress of the tasks. It replaces what an earlier part, or the job's progress record, has
+    /// for the same tasks.
+    #[serde(rename = "t")]
+    pub tasks: Tasks,
+}
+
 /// Value of a job's progress record, which only the shard owner writes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// Current state of the job.
     #[serde(rename = "s")]
     pub state: State,
-    /// Progress by task, keyed `TIME.STEP.INDEX`, where `TIME` is the occurrence. Empty once the
-    /// state is terminal; until then, a task without an entry has not ended successfully.
+    /// Progress of the tasks that no [`Part`] holds. Empty once the state is terminal; until then, a
+    /// task without an entry has not ended successfully.
     #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub tasks: BTreeMap<String, TaskProgress>,
+    pub tasks: Tasks,
     /// When the job ended, in ms since 1970; 0 while it has not ended.
     #[serde(rename = "e", default, skip_serializing_if = "is_zero_u64")]
     pub ended_ms: u64,
--- a/crates/crosspath_job/src/record.rs
+++ b/crates/crosspath_job/src/record.rs
@@ -1,9 +1,10 @@
 //! Records of a shard.
 //!
 //! A shard is one partition of a compacted topic: the newest record of each key is retained. A job
-//! has up to three keys, one each for its acceptance, its progress and its cancellation. One more
-//! key names the owner of the shard. Any daemon may write acceptance and cancellation records; only
-//! the shard owner writes the others.
+//! has up to three keys, one each for its acceptance, its progress and its cancellation, and
+//! further ones for parts of its progress if it has many tasks. One more key names the owner of the
+//! shard. Any daemon may write acceptance and cancellation records; only the shard owner writes the
+//! others.
 
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::id::JobId;
-use crate::progress::Progress;
+use crate::progress::{Part, Progress};
 use crate::spec::Spec;
 
 /// Scheduling policy of a queue, copied when the job is accepted.
@@ -103,6 +104,9 @@
     Accepted(JobId, Arc<Accepted>),
     /// Progress of a job, written by the shard owner.
     Progress(JobId, Progress),
+    /// Progress of some tasks of a job, from the one with this position on. Written by the shard
+    /// owner.
+    ProgressPart(JobId, u64, Part),
     /// Request to cancel a job. It has no effect if the job does not belong to the requester.
     Cancelled(JobId, Requester),
     /// Claim by which a daemon became the owner of the shard.
@@ -133,9 +137,16 @@
 const CLAIM_KEY: &str = "claim";
 const ACCEPTED_PREFIX: &str = "job/";
 const PROGRESS_PREFIX: &str = "progress/";
+const PROGRESS_PART_PREFIX: &str = "progress-part/";
 const CANCELLED_PREFIX: &str = "cancel/";
 
-/// All keys of a job. They are deleted together when the job's retention ends.
+/// Key of a part of a job's progress, by the position of its first task.
+#[must_use]
+pub fn part_key(job: JobId, first: u64) -> String {
+    format!("{PROGRESS_PART_PREFIX}{job}/{first}")
+}
+
+/// All keys of an ended job. They are deleted together when the job's retention ends.
 #[must_use]
 pub fn job_keys(job: JobId) -> [String; 3] {
     [ACCEPTED_PREFIX, PROGRESS_PREFIX, CANCELLED_PREFIX].map(|prefix| format!("{prefix}{job}"))
@@ -156,6 +167,7 @@
         match self {
             Self::Accepted(job, _) => format!("{ACCEPTED_PREFIX}{job}"),
             Self::Progress(job, _) => format!("{PROGRESS_PREFIX}{job}"),
+            Self::ProgressPart(job, first, _) => part_key(*job, *first),
             Self::Cancelled(job, _) => format!("{CANCELLED_PREFIX}{job}"),
             Self::Claim(_) => CLAIM_KEY.to_owned(),
             Self::Tombstone(key) => key.clone(),
@@ -168,6 +180,7 @@
         match self {
             Self::Accepted(_, accepted) => json(accepted.as_ref()),
             Self::Progress(_, progress) => json(progress),
+            Self::ProgressPart(_, _, part) => json(part),
             Self::Cancelled(_, by) => json(by),
             Self::Claim(claim) => json(claim),
             Self::Tombstone(_) => Vec::new(),
@@ -193,6 +206,12 @@
         if let Some(job) = job(PROGRESS_PREFIX) {
             return value(key, bytes).map(|progress| Self::Progress(job, progress));
         }
+        let part = key.strip_prefix(PROGRESS_PART_PREFIX).and_then(|rest| rest.split_once('/'));
+        if let Some((job, first)) = part
+            && let (Ok(job), Ok(first)) = (job.parse(), first.parse())
+        {
+            return value(key, bytes).map(|part| Self::ProgressPart(job, first, part));
+        }
         if let Some(job) = job(CANCELLED_PREFIX) {
             return value(key, bytes).map(|by| Self::Cancelled(job, by));
         }
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -14,8 +14,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use crosspath_border::store::{Error, NewRecord};
-use crosspath_job::record::Record;
+use crosspath_border::store::{Error, Limits, NewRecord};
 use futures::future::{Either, join_all, select};
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use rand::seq::SliceRandom as _;
@@ -58,9 +57,11 @@
 /// Maximum number of appends in flight to a shard at the other daemons. The owner combines them
 /// into fewer appends.
 const MAX_IN_FLIGHT_RELAYED: usize = 8;
-/// Maximum number of records in one append. With jobs of 4 KB this is far below the store's size
-/// limit.
+/// Maximum number of records in one append.
 const MAX_RECORDS: usize = 128;
+/// Maximum size in bytes of an append of several records. Small enough that another daemon can relay
+/// it.
+const MAX_APPEND_BYTES: usize = 512 * 1024;
 
 /// Queues of records to append, one for each shard number; created on first use.
 #[derive(Debug, Default)]
@@ -71,10 +72,9 @@
 pub(crate) async fn append(
     node: &Arc<Node>,
     shard: u32,
-    record: &Record,
+    record: NewRecord,
     deadlines: Deadlines,
 ) -> Outcome {
-    let record = NewRecord { key: record.key(), value: record.value().into() };
     if rpc::is_taken_locally(node, shard, &record) {
         return Outcome::Taken;
     }
@@ -144,7 +144,7 @@
         if queued.is_empty() || !is_due || now < retry_at {
             continue;
         }
-        let batch: Vec<_> = queued.drain(..).filter(Pending::begin_send).collect();
+        let batch = take_batch(&mut queued, node.store.limits());
         if !batch.is_empty() {
             next_at = now + PIPELINE_DELAY;
             in_flight.push(append_batch(&node, shard, batch));
@@ -152,6 +152,15 @@
     }
 }
 
+/// Takes the first records off the queue that fit into one append, without those that were
+/// withdrawn.
+fn take_batch(queued: &mut Vec<Pending>, limits: Limits) -> Vec<Pending> {
+    let limits = Limits { append_bytes: limits.append_bytes.min(MAX_APPEND_BYTES), ..limits };
+    let records: Vec<_> = queued.iter().map(|pending| pending.record.clone()).collect();
+    let fitting = limits.appends(&records).first().map_or(0, |append| append.len());
+    queued.drain(..fitting).filter(Pending::begin_send).collect()
+}
+
 /// Appends records until each has its outcome; returns whether the last attempt failed.
 async fn append_batch(node: &Arc<Node>, shard: u32, mut batch: Vec<Pending>) -> bool {
     loop {
--- a/crates/crosspath_node/src/claim.rs
+++ b/crates/crosspath_node/src/claim.rs
@@ -28,7 +28,7 @@
     let mut backoff = Backoff::new(backoff::OWNER_CALLS);
     loop {
         let record = record::Record::Claim(record::Claim { owner: owner.into(), epoch });
-        let records = [NewRecord { key: record.key(), value: record.value().into() }];
+        let records = [NewRecord::from(&record)];
         let sequence = rand::random_range(1..SEQUENCE_RANGE);
         match store.append(shard, &records, Precondition::Owner { epoch, sequence }).await {
             Ok(appended) => {
--- a/crates/crosspath_node/src/fleet.rs
+++ b/crates/crosspath_node/src/fleet.rs
@@ -450,11 +450,11 @@
 
     /// Appends records as the shard's owner. Returns whether the shard is still owned.
     async fn append(&mut self, records: Vec<NewRecord>) -> bool {
-        self.sequence += 1;
-        let precondition =
-            Precondition::Owner { epoch: self.claimed.epoch, sequence: self.sequence };
+        let first_sequence = self.sequence + 1;
+        self.sequence += self.node.store.limits().appends(&records).len() as u64;
         let partition = shard_partition(self.node.fleet_shard());
-        shard_log::append_owned(&self.node, partition, &records, precondition).await
+        let epoch = self.claimed.epoch;
+        shard_log::append_owned(&self.node, partition, &records, epoch, first_sequence).await
     }
 
     async fn publish_wave_status(&mut self, completed: &[u64]) {
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use crosspath_border::ingress::{Access, Cancelled, Handler, Lookup, Resolved, Submitted};
 use crosspath_border::operator::{DEFAULT_BODY_BYTES, Queue};
-use crosspath_border::store::Error as StoreError;
+use crosspath_border::store::{Error as StoreError, NewRecord};
 use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record, Requester};
 use crosspath_job::{JobId, Spec};
@@ -294,9 +294,14 @@
             at_ms: clock::wall_ms(),
             spec,
         };
-        let record = Record::Accepted(job, Arc::new(accepted));
+        let record = NewRecord::from(&Record::Accepted(job, Arc::new(accepted)));
+        let max = self.node.store.limits().record_bytes;
+        if record.size() > max {
+            log::info!("event=submit job={job} queue={} outcome=too_large", queue.name);
+            return Submitted::TooLarge { bytes: record.size(), max };
+        }
         let deadlines = Self::submit_deadlines(within);
-        let outcome = appender::append(&self.node, shard, &record, deadlines).await;
+        let outcome = appender::append(&self.node, shard, record, deadlines).await;
         let took = clock::now().saturating_sub(started_at);
         log::info!(
             "event=submit job={job} queue={} shard={shard} outcome={outcome:?} took_ms={}",
@@ -338,11 +343,12 @@
         let Some(shards) = self.shards_to_cancel(access, job, deadline).await else {
             return Cancelled::Unavailable { retry_after_s: RETRY_AFTER_S };
         };
-        let record = Record::Cancelled(job, requester(access));
+        let record = NewRecord::from(&Record::Cancelled(job, requester(access)));
         // Appending a cancellation is attempted as long as the caller waits.
         let deadlines = Deadlines { send_by: deadline, refuse_at: deadline, unknown_at: deadline };
-        let appends =
-            shards.iter().map(|shard| appender::append(&self.node, *shard, &record, deadlines));
+        let appends = shards
+            .iter()
+            .map(|shard| appender::append(&self.node, *shard, record.clone(), deadlines));
         let outcomes = join_all(appends).await;
         let outcome = outcomes.into_iter().find(|outcome| *outcome != Outcome::Kept);
         let outcome = outcome.unwrap_or(Outcome::Kept);
--- a/crates/crosspath_node/src/settings.rs
+++ b/crates/crosspath_node/src/settings.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crosspath_border::store::Limits;
 use serde::Deserialize;
 use snafu::{ResultExt as _, Snafu};
 
@@ -13,6 +14,10 @@
 /// knowledge of evacuations may be another half second old.
 const MIN_EVACUATION_MS: u64 = 1_000;
 
+/// Minimum of `platform.record_bytes`. A job of the largest text and a few steps, and the progress of
+/// one task, are smaller.
+const MIN_RECORD_BYTES: usize = 16 * 1024;
+
 /// Content of the settings file.
 #[derive(Debug, Clone, Deserialize)]
 struct Options {
@@ -52,6 +57,8 @@
     vm_orders_per_s: f64,
     advice: Option<SocketAddr>,
     shards: u32,
+    record_bytes: Option<usize>,
+    append_bytes: Option<usize>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -146,6 +153,8 @@
     pub advice: Option<SocketAddr>,
     /// Number of shards, each of which is a partition of the log; at least 2.
     pub shards: u32,
+    /// Largest appends that the log store accepts.
+    pub log_limits: Limits,
     /// Maximum lease length that workers grant.
     pub max_lease: Duration,
     /// Minimum TTL of a membership, the time without a join after which the group removes a member.
@@ -223,6 +232,14 @@
     resolve(file, options)
 }
 
+fn log_limits(platform: &PlatformOptions) -> Limits {
+    let default = Limits::default();
+    Limits {
+        record_bytes: platform.record_bytes.unwrap_or(default.record_bytes),
+        append_bytes: platform.append_bytes.unwrap_or(default.append_bytes),
+    }
+}
+
 fn resolve(file: &Path, options: Options) -> Result<Settings, Error> {
     let require = |met: bool, field: &'static str, value: String, remedy: &'static str| {
         if met {
@@ -256,6 +273,19 @@
     require(shards >= 2, "platform.shards", shards.to_string(), "write 2 or more")?;
     let orders = platform.vm_orders_per_s;
     require(orders > 0.0, "platform.vm_orders_per_s", orders.to_string(), "write more than 0")?;
+    let log_limits = log_limits(&platform);
+    require(
+        log_limits.record_bytes >= MIN_RECORD_BYTES,
+        "platform.record_bytes",
+        log_limits.record_bytes.to_string(),
+        "write 16384 or more, or leave it out",
+    )?;
+    require(
+        log_limits.append_bytes >= log_limits.record_bytes,
+        "platform.append_bytes",
+        log_limits.append_bytes.to_string(),
+        "write platform.record_bytes or more, or leave it out",
+    )?;
     let max_lease_ms = leases.longest_hold_ms;
     require(
         max_lease_ms >= 1_000,
@@ -314,6 +344,7 @@
         vm_orders_per_s: orders,
         advice: platform.advice,
         shards,
+        log_limits,
         max_lease: Duration::from_millis(max_lease_ms),
         min_member_ttl: Duration::from_millis(leases.membership_least_ms),
         vm_order_exclusion: Duration::from_millis(leases.vm_order_ms),
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crosspath_border::advice::Error as AdviceError;
-use crosspath_border::store::{NewRecord, Precondition, Stored};
+use crosspath_border::store::{NewRecord, Stored};
 use crosspath_border::worker::{Entry, Start};
 use crosspath_job::JobId;
 use crosspath_job::progress::State;
@@ -255,6 +255,7 @@
         let settings = Settings {
             shard: self.number,
             terms,
+            max_record_bytes: self.node.store.limits().record_bytes,
             ended_job_retention: self.node.settings.ended_job_retention,
             membership_ttl: TTL,
             spread: self.node.settings.failure_domains.tolerated_data_centres > 0,
@@ -413,18 +414,15 @@
                 }));
             }
             Action::Commit { records } => {
-                ownership.sequence += 1;
-                let precondition = Precondition::Owner {
-                    epoch: ownership.claimed.epoch,
-                    sequence: ownership.sequence,
-                };
-                let new_record =
-                    |record: &Record| NewRecord { key: record.key(), value: record.value().into() };
-                let records: Vec<_> = records.iter().map(new_record).collect();
+                let records: Vec<_> = records.iter().map(NewRecord::from).collect();
                 let (node, events) = (Arc::clone(&self.node), self.events.clone());
                 let partition = shard_partition(self.number);
+                let epoch = ownership.claimed.epoch;
+                let first_sequence = ownership.sequence + 1;
+                ownership.sequence += node.store.limits().appends(&records).len() as u64;
                 ownership.commit = Some(AbortOnDrop(tokio::spawn(async move {
-                    let kept = append_owned(&node, partition, &records, precondition).await;
+                    let kept =
+                        append_owned(&node, partition, &records, epoch, first_sequence).await;
                     events.send(if kept { Event::Committed } else { Event::Superseded }).ok();
                 })));
             }
--- a/crates/crosspath_node/src/shard_log.rs
+++ b/crates/crosspath_node/src/shard_log.rs
@@ -29,7 +29,10 @@
     match record {
         Record::Accepted(job, accepted) => Some(Event::Accepted(job, accepted)),
         Record::Cancelled(job, by) => Some(Event::Cancelled(job, by)),
-        Record::Claim(_) | Record::Progress(..) | Record::Tombstone(_) => None,
+        Record::Claim(_)
+        | Record::Progress(..)
+        | Record::ProgressPart(..)
+        | Record::Tombstone(_) => None,
     }
 }
 
@@ -41,9 +44,26 @@
     decoded.collect()
 }
 
-/// Appends as owner and retries until the store accepts or refuses; returns whether the shard is
-/// still owned.
+/// Appends as owner, in as many appends as the store's limits ask for, and retries each until the
+/// store accepts or refuses it; returns whether the shard is still owned. The appends have the
+/// sequence numbers from `first_sequence` on.
 pub(crate) async fn append_owned(
+    node: &Node,
+    partition: Partition,
+    records: &[NewRecord],
+    epoch: u64,
+    first_sequence: u64,
+) -> bool {
+    for (sequence, records) in (first_sequence..).zip(node.store.limits().appends(records)) {
+        let precondition = Precondition::Owner { epoch, sequence };
+        if !append_once_as_owner(node, partition, records, precondition).await {
+            return false;
+        }
+    }
+    true
+}
+
+async fn append_once_as_owner(
     node: &Node,
     partition: Partition,
     records: &[NewRecord],
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -12,8 +12,8 @@
 use crosspath_border::ingress::{Access, Cancelled, Handler, Lookup, Resolved, Submitted};
 use crosspath_border::operator::{Change, Config, DEFAULT_BODY_BYTES, Pool, Queue, WaveState};
 use crosspath_border::store::{
-    Appended, DecodeError, Error, Holder, Join, Membership, NewRecord, NewestPage, Page, Partition,
-    Precondition, Store, Stored, Topic,
+    self, Appended, DecodeError, Error, Holder, Join, Membership, NewRecord, NewestPage, Page,
+    Partition, Precondition, Store, Stored, Topic,
 };
 use crosspath_border::vm::{self, Authority, Fleet, Order, State, Verdict, Vm};
 use crosspath_border::worker::{
@@ -83,6 +83,10 @@
 
 #[async_trait]
 impl Store for FaultyStore {
+    fn limits(&self) -> store::Limits {
+        self.log.limits()
+    }
+
     async fn append(
         &self,
         partition: Partition,
@@ -400,6 +404,7 @@
             vms: None,
             vm_orders_per_s: 64.0,
             advice: None,
+            log_limits: store::Limits::default(),
             shards: SHARDS,
             max_lease: Duration::from_secs(6),
             min_member_ttl: Duration::from_secs(1),
@@ -475,7 +480,12 @@
 
     /// Submits a job to the queue as it is configured now.
     pub(crate) async fn submit_now(&self, job: u64) -> Submitted {
-        self.handler.submit(&self.current_access(), JobId(job), spec(), CALL_TIMEOUT).await
+        self.submit_spec(job, spec()).await
+    }
+
+    /// Submits a job of this specification to the queue as it is configured now.
+    pub(crate) async fn submit_spec(&self, job: u64, spec: Spec) -> Submitted {
+        self.handler.submit(&self.current_access(), JobId(job), spec, CALL_TIMEOUT).await
     }
 
     /// Queries the state of a job of the queue as it is configured now.
--- a/crates/crosspath_node/tests/node/main.rs
+++ b/crates/crosspath_node/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod isolation;
 mod keys;
+mod limits;
 mod listing;
 mod map;
 mod outage;
--- a/crates/crosspath_schedule/src/commit.rs
+++ b/crates/crosspath_schedule/src/commit.rs
@@ -20,7 +20,8 @@
 /// Minimum time between commits that skip [`BATCH_DELAY`] because of a planned run: its start waits
 /// until its placement is durable.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum number of progress records in one commit, to stay far below the store's limit on a call.
+/// Number of progress records from which no further job is added to a commit, so that a commit takes
+/// few appends.
 const MAX_RECORDS: usize = 400;
 
 /// Pending changes, and the commit in flight.
@@ -35,8 +36,8 @@
     /// Runs that are to be started once their placement is durable.
     planned: Vec<(TaskId, u64)>,
     in_flight: Option<InFlight>,
-    /// Jobs whose records are to be deleted.
-    tombstones: Vec<JobId>,
+    /// Keys of records that are to be deleted.
+    keys_to_delete: Vec<String>,
     /// Jobs whose acceptance record is to be written again.
     acceptances_to_rewrite: Vec<JobId>,
 }
@@ -56,7 +57,7 @@
     /// Whether there is nothing to commit.
     fn is_empty(&self) -> bool {
         self.dirty.is_empty()
-            && self.tombstones.is_empty()
+            && self.keys_to_delete.is_empty()
             && self.acceptances_to_rewrite.is_empty()
     }
 
@@ -84,6 +85,11 @@
         }
     }
 
+    /// Deletes the record with this key.
+    pub(crate) fn delete(&mut self, key: String) {
+        self.keys_to_delete.push(key);
+    }
+
     /// Notes that the progress of a job has changed and must be committed.
     pub(crate) fn mark_dirty(&mut self, now: Duration, job: JobId) {
         if self.dirty.is_empty() {
@@ -110,10 +116,9 @@
         }
         let mut records = Vec::new();
         let mut states = Vec::new();
-        let complete = self.commits.dirty.len() <= MAX_RECORDS;
         while let Some(id) = self.commits.dirty.pop_first() {
-            if let Some(job) = self.jobs.get(&id) {
-                records.push(Record::Progress(id, job.progress(wall_ms)));
+            if let Some(job) = self.jobs.get_mut(&id) {
+                records.extend(job.progress_records(wall_ms, self.settings.max_record_bytes));
                 states.push((id, job.state));
             }
             if records.len() >= MAX_RECORDS {
@@ -124,15 +129,15 @@
             let accepted = self.jobs.get(&id).map(|job| Arc::clone(&job.accepted));
             records.extend(accepted.map(|accepted| Record::Accepted(id, accepted)));
         }
-        for id in std::mem::take(&mut self.commits.tombstones) {
-            records.extend(job_keys(id).map(Record::Tombstone));
-        }
+        let keys_to_delete = std::mem::take(&mut self.commits.keys_to_delete);
+        records.extend(keys_to_delete.into_iter().map(Record::Tombstone));
         let in_batch = |task: &TaskId| !self.commits.dirty.contains(&task.job);
         let (planned, later) = std::mem::take(&mut self.commits.planned)
             .into_iter()
             .partition(|(task, _)| in_batch(task));
         self.commits.planned = later;
-        let ends = if complete { self.unacknowledged_ends() } else { BTreeMap::new() };
+        let is_complete = self.commits.dirty.is_empty();
+        let ends = if is_complete { self.unacknowledged_ends() } else { BTreeMap::new() };
         self.commits.dirty_since = now;
         self.commits.last_sent = now;
         self.commits.in_flight = Some(InFlight { states, planned, ends });
@@ -200,7 +205,7 @@
         let expired: Vec<_> = self.jobs.values().filter(expired).map(|job| job.id).collect();
         for id in expired {
             self.jobs.remove(&id);
-            self.commits.tombstones.push(id);
+            self.commits.keys_to_delete.extend(job_keys(id));
         }
     }
 }
--- a/crates/crosspath_schedule/src/job.rs
+++ b/crates/crosspath_schedule/src/job.rs
@@ -1,13 +1,14 @@
 //! The state of jobs, tasks and runs, as the owner of the shard knows it.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_job::progress::{Loss, Progress, State, TaskProgress};
-use crosspath_job::record::{Accepted, Policy};
+use crosspath_job::progress::{Loss, Progress, State, TaskProgress, Tasks};
+use crosspath_job::record::{Accepted, Policy, Record};
 use crosspath_job::{JobId, TaskId};
 
+use crate::parts::{Entry, Parts};
+
 /// Progress from which a long-running task counts as available, in percent.
 const AVAILABLE_PERCENT: u32 = 100;
 
@@ -161,6 +162,8 @@
     /// For each step, the length in ms of the critical path from its start to the end of the job,
     /// by the estimates of the spec.
     pub critical_paths_ms: Vec<u64>,
+    /// Parts of the stored progress beside the progress record.
+    pub(crate) parts: Parts,
 }
 
 impl Job {
@@ -189,6 +192,7 @@
             within_share: true,
             inherited: false,
             critical_paths_ms,
+            parts: Parts::default(),
         }
     }
 
@@ -198,7 +202,18 @@
         self.state = progress.state;
         self.durable_state = progress.state;
         self.ended = now;
-        for (key, stored) in &progress.tasks {
+        self.restore_tasks(&progress.tasks);
+    }
+
+    /// Restores a part of the progress, from the task at position `first` on. To be called after
+    /// [`Self::restore`], in the order of the positions.
+    pub(crate) fn restore_part(&mut self, first: u64, tasks: &Tasks) {
+        self.parts.insert(first);
+        self.restore_tasks(tasks);
+    }
+
+    fn restore_tasks(&mut self, tasks: &Tasks) {
+        for (key, stored) in tasks {
             let Some(task) = parse_key(key).and_then(|(occurrence, step, index)| {
                 let (occurrence, step, index) =
                     (occurrence as usize, step as usize, index as usize);
@@ -212,7 +227,7 @@
                 log::warn!("event=progress_key_unknown job={} key={key}", self.id);
                 continue;
             };
-            task.done = stored.done;
+            task.done |= stored.done;
             task.failed_runs.clone_from(&stored.failed_runs);
             task.lost.clone_from(&stored.lost);
             let runs = stored.runs.iter().map(|(run, _)| *run);
@@ -224,6 +239,21 @@
         }
     }
 
+    /// Completes each gang of which a member is done: that end stands for all members, whose
+    /// progress may be in another part, which was not stored.
+    pub(crate) fn complete_gangs(&mut self) {
+        let accepted = Arc::clone(&self.accepted);
+        for occurrence in &mut self.occurrences {
+            let steps = accepted.spec.steps.iter().zip(&mut occurrence.steps);
+            for (_, step) in steps.filter(|(spec, _)| spec.gang) {
+                if step.tasks.iter().any(|task| task.done) {
+                    step.tasks.iter_mut().for_each(|task| task.done = true);
+                    step.remaining = 0;
+                }
+            }
+        }
+    }
+
     /// When the job should have ended: its acceptance, plus the critical path stretched by the
     /// policy's factor, plus the policy's fixed target time.
     pub(crate) fn deadline(&self) -> Duration {
@@ -239,27 +269,51 @@
         }
     }
 
-    /// Builds the progress record to store in the log. `wall_ms` is the Unix time in ms; a terminal
-    /// job is recorded as ended then.
+    /// Whole progress of the job. `wall_ms` is the Unix time in ms; a terminal job counts as ended
+    /// then.
     #[must_use]
     pub fn progress(&self, wall_ms: u64) -> Progress {
-        let mut tasks = BTreeMap::new();
-        if !self.state.is_terminal() {
-            for (TaskId { occurrence: nth, step, index, .. }, task) in self.tasks() {
-                let stored = TaskProgress {
-                    done: task.done,
-                    failed_runs: task.failed_runs.clone(),
-                    lost: task.lost.clone(),
-                    runs: task.placements(),
-                    checkpoint: task.checkpoint.clone().filter(|_| !task.done),
-                };
-                if stored != TaskProgress::default() {
-                    tasks.insert(format!("{nth}.{step}.{index}"), stored);
-                }
-            }
+        let entries = if self.state.is_terminal() { Vec::new() } else { self.progress_entries() };
+        let tasks = entries.into_iter().map(|entry| (entry.key, entry.progress)).collect();
+        Progress { tasks, ..self.progress_without_tasks(wall_ms) }
+    }
+
+    /// Records to store in the log, in this order, so that it has the whole progress of the job.
+    pub(crate) fn progress_records(
+        &mut self,
+        wall_ms: u64,
+        max_record_bytes: usize,
+    ) -> Vec<Record> {
+        let progress = self.progress_without_tasks(wall_ms);
+        if self.state.is_terminal() {
+            return self.parts.records_of_ended(self.id, progress);
         }
+        let entries = self.progress_entries();
+        self.parts.records(self.id, progress, entries, max_record_bytes)
+    }
+
+    fn progress_without_tasks(&self, wall_ms: u64) -> Progress {
         let ended_ms = if self.state.is_terminal() { wall_ms } else { 0 };
-        Progress { state: self.state, tasks, ended_ms }
+        Progress { state: self.state, tasks: Tasks::default(), ended_ms }
+    }
+
+    /// Progress of all tasks that have any, in the order of the tasks.
+    fn progress_entries(&self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for (position, (id, task)) in (0..).zip(self.tasks()) {
+            let progress = TaskProgress {
+                done: task.done,
+                failed_runs: task.failed_runs.clone(),
+                lost: task.lost.clone(),
+                runs: task.placements(),
+                checkpoint: task.checkpoint.clone().filter(|_| !task.done),
+            };
+            if progress != TaskProgress::default() {
+                let TaskId { occurrence: nth, step, index, .. } = id;
+                entries.push(Entry { position, key: format!("{nth}.{step}.{index}"), progress });
+            }
+        }
+        entries
     }
 
     /// The task `id`; `None` if the job has no such task.
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -26,6 +26,7 @@
 mod limits;
 mod losses;
 pub mod overload;
+mod parts;
 mod place;
 mod polls;
 pub mod report;
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -42,6 +42,8 @@
     pub shard: u32,
     /// Lengths of the leases that this owner grants.
     pub terms: Terms,
+    /// Maximum size in bytes of a record in the log.
+    pub max_record_bytes: usize,
     /// Time for which an ended job can still be looked up.
     pub ended_job_retention: Duration,
     /// Time without renewal of its group membership after which an owner stops acting.
@@ -182,8 +184,8 @@
         self.jobs.get(&job).map(|job| job.within_share)
     }
 
-    /// Content of a job's progress record; `None` if the job is unknown. `wall_ms` is the time of
-    /// day in ms since 1970.
+    /// Whole progress of a job; `None` if the job is unknown. `wall_ms` is the time of day in ms
+    /// since 1970.
     #[must_use]
     pub fn progress(&self, job: JobId, wall_ms: u64) -> Option<Progress> {
         Some(self.jobs.get(&job)?.progress(wall_ms))
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -17,8 +17,8 @@
 use std::time::Duration;
 
 use crosspath_border::worker::Entry;
-use crosspath_job::progress::Progress;
-use crosspath_job::record::Record;
+use crosspath_job::progress::{Part, Progress};
+use crosspath_job::record::{Record, part_key};
 use crosspath_job::{JobId, TaskId};
 
 use crate::event::Event;
@@ -100,18 +100,22 @@
         workers: Vec<Entry>,
     ) {
         let mut progress: Vec<(JobId, Progress)> = Vec::new();
+        let mut parts: Vec<(JobId, u64, Part)> = Vec::new();
         let mut cancelled = Vec::new();
         for record in records {
             match record {
                 Record::Accepted(id, accepted) => self.insert(now, wall_ms, id, accepted),
                 Record::Progress(id, stored) => progress.push((id, stored)),
+                Record::ProgressPart(id, first, part) => parts.push((id, first, part)),
                 Record::Cancelled(id, by) => cancelled.push((id, by)),
                 Record::Claim(_) | Record::Tombstone(_) => {}
             }
         }
-        let tasks = progress.iter().flat_map(|(_, stored)| stored.tasks.values());
+        let in_records = progress.iter().map(|(_, stored)| &stored.tasks);
+        let tasks = in_records.chain(parts.iter().map(|(_, _, part)| &part.tasks));
         let deadline = self.recovery.deadline;
         let progress_workers = tasks
+            .flat_map(BTreeMap::values)
             .flat_map(|task| &task.runs)
             .map(|(_, worker)| (Arc::clone(worker), deadline))
             .collect();
@@ -120,7 +124,9 @@
                 job.restore(&stored, now);
             }
         }
+        self.restore_parts(parts);
         for job in self.jobs.values_mut() {
+            job.complete_gangs();
             job.inherited = true;
         }
         self.recovery.unaccounted = progress_workers;
@@ -144,6 +150,18 @@
         }
     }
 
+    /// Restores parts of jobs' progress, and deletes those that the previous owner left behind: it
+    /// may have stored the end of a job and not deleted all of the job's parts.
+    fn restore_parts(&mut self, mut parts: Vec<(JobId, u64, Part)>) {
+        parts.sort_by_key(|(id, first, _)| (*id, *first));
+        for (id, first, part) in parts {
+            match self.jobs.get_mut(&id).filter(|job| !job.state.is_terminal()) {
+                Some(job) => job.restore_part(first, &part.tasks),
+                None => self.commits.delete(part_key(id, first)),
+            }
+        }
+    }
+
     /// Accounts for an incarnation that has answered or ended: unreported runs on it do not exist,
     /// or are lost.
     pub(crate) fn account_for(
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -23,6 +23,7 @@
     Settings {
         shard: 0,
         terms,
+        max_record_bytes: 256 * 1024,
         ended_job_retention: ms(120_000),
         membership_ttl: ms(1_200),
         spread: false,
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -18,6 +18,7 @@
 mod long_running;
 mod losses;
 mod overload;
+mod parts;
 mod quiet;
 mod random_faults;
 mod shares;
--- a/crates/crosspathd/src/commands/platform.rs
+++ b/crates/crosspathd/src/commands/platform.rs
@@ -52,7 +52,7 @@
     let fleet = |address| Arc::new(HttpFleet::new(address, VM_TIMEOUT)) as Arc<dyn Fleet>;
     let advisor = |address| Arc::new(HttpAdvisor::new(address, ADVICE_TIMEOUT)) as Arc<dyn Advisor>;
     Ports {
-        store: Arc::new(LogStore::new(settings.log, LOG_TIMEOUT)),
+        store: Arc::new(LogStore::new(settings.log, LOG_TIMEOUT).with_limits(settings.log_limits)),
         runner: Arc::new(HttpRunner::new(WORKER_TIMEOUT).with_source(settings.source)),
         fleet: settings.vms.map(fleet),
         advisor: settings.advice.map(advisor),
