Sums of workers' and callers' numbers saturate

Entries that can be decoded, with numbers that no worker has, overflowed sums over the workers in the decision on submissions, and jobs with such numbers overflowed the count of unplaced work, the report to the fleet's owner, blocked work and the planner's demand. A build that checks arithmetic ends the shard's owner and each later one; the release build wraps around.

Fix: these sums saturate. schedule/odd_entries.rs draws entries, answers and jobs with such numbers; it failed before ("attempt to add with overflow") in admission.rs and, with that mended, in place.rs.

--- a/crates/crosspath_fleet/src/demand.rs
+++ b/crates/crosspath_fleet/src/demand.rs
@@ -51,8 +51,10 @@
 impl Demand {
     /// Records a report of the pool's owner and drops samples older than [`GROWTH_WINDOW`].
     pub(crate) fn sample(&mut self, now: Duration, pool: &report::Pool) {
-        let finite =
-            (pool.running_millis + pool.waiting_millis).saturating_sub(pool.long_running_millis);
+        let finite = pool
+            .running_millis
+            .saturating_add(pool.waiting_millis)
+            .saturating_sub(pool.long_running_millis);
         let millis = finite as f64 + pool.blocked_millis as f64 * BLOCKED_SHARE;
         self.long_running_millis = pool.long_running_millis as f64;
         self.samples.push_back((now, millis));
--- a/crates/crosspath_fleet/src/wave.rs
+++ b/crates/crosspath_fleet/src/wave.rs
@@ -137,7 +137,8 @@
                 && !index.view.is_evacuated(vm)
         };
         for vm in index.vms().iter().filter(is_staying) {
-            *remaining_capacity.entry(Arc::clone(&vm.pool)).or_default() += vm.capacity.cpu_millis;
+            let remaining = remaining_capacity.entry(Arc::clone(&vm.pool)).or_default();
+            *remaining = remaining.saturating_add(vm.capacity.cpu_millis);
         }
         remaining_capacity
     }
--- a/crates/crosspath_schedule/src/admission.rs
+++ b/crates/crosspath_schedule/src/admission.rs
@@ -15,13 +15,14 @@
 
 use crosspath_job::JobId;
 use crosspath_job::record::Accepted;
-use crosspath_job::spec::Spec;
+use crosspath_job::spec::{Resources, Spec};
 use serde::{Deserialize, Serialize};
 
 use crate::as_ms;
 use crate::job::allowed_time;
 use crate::overload::{Backlog, LATE_FACTOR};
 use crate::scheduler::Scheduler;
+use crate::worker::Worker;
 
 /// Resolution of `Retry-After`, and with it the shortest delay. A job that would wait for less is
 /// admitted, since it starts sooner from the queue.
@@ -395,8 +396,7 @@
                 *sum = sum.saturating_add(work);
             }
         }
-        let usable = self.workers.values().filter(|worker| worker.is_usable(now));
-        let free: u64 = usable.map(|worker| worker.free().cpu_millis).sum();
+        let free = self.sum_usable(now, Worker::free).cpu_millis;
         let drain = self.time_for(now, total).filter(|_| required > free).unwrap_or_default();
         self.admission.waiting = Waiting { summed_at: Some(now), drain, by_customer };
     }
@@ -404,8 +404,13 @@
     /// Time that all usable workers together need for some work, in thousandths of a core times ms;
     /// `None` if there are none.
     fn time_for(&self, now: Duration, work: u64) -> Option<Duration> {
-        let usable = self.workers.values().filter(|worker| worker.is_usable(now));
-        let capacity: u64 = usable.map(|worker| worker.entry.capacity.cpu_millis).sum();
+        let capacity = self.sum_usable(now, |worker| worker.entry.capacity).cpu_millis;
         work.checked_div(capacity).map(Duration::from_millis)
     }
+
+    /// Sum of some resources over all usable workers.
+    fn sum_usable(&self, now: Duration, resources: impl Fn(&Worker) -> Resources) -> Resources {
+        let usable = self.workers.values().filter(|worker| worker.is_usable(now));
+        usable.map(resources).fold(Resources::default(), |sum, more| sum.plus(&more))
+    }
 }
--- a/crates/crosspath_schedule/src/limits.rs
+++ b/crates/crosspath_schedule/src/limits.rs
@@ -134,7 +134,8 @@
             usage.first_pending = *more;
         }
         usage.pending.add(more);
-        self.quotas.quota_blocked_millis += more.cpu_millis;
+        self.quotas.quota_blocked_millis =
+            self.quotas.quota_blocked_millis.saturating_add(more.cpu_millis);
     }
 
     /// Logs that a customer is blocked on quota, at most once per [`LOG_INTERVAL`].
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -183,7 +183,8 @@
                 }
                 Attempt::QuotaBlocked | Attempt::WaitsForWarmUp => continue,
                 Attempt::NoIsolation => {
-                    self.unplaced_millis += key.resources.cpu_millis;
+                    self.unplaced_millis =
+                        self.unplaced_millis.saturating_add(key.resources.cpu_millis);
                     continue;
                 }
                 Attempt::NoCapacity if key.unconstrained => {
@@ -197,7 +198,7 @@
                 // Held tasks count as unplaced, since nearly all behind them are held as well.
                 Attempt::NoCapacity | Attempt::Held => {}
             }
-            self.unplaced_millis += key.resources.cpu_millis;
+            self.unplaced_millis = self.unplaced_millis.saturating_add(key.resources.cpu_millis);
             self.unplaced_long_running += u32::from(!key.finite);
             unplaced += 1;
             if unplaced >= MAX_CONSECUTIVE_UNPLACED {
--- a/crates/crosspath_schedule/src/report.rs
+++ b/crates/crosspath_schedule/src/report.rs
@@ -128,8 +128,9 @@
             let long_running = worker.runs.iter().filter(|((task, _), _)| is_long_running(*task));
             let long_running: Vec<u64> =
                 long_running.map(|(_, reserved)| reserved.cpu_millis).collect();
-            pool.long_running_millis += long_running.iter().sum::<u64>();
-            pool.running_millis += worker.reserved.cpu_millis;
+            let long_running_millis = long_running.iter().copied().fold(0, u64::saturating_add);
+            pool.long_running_millis = pool.long_running_millis.saturating_add(long_running_millis);
+            pool.running_millis = pool.running_millis.saturating_add(worker.reserved.cpu_millis);
             pool.vms.push(Vm {
                 name: worker.entry.vm.clone(),
                 cpu_millis: worker.entry.capacity.cpu_millis,
@@ -147,9 +148,11 @@
         }
         for key in &self.waiting {
             let cpu = key.resources.cpu_millis;
-            pool.waiting_millis += cpu;
+            pool.waiting_millis = pool.waiting_millis.saturating_add(cpu);
             pool.waiting.add(&key.resources);
-            pool.long_running_millis += if key.is_long_running() { cpu } else { 0 };
+            if key.is_long_running() {
+                pool.long_running_millis = pool.long_running_millis.saturating_add(cpu);
+            }
             pool.largest_millis = pool.largest_millis.max(cpu);
         }
         // Tasks that are blocked only by a customer's maximum need no VM.
@@ -199,13 +202,14 @@
     }
 
     fn blocked_millis(&self) -> u64 {
-        let mut total = 0;
+        let mut total = 0_u64;
         for job in self.jobs.values().filter(|job| !job.state.is_terminal()) {
             for occurrence in job.occurrences.iter().filter(|occurrence| occurrence.due) {
                 for (number, step) in occurrence.steps.iter().enumerate() {
                     if !step.unblocked {
                         let reserved = job.accepted.spec.steps[number].reserved();
-                        total += reserved.cpu_millis * u64::from(step.remaining);
+                        let blocked = reserved.cpu_millis.saturating_mul(u64::from(step.remaining));
+                        total = total.saturating_add(blocked);
                     }
                 }
             }
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -17,6 +17,7 @@
 mod load;
 mod long_running;
 mod losses;
+mod odd_entries;
 mod overload;
 mod parts;
 mod quiet;
