Run a job of a reassigned queue in one pool

Cause: a daemon with the older configuration knows only the older pool, and an append can be late; nothing orders the appends of one identifier over two pools. The same daemon denied jobs of the new pool (410), and acknowledged cancellations that it had appended to the older pool only.

Fix: an acceptance names the configuration by which its pool was found. Before a job is stored in a queue's new pool, the owner of its shard in each earlier pool has to have read a record of the reassignment in its own log. A job of an older configuration that it learns of later is relocated to the queue's pool, where an identifier is one job; the owner shows it as queued until then. Cancellations follow, and the owner denies no job to a daemon that is behind. The search for a job is a module of its own now.

Looked at for the same cause: states, cancellations, the routing of a request in flight, queues that move back, versions that were missed (fixed); unknown queues and keys, maxima, weights, evacuations (sound); one case is open in docs/FINDINGS.md.

--- a/crates/crosspath_job/src/record.rs
+++ b/crates/crosspath_job/src/record.rs
@@ -3,8 +3,8 @@
 //! A shard is one partition of a compacted topic: the newest record of each key is retained. A job
 //! has up to three keys, one each for its acceptance, its progress and its cancellation, and
 //! further ones for parts of its progress if it has many tasks. One more key names the owner of the
-//! shard. Any daemon may write acceptance and cancellation records; only the shard owner writes the
-//! others.
+//! shard, and one each the queues that have been reassigned to another pool. Any daemon may write
+//! records of acceptance, cancellation and reassignment; only the shard owner writes the others.
 
 use std::sync::Arc;
 
@@ -50,12 +50,21 @@
     /// Present if the advice service must approve workers before a step is placed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advice: Option<Advice>,
+    /// Version of the configuration by which the queue's pool was found; 0 in records of daemons that
+    /// do not tell it.
+    #[serde(rename = "config", default, skip_serializing_if = "is_zero")]
+    pub config_version: u64,
     /// Time of acceptance in ms since 1970, by the clock of the accepting daemon.
     pub at_ms: u64,
     /// Specification as submitted.
     pub spec: Spec,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 impl Accepted {
     /// Whether `requester` may see and cancel the job. A job without a customer is open to anyone
     /// who knows its identifier.
@@ -88,6 +97,16 @@
     pub customer: Option<Arc<str>>,
 }
 
+/// Reassignment of a queue from the shard's pool to another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reassignment {
+    /// Version of a configuration that assigns the queue elsewhere. Jobs of the queue that were
+    /// accepted by an earlier one, and that the shard's owner does not know when it reads this
+    /// record, do not run in the shard.
+    #[serde(rename = "config")]
+    pub config_version: u64,
+}
+
 /// Ownership claim on the shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -109,6 +128,9 @@
     ProgressPart(JobId, u64, Part),
     /// Request to cancel a job. It has no effect if the job does not belong to the requester.
     Cancelled(JobId, Requester),
+    /// Reassignment of the queue with this name, written by a daemon before it accepts a job of the
+    /// queue elsewhere.
+    Reassigned(Arc<str>, Reassignment),
     /// Claim by which a daemon became the owner of the shard.
     Claim(Claim),
     /// Deletion of the record with this key.
@@ -139,6 +161,7 @@
 const PROGRESS_PREFIX: &str = "progress/";
 const PROGRESS_PART_PREFIX: &str = "progress-part/";
 const CANCELLED_PREFIX: &str = "cancel/";
+const REASSIGNED_PREFIX: &str = "reassigned/";
 
 /// Key of a part of a job's progress, by the position of its first task.
 #[must_use]
@@ -169,6 +192,7 @@
             Self::Progress(job, _) => format!("{PROGRESS_PREFIX}{job}"),
             Self::ProgressPart(job, first, _) => part_key(*job, *first),
             Self::Cancelled(job, _) => format!("{CANCELLED_PREFIX}{job}"),
+            Self::Reassigned(queue, _) => format!("{REASSIGNED_PREFIX}{queue}"),
             Self::Claim(_) => CLAIM_KEY.to_owned(),
             Self::Tombstone(key) => key.clone(),
         }
@@ -182,6 +206,7 @@
             Self::Progress(_, progress) => json(progress),
             Self::ProgressPart(_, _, part) => json(part),
             Self::Cancelled(_, by) => json(by),
+            Self::Reassigned(_, reassignment) => json(reassignment),
             Self::Claim(claim) => json(claim),
             Self::Tombstone(_) => Vec::new(),
         }
@@ -206,6 +231,9 @@
         if let Some(job) = job(PROGRESS_PREFIX) {
             return value(key, bytes).map(|progress| Self::Progress(job, progress));
         }
+        if let Some(queue) = key.strip_prefix(REASSIGNED_PREFIX) {
+            return value(key, bytes).map(|record| Self::Reassigned(queue.into(), record));
+        }
         let part = key.strip_prefix(PROGRESS_PART_PREFIX).and_then(|rest| rest.split_once('/'));
         if let Some((job, first)) = part
             && let (Ok(job), Ok(first)) = (job.parse(), first.parse())
--- a/crates/crosspath_node/src/config_sync.rs
+++ b/crates/crosspath_node/src/config_sync.rs
@@ -83,8 +83,8 @@
     earlier: Assignments,
 }
 
-/// Applies a peer's assignments. A configuration of that peer then counts as the next one, although
-/// this daemon may have missed some in between.
+/// Applies a peer's assignments, which include those by configurations that this daemon may have
+/// missed.
 fn apply_assignments(node: &Node, assignments: Option<PeerAssignments>) -> Sequence {
     let Some(PeerAssignments { recorded, earlier }) = assignments else { return Sequence::Later };
     if node.table().is_none() {
@@ -95,7 +95,7 @@
         let table = current.filter(|table| !table.applied().includes(&earlier))?;
         Some(table.with_applied(&earlier))
     });
-    Sequence::Next
+    Sequence::LaterWithAssignments
 }
 
 /// Reply to a daemon that has version `known` of the configuration. It contains a configuration
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -1,6 +1,5 @@
 //! Handles callers' requests: submits, queries and cancels jobs.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +7,6 @@
 use crosspath_border::ingress::{Access, Cancelled, Handler, Lookup, Resolved, Submitted};
 use crosspath_border::operator::{DEFAULT_BODY_BYTES, Queue};
 use crosspath_border::store::{Error as StoreError, NewRecord};
-use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record, Requester};
 use crosspath_job::{JobId, Spec};
 use futures::future::join_all;
@@ -21,6 +19,7 @@
 use crate::node::Node;
 use crate::pending::{Deadlines, Outcome};
 use crate::rpc::{self, Reply, Request};
+use crate::search::{self, Candidates, Location, Search};
 
 /// Fraction of a caller's timeout that is spent on attempts to determine a job's state, or whether
 /// it is stored. Less than half, since the caller should have its answer by then.
@@ -33,9 +32,6 @@
 /// the store is slow, the job waits for an append in flight, and the next append serves it better
 /// than a retry of the caller.
 const SEND_FRACTION: f64 = 0.3;
-/// Interval between queries for a job while the shard's holder is unknown, is taking over, or does
-/// not answer.
-const OWNER_RETRY_INTERVAL: Duration = Duration::from_millis(60);
 /// Delay in seconds after which a refused caller should retry: about the time that a takeover
 /// takes.
 const RETRY_AFTER_S: u32 = 1;
@@ -50,24 +46,18 @@
 /// where the job may be.
 const LOCATE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Result of the search for a job's shard.
+/// The queue's pool is that of the shard from which a job is to be relocated.
 #[derive(Debug, Clone, Copy)]
-enum Location {
-    /// The owner of this shard has the job, in this state.
-    InShard(u32, State),
-    /// All owners answered, and none has the job.
-    NotFound,
-    /// Not found, but some owner did not answer.
-    Unknown,
-}
+pub(crate) struct SameShard;
 
-/// Shards where a job may be.
-#[derive(Debug, Default)]
-struct Candidates {
-    /// Known ones, the more likely first.
-    shards: Vec<u32>,
-    /// Whether there may be others, which are not known yet.
-    incomplete: bool,
+/// A queue by the newest configuration.
+#[derive(Debug)]
+struct Current {
+    queue: Queue,
+    /// Version of the configuration.
+    version: u64,
+    /// Version since which the queue has its pool.
+    since: u64,
 }
 
 /// Handler of the callers' requests at one daemon.
@@ -101,45 +91,17 @@
         }
     }
 
-    /// Pools in which jobs of the queue may be, as far as they are known.
-    fn pools_of(&self, queue: &Queue) -> BTreeSet<Arc<str>> {
-        match self.node.table() {
-            Some(table) => table.pools_of(queue, self.node.map().assignments()),
-            None => [Arc::clone(&queue.pool)].into(),
-        }
-    }
-
-    /// Finds the shards where a job of the queue may be, in its current pool and in earlier ones.
-    async fn candidates(&self, queue: &Queue, job: JobId, deadline: Duration) -> Candidates {
-        let incomplete = !assignment::wait_until_known(&self.node, deadline).await;
-        let mut candidates = Candidates { shards: Vec::new(), incomplete };
-        let map = self.node.map();
-        let mut pools = self.pools_of(queue);
-        pools.remove(&queue.pool);
-        for pool in [&queue.pool].into_iter().chain(&pools) {
-            match map.candidate_shards(pool, job) {
-                Some(shards) => candidates.shards.extend(shards),
-                // No job is stored in a pool before it has shards.
-                None => {
-                    candidates.incomplete |= *pool == queue.pool || self.node.is_map_outdated();
-                }
-            }
+    /// Search on behalf of a caller, for a job that is not to be stored.
+    fn search<'a>(&'a self, access: &'a Access, job: JobId) -> Search<'a> {
+        Search {
+            node: &self.node,
+            queue: &access.queue,
+            requester: requester(access),
+            job,
+            version: self.node.table().map_or(0, |table| table.version),
+            store_since: None,
+            except: None,
         }
-        candidates
-    }
-
-    /// Searches for a job by querying the owners of all shards where a job of this queue may be.
-    async fn locate(&self, access: &Access, job: JobId, deadline: Duration) -> Location {
-        let candidates = self.candidates(&access.queue, job, deadline).await;
-        let mut incomplete = candidates.incomplete;
-        for shard in candidates.shards {
-            match self.query_state(shard, job, requester(access), deadline).await {
-                Some(Some(state)) => return Location::InShard(shard, state),
-                Some(None) => {}
-                None => incomplete = true,
-            }
-        }
-        if incomplete { Location::Unknown } else { Location::NotFound }
     }
 
     /// Shards to which the job's cancellation is appended: the job's shard, or all where it may be
@@ -150,15 +112,17 @@
         job: JobId,
         deadline: Duration,
     ) -> Option<Vec<u32>> {
-        let Candidates { shards, incomplete } = self.candidates(&access.queue, job, deadline).await;
+        let search = self.search(access, job);
+        let Candidates { shards, incomplete } = search.candidates(deadline).await;
         if incomplete {
             return None;
         }
+        let shards: Vec<u32> = shards.into_iter().map(|candidate| candidate.shard).collect();
         if shards.len() == 1 {
             return Some(shards);
         }
         let locate_deadline = deadline.min(clock::now() + LOCATE_TIMEOUT);
-        match self.locate(access, job, locate_deadline).await {
+        match search.locate(locate_deadline).await {
             Location::InShard(shard, _) => Some(vec![shard]),
             Location::NotFound | Location::Unknown => Some(shards),
         }
@@ -166,23 +130,18 @@
 
     /// Answer to a job that may have been submitted before its queue changed pools: it stays in its
     /// first pool. `None` if the job is in no pool of its queue.
-    async fn resubmitted(
-        &self,
-        access: &Access,
-        job: JobId,
-        within: Duration,
-    ) -> Option<Submitted> {
-        let queue = &access.queue;
+    async fn resubmitted(&self, search: &Search<'_>, within: Duration) -> Option<Submitted> {
+        let queue = search.queue;
         let known_by = clock::now() + within.mul_f64(REFUSE_FRACTION);
         // The pool has no shards while the daemon starts; the job is then refused without a wait.
         let may_store = self.node.map().is_complete_for(&queue.pool);
         if may_store && !assignment::wait_until_known(&self.node, known_by).await {
             return Some(Submitted::NotTaken { retry_after_s: self.retry_after_s() });
         }
-        if self.pools_of(queue).len() == 1 {
+        if search::pools_of(&self.node, queue).len() == 1 {
             return None;
         }
-        match self.locate(access, job, self.lookup_deadline(within)).await {
+        match search.locate(self.lookup_deadline(within)).await {
             Location::InShard(..) => Some(Submitted::Accepted),
             Location::NotFound => None,
             Location::Unknown => Some(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S }),
@@ -206,24 +165,157 @@
         false
     }
 
-    async fn query_state(
+    fn current(&self, queue: &str) -> Option<Current> {
+        let table = self.node.table()?;
+        let queue = table.queue(queue)?.clone();
+        let (version, since) = (table.version, table.assigned_since(&queue));
+        Some(Current { queue, version, since })
+    }
+
+    /// Stores a job in the pool that its queue has now, unless it is stored in one that the queue had
+    /// before. `except` is the shard that a job is relocated from; `None` for a new job.
+    ///
+    /// # Errors
+    ///
+    /// [`SameShard`] if the job, which no other shard has, would be stored in `except`.
+    pub(crate) async fn store(
+        &self,
+        job: JobId,
+        accepted: Accepted,
+        within: Duration,
+        except: Option<u32>,
+    ) -> Result<Submitted, SameShard> {
+        let Some(Current { queue, version, since }) = self.current(&accepted.queue) else {
+            return Ok(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S });
+        };
+        let long_running = accepted.spec.steps.iter().any(|step| step.long_running);
+        let shard = self.node.map().shard_for_new_job(&queue.pool, job, long_running);
+        if shard.is_some() && !self.record_assignment(&queue, within).await {
+            return Ok(Submitted::NotTaken { retry_after_s: self.retry_after_s() });
+        }
+        let search = Search {
+            node: &self.node,
+            queue: &queue,
+            requester: accepted.requester(),
+            job,
+            version,
+            store_since: Some(since),
+            except,
+        };
+        if let Some(answer) = self.resubmitted(&search, within).await {
+            return Ok(answer);
+        }
+        let Some(shard) = shard else {
+            log::info!("event=submit job={job} queue={} outcome=no_shard", queue.name);
+            return Ok(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S });
+        };
+        if except == Some(shard) {
+            return Err(SameShard);
+        }
+        let accepted = Accepted {
+            pool: Arc::clone(&queue.pool),
+            advice: queue.advice,
+            config_version: version,
+            ..accepted
+        };
+        Ok(self.append_job(shard, job, accepted, within).await)
+    }
+
+    async fn append_job(
         &self,
         shard: u32,
         job: JobId,
-        requester: Requester,
-        deadline: Duration,
-    ) -> Option<Option<State>> {
-        loop {
-            let request = Request::State { shard, job, requester: requester.clone() };
-            if let Some(Reply::State(state)) = rpc::call_holder(&self.node, shard, request).await {
-                return Some(state);
+        accepted: Accepted,
+        within: Duration,
+    ) -> Submitted {
+        let (queue, customer) = (Arc::clone(&accepted.queue), accepted.customer.clone());
+        let record = NewRecord::from(&Record::Accepted(job, Arc::new(accepted)));
+        let max = self.node.store.limits().record_bytes;
+        if record.size() > max {
+            log::info!("event=submit job={job} queue={queue} outcome=too_large");
+            return Submitted::TooLarge { bytes: record.size(), max };
+        }
+        let started_at = clock::now();
+        let deadlines = Self::submit_deadlines(within);
+        let outcome = appender::append(&self.node, shard, record, deadlines).await;
+        let took = clock::now().saturating_sub(started_at);
+        log::info!(
+            "event=submit job={job} queue={queue} shard={shard} outcome={outcome:?} took_ms={}",
+            took.as_millis()
+        );
+        match outcome {
+            Outcome::Kept => Submitted::Accepted,
+            Outcome::Taken => Submitted::Taken,
+            Outcome::Refused(refusal) => {
+                let customer = customer.as_deref().unwrap_or_default();
+                self.node.metrics.admission.observe(customer, refusal);
+                Submitted::NotTaken { retry_after_s: whole_seconds(refusal.retry_after_ms) }
             }
-            if clock::now() + OWNER_RETRY_INTERVAL > deadline {
-                return None;
+            Outcome::NotKept | Outcome::Unsent => {
+                Submitted::NotTaken { retry_after_s: self.retry_after_s() }
             }
-            tokio::time::sleep(OWNER_RETRY_INTERVAL).await;
+            Outcome::Unknown => Submitted::Unknown,
+        }
+    }
+
+    /// Whether the newest configuration lacks the queue.
+    pub(crate) fn is_queue_removed(&self, queue: &str) -> bool {
+        self.node.table().is_some_and(|table| table.queue(queue).is_none())
+    }
+
+    /// Whether a job of a queue that was removed is stored in another shard than `except`; `None` if
+    /// that is not known.
+    pub(crate) async fn is_stored_elsewhere(
+        &self,
+        job: JobId,
+        accepted: &Accepted,
+        within: Duration,
+        except: u32,
+    ) -> Option<bool> {
+        let queue = Queue {
+            name: Arc::clone(&accepted.queue),
+            host: "".into(),
+            prefix: "".into(),
+            pool: Arc::clone(&accepted.pool),
+            policy: accepted.policy,
+            advice: accepted.advice,
+            open: false,
+        };
+        let search = Search {
+            node: &self.node,
+            queue: &queue,
+            requester: accepted.requester(),
+            job,
+            version: accepted.config_version,
+            store_since: None,
+            except: Some(except),
+        };
+        match search.locate(clock::now() + within).await {
+            Location::InShard(..) => Some(true),
+            Location::NotFound => Some(false),
+            Location::Unknown => None,
         }
     }
+
+    /// Appends a cancellation to the shards of the queue's current pool where the job may be, apart
+    /// from `except`; returns whether it is stored in all of them.
+    pub(crate) async fn store_cancellation(
+        &self,
+        job: JobId,
+        by: &Requester,
+        within: Duration,
+        except: u32,
+    ) -> bool {
+        let deadline = clock::now() + within;
+        let Some(Current { queue, .. }) = self.current(&by.queue) else { return false };
+        let Some(shards) = self.node.map().candidate_shards(&queue.pool, job) else { return false };
+        let record = NewRecord::from(&Record::Cancelled(job, by.clone()));
+        let deadlines = Deadlines { send_by: deadline, refuse_at: deadline, unknown_at: deadline };
+        let shards = shards.into_iter().filter(|shard| *shard != except);
+        let appends =
+            shards.map(|shard| appender::append(&self.node, shard, record.clone(), deadlines));
+        join_all(appends).await.iter().all(|outcome| *outcome == Outcome::Kept)
+    }
 }
 
 /// Number of whole seconds after which `delay_ms` is over.
@@ -273,60 +365,27 @@
     async fn submit(&self, access: &Access, job: JobId, spec: Spec, within: Duration) -> Submitted {
         let started_at = clock::now();
         let queue = &access.queue;
-        let long_running = spec.steps.iter().any(|step| step.long_running);
-        let shard = self.node.map().shard_for_new_job(&queue.pool, job, long_running);
-        if shard.is_some() && !self.record_assignment(queue, within).await {
-            return Submitted::NotTaken { retry_after_s: self.retry_after_s() };
-        }
-        if let Some(answer) = self.resubmitted(access, job, within).await {
-            return answer;
-        }
-        let Some(shard) = shard else {
-            log::info!("event=submit job={job} queue={} outcome=no_shard", queue.name);
-            return Submitted::NotTaken { retry_after_s: RETRY_AFTER_S };
-        };
         let accepted = Accepted {
             queue: Arc::clone(&queue.name),
             customer: access.customer.clone(),
             pool: Arc::clone(&queue.pool),
             policy: queue.policy,
             advice: queue.advice,
+            config_version: 0,
             at_ms: clock::wall_ms(),
             spec,
         };
-        let record = NewRecord::from(&Record::Accepted(job, Arc::new(accepted)));
-        let max = self.node.store.limits().record_bytes;
-        if record.size() > max {
-            log::info!("event=submit job={job} queue={} outcome=too_large", queue.name);
-            return Submitted::TooLarge { bytes: record.size(), max };
-        }
-        let deadlines = Self::submit_deadlines(within);
-        let outcome = appender::append(&self.node, shard, record, deadlines).await;
+        let answer = self.store(job, accepted, within, None).await;
+        let answer = answer.unwrap_or(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S });
         let took = clock::now().saturating_sub(started_at);
-        log::info!(
-            "event=submit job={job} queue={} shard={shard} outcome={outcome:?} took_ms={}",
-            queue.name,
-            took.as_millis()
-        );
         self.node.metrics.observe_call(Call::Submit, &queue.name, took);
-        match outcome {
-            Outcome::Kept => Submitted::Accepted,
-            Outcome::Taken => Submitted::Taken,
-            Outcome::Refused(refusal) => {
-                let customer = access.customer.as_deref().unwrap_or_default();
-                self.node.metrics.admission.observe(customer, refusal);
-                Submitted::NotTaken { retry_after_s: whole_seconds(refusal.retry_after_ms) }
-            }
-            Outcome::NotKept | Outcome::Unsent => {
-                Submitted::NotTaken { retry_after_s: self.retry_after_s() }
-            }
-            Outcome::Unknown => Submitted::Unknown,
-        }
+        answer
     }
 
     async fn state(&self, access: &Access, job: JobId, within: Duration) -> Lookup {
         let started_at = clock::now();
-        let lookup = match self.locate(access, job, self.lookup_deadline(within)).await {
+        let search = self.search(access, job);
+        let lookup = match search.locate(self.lookup_deadline(within)).await {
             Location::InShard(_, state) => Lookup::State(state),
             Location::NotFound => Lookup::None,
             Location::Unknown => Lookup::Unavailable { retry_after_s: RETRY_AFTER_S },
@@ -366,7 +425,7 @@
 
     async fn queued_jobs(&self, queue: &Queue) -> Option<u64> {
         let map = self.node.map();
-        let mut pools = self.pools_of(queue);
+        let mut pools = search::pools_of(&self.node, queue);
         pools.retain(|pool| *pool == queue.pool || map.is_complete_for(pool));
         let pool_slices = pools.iter().flat_map(|pool| map.pool_slices(pool));
         let shards =
--- a/crates/crosspath_node/src/routing.rs
+++ b/crates/crosspath_node/src/routing.rs
@@ -22,6 +22,8 @@
     /// Version since which this process has applied every configuration; it may have missed some
     /// before.
     pub(crate) complete_since: u64,
+    /// By queue, the version since which all configurations are known to assign it to its pool.
+    assigned_since: HashMap<Arc<str>, u64>,
 }
 
 /// How a configuration relates to the one that was applied before it.
@@ -29,6 +31,8 @@
 pub(crate) enum Sequence {
     /// It is the next one.
     Next,
+    /// There may be others in between, whose assignments are known.
+    LaterWithAssignments,
     /// There may be others in between.
     Later,
 }
@@ -67,10 +71,28 @@
         }
         let version = config.version;
         let complete_since = match sequence {
-            Sequence::Next => self.complete_since,
+            Sequence::Next | Sequence::LaterWithAssignments => self.complete_since,
             Sequence::Later => version,
         };
-        Self { version, config: Arc::new(config), by_host, applied, complete_since }
+        let since = |queue: &Queue| {
+            let is_unchanged = sequence == Sequence::Next
+                && self.queue(&queue.name).is_some_and(|before| before.pool == queue.pool);
+            if is_unchanged { self.assigned_since(queue) } else { version }
+        };
+        let assigned_since =
+            config.queues.iter().map(|queue| (Arc::clone(&queue.name), since(queue))).collect();
+        let config = Arc::new(config);
+        Self { version, config, by_host, applied, complete_since, assigned_since }
+    }
+
+    /// The queue with this name.
+    pub(crate) fn queue(&self, name: &str) -> Option<&Queue> {
+        self.config.queues.iter().find(|queue| *queue.name == *name)
+    }
+
+    /// Version since which all configurations are known to assign the queue to its pool.
+    pub(crate) fn assigned_since(&self, queue: &Queue) -> u64 {
+        self.assigned_since.get(&queue.name).copied().unwrap_or(self.version)
     }
 
     /// Returns the table with the assignments of a peer that has applied other configurations.
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -45,6 +45,18 @@
 const MAX_BODY: u64 = 2 * 1024 * 1024;
 const PATH: &str = "/peer";
 
+/// What the configuration of a daemon that searches for a job says of the pool in which it searches.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Assigned {
+    /// The queue is assigned to this pool, by the configuration of this version. An owner that knows
+    /// of a later reassignment denies no job.
+    Here(u64),
+    /// The queue is assigned to another pool since the configuration of this version, and the job is
+    /// about to be stored there. An owner that does not know of the reassignment denies no job.
+    ElsewhereSince(u64),
+}
+
 /// Request to a daemon. Requests about a shard go to its owner, unless stated otherwise.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -55,6 +67,9 @@
         job: JobId,
         #[serde(rename = "asker")]
         requester: Requester,
+        /// What the sender knows of the queue's pool; senders of earlier versions do not tell it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        assigned: Option<Assigned>,
     },
     /// Queries the number of a queue's jobs that are queued.
     #[serde(rename = "waiting")]
@@ -114,6 +129,8 @@
 pub(crate) enum Reply {
     /// State of the job; `None` if the owner does not know it.
     State(Option<State>),
+    /// The owner has not read that the queue was reassigned, and may store the job later.
+    NotReassigned,
     /// Number of the queue's jobs that are queued in the shard.
     #[serde(rename = "waiting")]
     QueuedJobs(u64),
@@ -407,10 +424,10 @@
 /// Handles a request of a peer, or of this daemon to itself.
 pub(crate) async fn handle(node: &Arc<Node>, request: Request) -> Reply {
     match request {
-        Request::State { shard, job, requester } => {
+        Request::State { shard, job, requester, assigned } => {
             let owned = node.owned();
-            let state = owned.get(&shard).and_then(|handle| handle.state(job, &requester));
-            state.map_or(Reply::NotOwner, Reply::State)
+            let handle = owned.get(&shard);
+            handle.map_or(Reply::NotOwner, |handle| handle.find(job, &requester, assigned))
         }
         Request::QueuedJobs { shard, queue } => {
             let owned = node.owned();
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -9,7 +9,6 @@
 use crosspath_border::store::{NewRecord, Stored};
 use crosspath_border::worker::{Entry, Start};
 use crosspath_job::JobId;
-use crosspath_job::progress::State;
 use crosspath_job::record::{Accepted, Record, Requester};
 use crosspath_schedule::admission::{Rules, Verdict};
 use crosspath_schedule::domains::Down;
@@ -28,7 +27,8 @@
 use crate::node::{Node, shard_partition};
 use crate::order::Order;
 use crate::pages::Pages;
-use crate::rpc::{self, Reply, Request};
+use crate::relocation;
+use crate::rpc::{self, Assigned, Reply, Request};
 use crate::shard_log::{append_owned, ask_previous_owner, decode, follow, request_event};
 use crate::watch::{self, Watch};
 
@@ -108,13 +108,30 @@
         }
     }
 
-    /// State of a job of the requester. The inner value is `None` if the requester has no such job,
-    /// the outer one while the shard is being taken over.
-    pub(crate) fn state(&self, job: JobId, requester: &Requester) -> Option<Option<State>> {
+    /// State of a job of the requester. [`Reply::NotOwner`] while the shard is being taken over, or if
+    /// the job may have been stored in another pool that the requester does not know of.
+    pub(crate) fn find(
+        &self,
+        job: JobId,
+        requester: &Requester,
+        assigned: Option<Assigned>,
+    ) -> Reply {
         let shared = scheduler(&self.scheduler);
-        let scheduler = shared.as_ref()?;
+        let Some(scheduler) = shared.as_ref() else { return Reply::NotOwner };
         let own = scheduler.accepted(job).is_some_and(|accepted| accepted.belongs_to(requester));
-        Some(scheduler.state(job).filter(|_| own))
+        if let Some(state) = scheduler.state(job).filter(|_| own) {
+            return Reply::State(Some(state));
+        }
+        let reassigned_by = scheduler.reassigned_by(&requester.queue);
+        match assigned {
+            Some(Assigned::Here(version)) if reassigned_by.is_some_and(|by| by > version) => {
+                Reply::NotOwner
+            }
+            Some(Assigned::ElsewhereSince(since)) if reassigned_by.is_none_or(|by| by < since) => {
+                Reply::NotReassigned
+            }
+            _ => Reply::State(None),
+        }
     }
 
     /// Whether the record submits a job under an identifier that belongs to another customer's job.
@@ -426,6 +443,14 @@
                     events.send(if kept { Event::Committed } else { Event::Superseded }).ok();
                 })));
             }
+            Action::Relocate { job, accepted } => {
+                let (node, events) = (Arc::clone(&self.node), self.events.clone());
+                drop(tokio::spawn(relocation::relocate(node, self.number, job, accepted, events)));
+            }
+            Action::RelocateCancellation { job, by } => {
+                let node = Arc::clone(&self.node);
+                drop(tokio::spawn(relocation::relocate_cancellation(node, self.number, job, by)));
+            }
             Action::RequestQuota { request } => {
                 let (node, events) = (Arc::clone(&self.node), self.events.clone());
                 drop(tokio::spawn(async move {
--- a/crates/crosspath_node/src/shard_log.rs
+++ b/crates/crosspath_node/src/shard_log.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crosspath_border::store::{Error, NewRecord, Partition, Precondition, Stored};
-use crosspath_job::record::Record;
+use crosspath_job::record::{Reassignment, Record};
 use crosspath_schedule::Event;
 use tokio::sync::mpsc;
 
@@ -23,8 +23,8 @@
 /// cases in which they cannot.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Event for a record of a caller's request, which any daemon may append; `None` for records of
-/// owners.
+/// Event for a record of a caller's request, which any daemon may append, whatever the order of the
+/// records; `None` for others.
 pub(crate) fn request_event(record: Record) -> Option<Event> {
     match record {
         Record::Accepted(job, accepted) => Some(Event::Accepted(job, accepted)),
@@ -32,10 +32,21 @@
         Record::Claim(_)
         | Record::Progress(..)
         | Record::ProgressPart(..)
+        | Record::Reassigned(..)
         | Record::Tombstone(_) => None,
     }
 }
 
+/// Event for a record that was read from the log, after those before it; `None` for records of owners.
+fn log_event(record: Record) -> Option<Event> {
+    match record {
+        Record::Reassigned(queue, Reassignment { config_version }) => {
+            Some(Event::Reassigned(queue, config_version))
+        }
+        record => request_event(record),
+    }
+}
+
 pub(crate) fn decode(records: &[Stored]) -> Vec<Record> {
     let decoded = records.iter().filter_map(|stored| {
         let record = Record::decode(&stored.key, &stored.value);
@@ -120,7 +131,7 @@
                 events.send(Event::Superseded).ok();
                 return;
             }
-            let Some(event) = request_event(record) else { continue };
+            let Some(event) = log_event(record) else { continue };
             if events.send(event).is_err() {
                 return;
             }
--- a/crates/crosspath_node/tests/node/reassignment.rs
+++ b/crates/crosspath_node/tests/node/reassignment.rs
@@ -96,6 +96,101 @@
     assert_eq!(shards_with_records(&log, 1).len(), 1, "the job is in one shard");
 }
 
+/// Shards whose log still has the job with this number.
+fn shards_with_job(log: &MemoryStore, job: u64) -> Vec<u32> {
+    let key = format!("job/{job:016x}");
+    let has_job = |shard: &u32| {
+        let records = log.records(Partition { topic: Topic::Shards, number: *shard });
+        records.iter().rfind(|record| record.key == key).is_some_and(|job| !job.value.is_empty())
+    };
+    (0..SHARDS).filter(has_job).collect()
+}
+
+/// Waits until the log has the job in this many shards.
+async fn wait_for_shards(log: &MemoryStore, job: u64, count: usize) {
+    for _ in 0..MAX_CHECKS {
+        if shards_with_job(log, job).len() == count {
+            return;
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    panic!("job {job} is in the shards {:?}", shards_with_job(log, job));
+}
+
+/// Two daemons, of which the second one has not applied the configuration that assigns the queue to
+/// another pool: the store refuses its calls. Its peers can append for it.
+async fn daemons_with_different_configurations(log: &Arc<MemoryStore>) -> (Daemon, Daemon) {
+    let newer = Daemon::start("entry-1", log).await;
+    let older = Daemon::start_small("entry-2", log).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    older.set_log_down(true);
+    write_config(log, "2 >batch,counter").await;
+    wait_for_pool(&newer, "batch").await;
+    assert_eq!(older.pool(), "counter".into());
+    (newer, older)
+}
+
+/// The job would run twice: once in each pool.
+#[tokio::test]
+async fn a_job_that_arrives_again_at_a_daemon_with_an_older_configuration_remains_one() {
+    let log = log_with_two_pools().await;
+    let (newer, older) = daemons_with_different_configurations(&log).await;
+    submit_until_accepted(&newer, 1).await;
+    let answer = older.submit_now(1).await;
+    assert!(!matches!(answer, Submitted::Unknown | Submitted::Taken), "{answer:?}");
+    wait_for_shards(&log, 1, 1).await;
+    assert_eq!(newer.queued_jobs().await, Some(1));
+    assert_eq!(newer.state_now(1).await, Lookup::State(State::Queued));
+}
+
+#[tokio::test]
+async fn a_new_job_of_a_daemon_with_an_older_configuration_runs_in_one_pool_once() {
+    let log = log_with_two_pools().await;
+    let (newer, older) = daemons_with_different_configurations(&log).await;
+    submit_until_accepted(&newer, 1).await;
+    let in_batch = shards_with_job(&log, 1);
+    assert_eq!(older.submit_now(2).await, Submitted::Accepted);
+    assert_eq!(newer.submit_now(2).await, Submitted::Accepted);
+    wait_for_shards(&log, 2, 1).await;
+    assert_eq!(newer.state_now(2).await, Lookup::State(State::Queued));
+    assert_eq!(newer.queued_jobs().await, Some(2));
+    assert_eq!(in_batch.len(), 1);
+}
+
+/// The job's relocation ends where it began, and must not delete the job.
+#[tokio::test]
+async fn a_job_of_an_older_configuration_stays_if_its_queue_is_back() {
+    let log = log_with_two_pools().await;
+    let (newer, older) = daemons_with_different_configurations(&log).await;
+    // The owner of the earlier pool learns of the reassignment.
+    submit_until_accepted(&newer, 1).await;
+    write_config(&log, "3 >counter,batch").await;
+    wait_for_pool(&newer, "counter").await;
+    assert_eq!(older.submit_now(2).await, Submitted::Accepted);
+    tokio::time::sleep(SETTLE_TIME).await;
+    assert_eq!(newer.state_now(2).await, Lookup::State(State::Queued));
+    assert_eq!(shards_with_job(&log, 2).len(), 1);
+}
+
+/// A cancellation that goes to the earlier pool only would be acknowledged without effect, and a
+/// state found there only would be that there is no such job.
+#[tokio::test]
+async fn a_daemon_with_an_older_configuration_cancels_and_does_not_deny_a_job_of_the_new_pool() {
+    let log = log_with_two_pools().await;
+    let (newer, older) = daemons_with_different_configurations(&log).await;
+    submit_until_accepted(&newer, 1).await;
+    let state = older.state_now(1).await;
+    assert!(matches!(state, Lookup::Unavailable { .. }), "{state:?}");
+    assert_eq!(older.cancel_now(1).await, Cancelled::Done);
+    for _ in 0..MAX_CHECKS {
+        if newer.state_now(1).await == Lookup::State(State::Cancelled) {
+            return;
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    panic!("the job is not cancelled");
+}
+
 /// A daemon that cannot read the log gets the newest configuration from a peer, without the ones
 /// before it.
 #[tokio::test]
--- a/crates/crosspath_schedule/src/action.rs
+++ b/crates/crosspath_schedule/src/action.rs
@@ -4,8 +4,8 @@
 
 use crosspath_border::advice::StepId;
 use crosspath_border::worker::Target;
-use crosspath_job::TaskId;
-use crosspath_job::record::Record;
+use crosspath_job::record::{Accepted, Record, Requester};
+use crosspath_job::{JobId, TaskId};
 use crosspath_quota::Request;
 
 /// One operation for the caller of the scheduler to perform.
@@ -61,9 +61,23 @@
     },
     /// Append records as the owner of the shard; answered by `Event::Committed`.
     Commit {
-        /// Records to append in one call.
+        /// Records to append, in this order.
         records: Vec<Record>,
     },
+    /// Store a job in the pool that its queue has now; answered by `Event::Relocated`.
+    Relocate {
+        /// Identifier of the job.
+        job: JobId,
+        /// Its acceptance, as it was stored in this shard.
+        accepted: Arc<Accepted>,
+    },
+    /// Store the cancellation of a job in the pool that its queue has now.
+    RelocateCancellation {
+        /// Identifier of the job.
+        job: JobId,
+        /// Requester of the cancellation.
+        by: Requester,
+    },
     /// Request allotments of customers' maxima from the ledger; answered by `Event::QuotaAnswered`.
     RequestQuota {
         /// Request to send, with its number.
--- a/crates/crosspath_schedule/src/commit.rs
+++ b/crates/crosspath_schedule/src/commit.rs
@@ -38,8 +38,8 @@
     in_flight: Option<InFlight>,
     /// Keys of records that are to be deleted.
     keys_to_delete: Vec<String>,
-    /// Jobs whose acceptance record is to be written again.
-    acceptances_to_rewrite: Vec<JobId>,
+    /// Records that are to be written again.
+    records_to_rewrite: Vec<Record>,
 }
 
 /// Content of the commit in flight, for use when it is durable.
@@ -58,7 +58,7 @@
     fn is_empty(&self) -> bool {
         self.dirty.is_empty()
             && self.keys_to_delete.is_empty()
-            && self.acceptances_to_rewrite.is_empty()
+            && self.records_to_rewrite.is_empty()
     }
 
     /// Whether progress waits to be committed and no commit is in flight.
@@ -72,9 +72,9 @@
         self.planned.push((task, run));
     }
 
-    /// Writes the acceptance record of a job again, because another writer has overwritten it.
-    pub(crate) fn rewrite_acceptance(&mut self, job: JobId) {
-        self.acceptances_to_rewrite.push(job);
+    /// Writes a record again, because another writer has overwritten it.
+    pub(crate) fn rewrite(&mut self, record: Record) {
+        self.records_to_rewrite.push(record);
     }
 
     /// Discards the acknowledgements planned for a worker whose incarnation has ended: they must
@@ -125,12 +125,10 @@
                 break;
             }
         }
-        for id in std::mem::take(&mut self.commits.acceptances_to_rewrite) {
-            let accepted = self.jobs.get(&id).map(|job| Arc::clone(&job.accepted));
-            records.extend(accepted.map(|accepted| Record::Accepted(id, accepted)));
-        }
         let keys_to_delete = std::mem::take(&mut self.commits.keys_to_delete);
         records.extend(keys_to_delete.into_iter().map(Record::Tombstone));
+        // A record that is written again may have been deleted just before.
+        records.append(&mut self.commits.records_to_rewrite);
         let in_batch = |task: &TaskId| !self.commits.dirty.contains(&task.job);
         let (planned, later) = std::mem::take(&mut self.commits.planned)
             .into_iter()
--- a/crates/crosspath_schedule/src/event.rs
+++ b/crates/crosspath_schedule/src/event.rs
@@ -11,6 +11,7 @@
 use crosspath_quota::{Grant, Limits, Weights};
 
 use crate::domains::Down;
+use crate::reassignment::Relocation;
 
 /// One observation that may change the scheduler's state.
 #[derive(Debug, Clone)]
@@ -19,6 +20,11 @@
     Accepted(JobId, Arc<Accepted>),
     /// The requester asked for the job to be cancelled. Ignored if the job is not the requester's.
     Cancelled(JobId, Requester),
+    /// The log has a record that the queue was reassigned by a configuration of this version. To be
+    /// sent in the order of the log, after the jobs whose records are before it.
+    Reassigned(Arc<str>, u64),
+    /// The relocation of a misplaced job has ended.
+    Relocated(JobId, Relocation),
     /// The worker list has a new or changed entry.
     WorkerListed(Entry),
     /// The worker list no longer has an entry with this identifier.
--- a/crates/crosspath_schedule/src/jobs.rs
+++ b/crates/crosspath_schedule/src/jobs.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crosspath_job::progress::State;
-use crosspath_job::record::{Accepted, Requester};
+use crosspath_job::record::{Accepted, Record, Requester};
 use crosspath_job::{JobId, TaskId};
 
 use crate::job::Job;
@@ -30,10 +30,26 @@
                     "event=job_of_another_customer job={id} kept_for={:?}",
                     existing.accepted.customer
                 );
-                self.commits.rewrite_acceptance(id);
+                let acceptance = Record::Accepted(id, Arc::clone(&existing.accepted));
+                self.commits.rewrite(acceptance);
             }
             return;
         }
+        if self.relocate_if_misplaced(id, &accepted) {
+            return;
+        }
+        self.begin_job(now, wall_ms, id, accepted);
+    }
+
+    /// Adds a job that has just been accepted, and queues its tasks.
+    pub(crate) fn begin_job(
+        &mut self,
+        now: Duration,
+        wall_ms: u64,
+        id: JobId,
+        accepted: Arc<Accepted>,
+    ) {
+        self.rewrite_if_deleted(id, &accepted);
         self.insert(now, wall_ms, id, accepted);
         self.charge_share(id);
         self.note_accepted(id);
@@ -65,7 +81,9 @@
     /// not read yet is remembered and applied once it is.
     pub(crate) fn cancel(&mut self, now: Duration, id: JobId, by: Requester) {
         let Some(job) = self.jobs.get(&id) else {
-            self.early_cancellations.insert(id, by);
+            if !self.cancel_elsewhere(now, id, &by) {
+                self.early_cancellations.insert(id, by);
+            }
             return;
         };
         if !job.accepted.belongs_to(&by) {
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -29,6 +29,7 @@
 mod parts;
 mod place;
 mod polls;
+pub mod reassignment;
 pub mod report;
 mod runs;
 mod scheduler;
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::overload::Overload;
 use crate::place::Key;
 use crate::polls::EndedIncarnation;
+use crate::reassignment::Reassignments;
 use crate::shares::Shares;
 use crate::takeover::Recovery;
 use crate::tickets::Tickets;
@@ -74,6 +75,7 @@
     pub(crate) shares: Shares,
     pub(crate) overload: Overload,
     pub(crate) admission: Admission,
+    pub(crate) reassignments: Reassignments,
     pub(crate) vms_to_vacate: BTreeSet<Arc<str>>,
     /// Data centres that get no new work.
     pub(crate) evacuated: Arc<BTreeSet<Arc<str>>>,
@@ -124,6 +126,7 @@
             shares: Shares::default(),
             overload: Overload::default(),
             admission: Admission::default(),
+            reassignments: Reassignments::default(),
             vms_to_vacate: BTreeSet::new(),
             evacuated: Arc::default(),
             may_start: true,
@@ -164,6 +167,9 @@
     /// completed or failed is reported as running until its state is durable.
     #[must_use]
     pub fn state(&self, job: JobId) -> Option<State> {
+        if self.reassignments.misplaced(job).is_some() {
+            return Some(State::Queued);
+        }
         let job = self.jobs.get(&job)?;
         let not_durable = job.state.is_terminal()
             && job.state != State::Cancelled
@@ -174,7 +180,8 @@
     /// Acceptance of a job; `None` if the job is unknown.
     #[must_use]
     pub fn accepted(&self, job: JobId) -> Option<&Accepted> {
-        self.jobs.get(&job).map(|job| job.accepted.as_ref())
+        let known = self.jobs.get(&job).map(|job| &job.accepted);
+        known.or_else(|| self.reassignments.misplaced(job)).map(Arc::as_ref)
     }
 
     /// Whether a job counted as within its customer's share when it was accepted; `None` if the job
@@ -195,7 +202,8 @@
     #[must_use]
     pub fn queued_jobs(&self, queue: &str) -> u64 {
         let queued = |job: &&Job| job.state == State::Queued && *job.accepted.queue == *queue;
-        self.jobs.values().filter(queued).count() as u64
+        let misplaced = self.reassignments.misplaced_of(queue);
+        (self.jobs.values().filter(queued).count() + misplaced) as u64
     }
 
     /// Applies an event to the state. `wall_ms` is the time of day in ms since 1970.
@@ -203,6 +211,8 @@
         match event {
             Event::Accepted(id, accepted) => self.accept(now, wall_ms, id, accepted),
             Event::Cancelled(id, by) => self.cancel(now, id, by),
+            Event::Reassigned(queue, version) => self.queue_reassigned(queue, version),
+            Event::Relocated(id, relocation) => self.relocated(now, wall_ms, id, relocation),
             Event::WorkerListed(entry) => self.worker_listed(now, entry),
             Event::WorkerUnlisted(id) => self.worker_unlisted(now, &id),
             Event::Polled { worker, sent, extended, reply } => {
@@ -252,6 +262,7 @@
                 self.release_expired(now);
                 self.remove_ended_jobs(now);
                 self.prune_ended_incarnations(now);
+                self.prune_deleted_acceptances(now);
                 self.placement_due |=
                     !self.waiting.is_empty() && now >= self.last_placement + MAX_PLACEMENT_INTERVAL;
             }
--- a/crates/crosspath_schedule/src/takeover.rs
+++ b/crates/crosspath_schedule/src/takeover.rs
@@ -12,13 +12,13 @@
 //! an unreachable rack unavailable for 18 s. Therefore an owner that leaves a shard reports to the
 //! next one, if that one asks, by when everything that may run on each worker has expired.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crosspath_border::worker::Entry;
 use crosspath_job::progress::{Part, Progress};
-use crosspath_job::record::{Record, part_key};
+use crosspath_job::record::{Accepted, Reassignment, Record, part_key};
 use crosspath_job::{JobId, TaskId};
 
 use crate::event::Event;
@@ -101,16 +101,27 @@
     ) {
         let mut progress: Vec<(JobId, Progress)> = Vec::new();
         let mut parts: Vec<(JobId, u64, Part)> = Vec::new();
+        let mut accepted: Vec<(JobId, Arc<Accepted>)> = Vec::new();
         let mut cancelled = Vec::new();
         for record in records {
             match record {
-                Record::Accepted(id, accepted) => self.insert(now, wall_ms, id, accepted),
+                Record::Accepted(id, acceptance) => accepted.push((id, acceptance)),
+                Record::Reassigned(queue, Reassignment { config_version }) => {
+                    self.queue_reassigned(queue, config_version);
+                }
                 Record::Progress(id, stored) => progress.push((id, stored)),
                 Record::ProgressPart(id, first, part) => parts.push((id, first, part)),
                 Record::Cancelled(id, by) => cancelled.push((id, by)),
                 Record::Claim(_) | Record::Tombstone(_) => {}
             }
         }
+        let has_progress: BTreeSet<_> =
+            progress.iter().map(|(id, _)| *id).chain(parts.iter().map(|(id, ..)| *id)).collect();
+        for (id, acceptance) in accepted {
+            if has_progress.contains(&id) || !self.relocate_if_misplaced(id, &acceptance) {
+                self.insert(now, wall_ms, id, acceptance);
+            }
+        }
         let in_records = progress.iter().map(|(_, stored)| &stored.tasks);
         let tasks = in_records.chain(parts.iter().map(|(_, _, part)| &part.tasks));
         let deadline = self.recovery.deadline;
--- a/crates/crosspath_schedule/tests/schedule/common.rs
+++ b/crates/crosspath_schedule/tests/schedule/common.rs
@@ -46,6 +46,7 @@
         pool: "counter".into(),
         policy,
         advice: None,
+        config_version: 0,
         at_ms: WALL_MS,
         spec,
     })
--- a/crates/crosspath_schedule/tests/schedule/main.rs
+++ b/crates/crosspath_schedule/tests/schedule/main.rs
@@ -22,6 +22,7 @@
 mod parts;
 mod quiet;
 mod random_faults;
+mod reassignment;
 mod shares;
 mod simulation;
 mod spread;
--- a/crates/crosspath_schedule/tests/schedule/simulation.rs
+++ b/crates/crosspath_schedule/tests/schedule/simulation.rs
@@ -467,6 +467,8 @@
                 self.send(owner, &worker.id, poll);
             }
             Action::Throttle { .. }
+            | Action::Relocate { .. }
+            | Action::RelocateCancellation { .. }
             | Action::RequestAdvice { .. }
             | Action::RequestQuota { .. } => {}
         }
