Confirm the configuration before a reassigned queue's jobs are stored

- TWICE: a queue moves away and back.
A daemon that has not heard of the latter records the pool in between, after another one that knows only the last configuration has read the map; both store one job.
Now a daemon stores no job of a queue with several pools before it has found its configuration to be the newest one after it has known the pool to be recorded: one read of the operators' log for each move, or a question to a peer.
- TWICE: an owner that had read the reassignment in its shard, and not yet the configuration, took the job for one of its own pool (it was to be relocated to where it was).
It waits for that configuration now.

Also: a relocated cancellation goes to all pools of the queue, and each owner relocates it once, or two owners would send it to each other for ever; a search for a job of a removed queue denied nothing and so did not end.

--- a/crates/crosspath_node/src/assignment.rs
+++ b/crates/crosspath_node/src/assignment.rs
@@ -5,6 +5,11 @@
 //! appended before the first job is accepted under it. A daemon that starts later, or that has
 //! missed a configuration, reads these records and searches all pools where a job may be.
 //!
+//! A daemon may be behind when it records the assignment, while another one has applied a later
+//! configuration, and read the map, without it. So a daemon stores no job of a queue with several
+//! pools before it has found its own configuration to be the newest one after it has known the
+//! assignment to be recorded: whoever applies a later one reads the map after that.
+//!
 //! The assignments of the first configuration are appended with the map itself. Later ones are
 //! appended by the first daemon that accepts a job under them. A daemon that the store turns away
 //! gets them from the peer that sends it the configuration.
@@ -111,6 +116,15 @@
         self.0.get(&assignment.queue).is_some_and(|pools| pools.contains(&assignment.pool))
     }
 
+    /// All assignments.
+    pub fn iter(&self) -> impl Iterator<Item = Assignment> {
+        self.0.iter().flat_map(|(queue, pools)| {
+            let assignment =
+                |pool: &Arc<str>| Assignment { queue: Arc::clone(queue), pool: Arc::clone(pool) };
+            pools.iter().map(assignment)
+        })
+    }
+
     /// Pools of all queues, each once.
     pub fn all_pools(&self) -> impl Iterator<Item = &Arc<str>> {
         self.0.values().flatten().collect::<BTreeSet<_>>().into_iter()
--- a/crates/crosspath_node/src/config_sync.rs
+++ b/crates/crosspath_node/src/config_sync.rs
@@ -9,14 +9,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crosspath_border::operator::Config;
+use crosspath_border::operator::{Change, Config};
+use crosspath_border::store::{Error, Topic};
 use rand::seq::SliceRandom as _;
 use serde::{Deserialize, Serialize};
 
 use crate::assignment::Assignments;
 use crate::clock;
 use crate::feed;
-use crate::node::Node;
+use crate::node::{Node, only_partition};
 use crate::routing::Sequence;
 use crate::rpc::{Reply, Request};
 
@@ -32,12 +33,47 @@
 /// peers it is one in 27.
 const PEERS_PER_ROUND: usize = 3;
 
+/// Timeout of a read that confirms the configuration, while a caller waits.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Whether data that was last confirmed at `confirmed_at` may be stale at `now`.
 #[must_use]
 pub fn may_be_stale(confirmed_at: Duration, now: Duration) -> bool {
     now > confirmed_at + STALE_AFTER
 }
 
+/// Whether this version of the configuration was still the newest one at some time after `since`. Reads
+/// the operators' log to find out, or asks peers if the store does not answer.
+pub(crate) async fn is_newest_after(node: &Node, version: u64, since: Duration) -> bool {
+    let is_told = || node.operator_log_told_at() >= since;
+    if !is_told() {
+        match has_later_config(node, version).await {
+            Ok(false) => {}
+            Ok(true) => return false,
+            Err(error) => {
+                log::info!("event=config_not_confirmed version={version} error=\"{error}\"");
+                query_peers(node).await;
+                if !is_told() {
+                    return false;
+                }
+            }
+        }
+    }
+    // Another configuration may have been applied meanwhile.
+    node.table().is_some_and(|table| table.version == version)
+}
+
+/// Whether the operators' log has a later configuration, which has not been applied.
+async fn has_later_config(node: &Node, version: u64) -> Result<bool, Error> {
+    let end = node.operator_log_end().ok_or(Error::NotReached)?;
+    let read = node.store.read(only_partition(Topic::Operators), end, Duration::ZERO);
+    let page = tokio::time::timeout(CONFIRM_TIMEOUT, read).await.unwrap_or(Err(Error::NoAnswer))?;
+    Ok(page.records.iter().any(|record| {
+        let change = node.store.decode_change(record);
+        matches!(change, Ok(Change::Config(config)) if config.version > version)
+    }))
+}
+
 /// Queries other daemons for a newer configuration while the store does not confirm the current
 /// one.
 pub(crate) async fn run(node: Arc<Node>) {
--- a/crates/crosspath_node/src/feed.rs
+++ b/crates/crosspath_node/src/feed.rs
@@ -102,7 +102,7 @@
                 let evacuations = apply_operator_records(&node, &records, sequence);
                 if let Some(read_to) = feed.next_offset {
                     apply_evacuations(&node, &evacuations, is_snapshot.then_some(read_to));
-                    node.set_operator_log_read(clock::now());
+                    node.set_operator_log_read(clock::now(), read_to);
                 }
             }
             Err(error) => {
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -7,7 +7,7 @@
 use crosspath_border::ingress::{Access, Cancelled, Handler, Lookup, Resolved, Submitted};
 use crosspath_border::operator::{DEFAULT_BODY_BYTES, Queue};
 use crosspath_border::store::{Error as StoreError, NewRecord};
-use crosspath_job::record::{Accepted, Record, Requester};
+use crosspath_job::record::{Accepted, Policy, Record, Requester};
 use crosspath_job::{JobId, Spec};
 use futures::future::join_all;
 
@@ -165,6 +165,23 @@
         false
     }
 
+    /// Whether the configuration was still the newest one after the assignment of the queue to its
+    /// pool had become known. If so, every daemon that applies a later configuration without those
+    /// before it finds that pool recorded; see [`crate::assignment`].
+    async fn confirm_configuration(&self, current: &Current) -> bool {
+        let Current { queue, version, since } = current;
+        if self.node.is_queue_confirmed(&queue.name, *since) {
+            return true;
+        }
+        let learned_at = self.node.assignment_learned_at(&Assignment::of(queue));
+        let learned_at = learned_at.unwrap_or_else(clock::now);
+        let is_newest = config_sync::is_newest_after(&self.node, *version, learned_at).await;
+        if is_newest {
+            self.node.set_queue_confirmed(&queue.name, *since);
+        }
+        is_newest
+    }
+
     fn current(&self, queue: &str) -> Option<Current> {
         let table = self.node.table()?;
         let queue = table.queue(queue)?.clone();
@@ -185,21 +202,26 @@
         within: Duration,
         except: Option<u32>,
     ) -> Result<Submitted, SameShard> {
-        let Some(Current { queue, version, since }) = self.current(&accepted.queue) else {
+        let Some(current) = self.current(&accepted.queue) else {
             return Ok(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S });
         };
+        let Current { queue, version, since } = &current;
         let long_running = accepted.spec.steps.iter().any(|step| step.long_running);
         let shard = self.node.map().shard_for_new_job(&queue.pool, job, long_running);
-        if shard.is_some() && !self.record_assignment(&queue, within).await {
+        if shard.is_some() && !self.record_assignment(queue, within).await {
             return Ok(Submitted::NotTaken { retry_after_s: self.retry_after_s() });
         }
+        let has_other_pools = search::pools_of(&self.node, queue).len() > 1;
+        if shard.is_some() && has_other_pools && !self.confirm_configuration(&current).await {
+            return Ok(Submitted::NotTaken { retry_after_s: RETRY_AFTER_S });
+        }
         let search = Search {
             node: &self.node,
-            queue: &queue,
+            queue,
             requester: accepted.requester(),
             job,
-            version,
-            store_since: Some(since),
+            version: *version,
+            store_since: Some(*since),
             except,
         };
         if let Some(answer) = self.resubmitted(&search, within).await {
@@ -215,7 +237,7 @@
         let accepted = Accepted {
             pool: Arc::clone(&queue.pool),
             advice: queue.advice,
-            config_version: version,
+            config_version: *version,
             ..accepted
         };
         Ok(self.append_job(shard, job, accepted, within).await)
@@ -272,24 +294,8 @@
         within: Duration,
         except: u32,
     ) -> Option<bool> {
-        let queue = Queue {
-            name: Arc::clone(&accepted.queue),
-            host: "".into(),
-            prefix: "".into(),
-            pool: Arc::clone(&accepted.pool),
-            policy: accepted.policy,
-            advice: accepted.advice,
-            open: false,
-        };
-        let search = Search {
-            node: &self.node,
-            queue: &queue,
-            requester: accepted.requester(),
-            job,
-            version: accepted.config_version,
-            store_since: None,
-            except: Some(except),
-        };
+        let queue = removed_queue(&accepted.queue, &accepted.pool);
+        let search = self.search_elsewhere(&queue, accepted.requester(), job, except);
         match search.locate(clock::now() + within).await {
             Location::InShard(..) => Some(true),
             Location::NotFound => Some(false),
@@ -297,8 +303,21 @@
         }
     }
 
-    /// Appends a cancellation to the shards of the queue's current pool where the job may be, apart
-    /// from `except`; returns whether it is stored in all of them.
+    /// Search for a job that is not to be stored, in all shards but one.
+    fn search_elsewhere<'a>(
+        &'a self,
+        queue: &'a Queue,
+        requester: Requester,
+        job: JobId,
+        except: u32,
+    ) -> Search<'a> {
+        let version = self.node.table().map_or(0, |table| table.version);
+        let except = Some(except);
+        Search { node: &self.node, queue, requester, job, version, store_since: None, except }
+    }
+
+    /// Appends a cancellation to all shards where the job may be, apart from `except`; returns whether
+    /// it is stored in all of them.
     pub(crate) async fn store_cancellation(
         &self,
         job: JobId,
@@ -307,17 +326,42 @@
         except: u32,
     ) -> bool {
         let deadline = clock::now() + within;
-        let Some(Current { queue, .. }) = self.current(&by.queue) else { return false };
-        let Some(shards) = self.node.map().candidate_shards(&queue.pool, job) else { return false };
+        let queue = match self.current(&by.queue) {
+            Some(current) => current.queue,
+            None => {
+                let pool_slices = self.node.map().by_shard();
+                let Some(own) = pool_slices.get(&except) else { return false };
+                removed_queue(&by.queue, &own.pool)
+            }
+        };
+        let search = self.search_elsewhere(&queue, by.clone(), job, except);
+        let candidates = search.candidates(deadline).await;
+        if candidates.incomplete {
+            return false;
+        }
         let record = NewRecord::from(&Record::Cancelled(job, by.clone()));
         let deadlines = Deadlines { send_by: deadline, refuse_at: deadline, unknown_at: deadline };
-        let shards = shards.into_iter().filter(|shard| *shard != except);
-        let appends =
-            shards.map(|shard| appender::append(&self.node, shard, record.clone(), deadlines));
+        let shards = candidates.shards.into_iter().map(|candidate| candidate.shard);
+        let appends = shards
+            .filter(|shard| *shard != except)
+            .map(|shard| appender::append(&self.node, shard, record.clone(), deadlines));
         join_all(appends).await.iter().all(|outcome| *outcome == Outcome::Kept)
     }
 }
 
+/// Queue that the configuration lacks, to search for its jobs in the pools that it has used.
+fn removed_queue(name: &Arc<str>, pool: &Arc<str>) -> Queue {
+    Queue {
+        name: Arc::clone(name),
+        host: "".into(),
+        prefix: "".into(),
+        pool: Arc::clone(pool),
+        policy: Policy { priority: 0, max_attempts: 0, stretch: 0.0, target_ms: 0 },
+        advice: None,
+        open: false,
+    }
+}
+
 /// Number of whole seconds after which `delay_ms` is over.
 fn whole_seconds(delay_ms: u64) -> u32 {
     u32::try_from(delay_ms.div_ceil(1_000)).unwrap_or(u32::MAX)
--- a/crates/crosspath_node/src/node.rs
+++ b/crates/crosspath_node/src/node.rs
@@ -45,6 +45,8 @@
     from_store: Duration,
     /// Time of the last read by another daemon, whose result this daemon has received.
     from_peer: Duration,
+    /// Offset up to which it has been read from the store; `None` before the first read.
+    end: Option<u64>,
 }
 
 /// Membership of this daemon in the group, and with it the right to act as owner of shards.
@@ -96,6 +98,11 @@
     map: Mutex<Arc<Map>>,
     /// Version of the configuration that was the newest one when the last read of the map began.
     map_read_in: AtomicU64,
+    /// When each recorded assignment became known here.
+    assignments_learned: Mutex<BTreeMap<Assignment, Duration>>,
+    /// By queue, the version since which it has its pool, if the configuration was confirmed after
+    /// that assignment had become known.
+    confirmed_queues: Mutex<HashMap<Arc<str>, u64>>,
     /// Held while an assignment is recorded.
     pub(crate) recording_assignment: tokio::sync::Mutex<()>,
     /// Holder of each shard; `None` until that has been read.
@@ -167,6 +174,8 @@
             waves: Mutex::default(),
             map: Mutex::default(),
             map_read_in: AtomicU64::new(0),
+            assignments_learned: Mutex::default(),
+            confirmed_queues: Mutex::default(),
             recording_assignment: tokio::sync::Mutex::default(),
             holders: Mutex::default(),
             owned: Mutex::default(),
@@ -201,9 +210,21 @@
         lock(&self.operator_log).from_store
     }
 
-    /// Records that the operators' log has been read to its end from the store.
-    pub(crate) fn set_operator_log_read(&self, now: Duration) {
-        lock(&self.operator_log).from_store = now;
+    /// Records that the operators' log has been read from the store, to its end at this offset.
+    pub(crate) fn set_operator_log_read(&self, now: Duration, end: u64) {
+        let times = &mut lock(&self.operator_log);
+        times.from_store = now;
+        times.end = Some(end);
+    }
+
+    /// Offset up to which the operators' log has been read; `None` before the first read.
+    pub(crate) fn operator_log_end(&self) -> Option<u64> {
+        lock(&self.operator_log).end
+    }
+
+    /// Time at which all records of the operators' log were last known from a peer.
+    pub(crate) fn operator_log_told_at(&self) -> Duration {
+        lock(&self.operator_log).from_peer
     }
 
     /// Records that a peer has sent the content of the operators' log, as it read it from the store
@@ -262,10 +283,32 @@
     }
 
     fn change_map(&self, change: impl FnOnce(&mut Map)) {
+        let now = clock::now();
         change(Arc::make_mut(&mut lock(&self.map)));
+        let mut learned = lock(&self.assignments_learned);
+        for assignment in self.map().assignments().iter() {
+            learned.entry(assignment).or_insert(now);
+        }
+        drop(learned);
         self.routing_changed.notify_waiters();
     }
 
+    /// When a recorded assignment became known here; `None` if it is not known.
+    pub(crate) fn assignment_learned_at(&self, assignment: &Assignment) -> Option<Duration> {
+        lock(&self.assignments_learned).get(assignment).copied()
+    }
+
+    /// Whether the configuration was confirmed after the assignment of the queue to its pool, which
+    /// it has since a version, had become known.
+    pub(crate) fn is_queue_confirmed(&self, queue: &str, since: u64) -> bool {
+        lock(&self.confirmed_queues).get(queue) == Some(&since)
+    }
+
+    /// Records that.
+    pub(crate) fn set_queue_confirmed(&self, queue: &Arc<str>, since: u64) {
+        lock(&self.confirmed_queues).insert(Arc::clone(queue), since);
+    }
+
     /// Whether the assignments by all configurations are known, also by those that this daemon has
     /// not applied.
     pub(crate) fn knows_assignments(&self) -> bool {
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -27,7 +27,7 @@
 use crate::node::{Node, shard_partition};
 use crate::order::Order;
 use crate::pages::Pages;
-use crate::relocation;
+use crate::relocation::Relocation;
 use crate::rpc::{self, Assigned, Reply, Request};
 use crate::shard_log::{append_owned, ask_previous_owner, decode, follow, request_event};
 use crate::watch::{self, Watch};
@@ -399,6 +399,10 @@
         Order::new(&self.node, watch, &self.events, ownership.terms, ownership.claimed.token)
     }
 
+    fn relocation(&self, job: JobId, config_version: u64) -> Relocation {
+        Relocation::new(Arc::clone(&self.node), self.number, job, config_version)
+    }
+
     fn execute(&self, ownership: &mut Ownership, action: Action) {
         match action {
             Action::Start { worker, task, run, text, checkpoint, ticket } => {
@@ -443,13 +447,13 @@
                     events.send(if kept { Event::Committed } else { Event::Superseded }).ok();
                 })));
             }
-            Action::Relocate { job, accepted } => {
-                let (node, events) = (Arc::clone(&self.node), self.events.clone());
-                drop(tokio::spawn(relocation::relocate(node, self.number, job, accepted, events)));
+            Action::Relocate { job, accepted, config_version } => {
+                let relocation = self.relocation(job, config_version);
+                drop(tokio::spawn(relocation.relocate(accepted, self.events.clone())));
             }
-            Action::RelocateCancellation { job, by } => {
-                let node = Arc::clone(&self.node);
-                drop(tokio::spawn(relocation::relocate_cancellation(node, self.number, job, by)));
+            Action::RelocateCancellation { job, by, config_version } => {
+                let relocation = self.relocation(job, config_version);
+                drop(tokio::spawn(relocation.relocate_cancellation(by)));
             }
             Action::RequestQuota { request } => {
                 let (node, events) = (Arc::clone(&self.node), self.events.clone());
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -60,6 +60,8 @@
     down: AtomicBool,
     /// Whether the next read of the operators' log finds its records gone.
     truncated: AtomicBool,
+    /// Whether reads of the operators' log get no answer.
+    operators_silent: AtomicBool,
     /// Number of unconditional appends that were refused.
     refused_appends: AtomicUsize,
     /// Number of reads of the worker list.
@@ -111,6 +113,9 @@
     async fn read(&self, partition: Partition, from: u64, wait: Duration) -> Result<Page, Error> {
         self.check_up()?;
         self.count(partition);
+        if partition.topic == Topic::Operators && self.operators_silent.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         if partition.topic == Topic::Operators && self.truncated.swap(false, Ordering::SeqCst) {
             return Err(Error::Truncated { first: from + 1 });
         }
@@ -425,6 +430,7 @@
             append_delay_ms: AtomicU64::new(0),
             down: AtomicBool::new(false),
             truncated: AtomicBool::new(false),
+            operators_silent: AtomicBool::new(false),
             refused_appends: AtomicUsize::new(0),
             worker_reads: AtomicUsize::new(0),
             holder_reads: AtomicUsize::new(0),
@@ -517,6 +523,11 @@
         self.store.down.store(down, Ordering::SeqCst);
     }
 
+    /// Leaves this daemon's reads of the operators' log without an answer from the next one on.
+    pub(crate) fn silence_operator_log(&self) {
+        self.store.operators_silent.store(true, Ordering::SeqCst);
+    }
+
     /// Removes the records of the operators' log that this daemon has not read, except the newest.
     pub(crate) fn truncate_operator_log(&self) {
         self.store.truncated.store(true, Ordering::SeqCst);
--- a/crates/crosspath_node/tests/node/reassignment.rs
+++ b/crates/crosspath_node/tests/node/reassignment.rs
@@ -172,6 +172,56 @@
     assert_eq!(shards_with_job(&log, 2).len(), 1);
 }
 
+/// The queue has moved away and back. The first daemon has not heard of the latter, and the second one
+/// has read only the last configuration, before the first one records the pool in between.
+#[tokio::test]
+async fn no_job_is_stored_by_a_configuration_that_was_replaced_before_its_pool_was_recorded() {
+    let log = log_with_two_pools().await;
+    let older = Daemon::start("entry-1", &log).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    write_config(&log, "2 >batch,counter").await;
+    wait_for_pool(&older, "batch").await;
+    older.silence_operator_log();
+    tokio::time::sleep(CHECK_INTERVAL * 5).await;
+    write_config(&log, "3 >counter,batch").await;
+    let newer = Daemon::start_small("entry-2", &log).await;
+    assert_eq!((older.pool(), newer.pool()), ("batch".into(), "counter".into()));
+    for _ in 0..2 {
+        older.submit_now(1).await;
+    }
+    assert_eq!(newer.submit_now(1).await, Submitted::Accepted);
+    assert_eq!(shards_with_job(&log, 1).len(), 1);
+}
+
+/// The owner of the earlier pool has read in its shard that the queue was reassigned, and not yet the
+/// configuration that says to which pool.
+#[tokio::test]
+async fn an_owner_with_an_older_configuration_runs_no_job_that_belongs_elsewhere() {
+    // Each of the two owns the shard of one pool.
+    for is_first_older in [true, false] {
+        let log = log_with_two_pools().await;
+        let first = Daemon::start("entry-1", &log).await;
+        let second = Daemon::start("entry-2", &log).await;
+        tokio::time::sleep(SETTLE_TIME).await;
+        let (older, newer) = if is_first_older { (&first, &second) } else { (&second, &first) };
+        older.silence_operator_log();
+        tokio::time::sleep(CHECK_INTERVAL * 5).await;
+        write_config(&log, "2 >batch,counter").await;
+        wait_for_pool(newer, "batch").await;
+        submit_until_accepted(newer, 1).await;
+        let batch = shards_with_job(&log, 1);
+        assert_eq!(older.pool(), "counter".into());
+        assert_eq!(older.submit_now(2).await, Submitted::Accepted);
+        for _ in 0..MAX_CHECKS {
+            if shards_with_job(&log, 2) == batch {
+                break;
+            }
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+        assert_eq!(shards_with_job(&log, 2), batch);
+    }
+}
+
 /// A cancellation that goes to the earlier pool only would be acknowledged without effect, and a
 /// state found there only would be that there is no such job.
 #[tokio::test]
--- a/crates/crosspath_schedule/src/action.rs
+++ b/crates/crosspath_schedule/src/action.rs
@@ -70,13 +70,17 @@
         job: JobId,
         /// Its acceptance, as it was stored in this shard.
         accepted: Arc<Accepted>,
+        /// Version of a configuration that assigns the queue elsewhere; no earlier one tells where.
+        config_version: u64,
     },
-    /// Store the cancellation of a job in the pool that its queue has now.
+    /// Store the cancellation of a job in all pools where the job may be.
     RelocateCancellation {
         /// Identifier of the job.
         job: JobId,
         /// Requester of the cancellation.
         by: Requester,
+        /// Version of a configuration that assigns the queue elsewhere.
+        config_version: u64,
     },
     /// Request allotments of customers' maxima from the ledger; answered by `Event::QuotaAnswered`.
     RequestQuota {
--- a/crates/crosspath_schedule/src/reassignment.rs
+++ b/crates/crosspath_schedule/src/reassignment.rs
@@ -22,9 +22,9 @@
 use crate::action::Action;
 use crate::scheduler::Scheduler;
 
-/// Time for which the deletion of a relocated job's records is remembered. Longer than a record takes
-/// from its append until the owner reads it, also while the store is down.
-const DELETION_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which relocations are remembered. Longer than a record takes from its append until the
+/// owner reads it, also while the store is down.
+const RELOCATION_RETENTION: Duration = Duration::from_secs(60);
 
 /// Result of the relocation of a misplaced job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,13 +44,17 @@
     misplaced: BTreeMap<JobId, Arc<Accepted>>,
     /// Relocated jobs whose records were deleted here, and when.
     deleted: BTreeMap<JobId, Duration>,
+    /// Jobs whose cancellation was relocated, and when. Each is relocated once, or two owners that do
+    /// not know the job would send it to each other for ever.
+    cancelled: BTreeMap<JobId, Duration>,
 }
 
 impl Reassignments {
-    /// Whether a job that becomes known now is misplaced.
-    fn misplaces(&self, accepted: &Accepted) -> bool {
-        let version = self.versions.get(&accepted.queue);
-        version.is_some_and(|version| accepted.config_version < *version)
+    /// Version of the reassignment by which a job that becomes known now is misplaced; `None` if it is
+    /// not.
+    fn misplacing(&self, accepted: &Accepted) -> Option<u64> {
+        let version = self.versions.get(&accepted.queue).copied();
+        version.filter(|version| accepted.config_version < *version)
     }
 
     pub(crate) fn misplaced(&self, job: JobId) -> Option<&Arc<Accepted>> {
@@ -87,13 +91,14 @@
 
     /// Relocates a job that has just become known, if it is misplaced; returns whether it is.
     pub(crate) fn relocate_if_misplaced(&mut self, id: JobId, accepted: &Arc<Accepted>) -> bool {
-        if !self.reassignments.misplaces(accepted) {
+        let Some(config_version) = self.reassignments.misplacing(accepted) else {
             self.reassignments.misplaced.remove(&id);
             return false;
-        }
-        if self.reassignments.misplaced.insert(id, Arc::clone(accepted)).is_none() {
+        };
+        let accepted = Arc::clone(accepted);
+        if self.reassignments.misplaced.insert(id, Arc::clone(&accepted)).is_none() {
             log::info!("event=job_misplaced job={id} queue={}", accepted.queue);
-            self.actions.push(Action::Relocate { job: id, accepted: Arc::clone(accepted) });
+            self.actions.push(Action::Relocate { job: id, accepted, config_version });
         }
         true
     }
@@ -126,19 +131,22 @@
         }
     }
 
-    /// Forgets deletions of which all records before them have been read by now.
-    pub(crate) fn prune_deleted_acceptances(&mut self, now: Duration) {
-        self.reassignments.deleted.retain(|_, deleted| now < *deleted + DELETION_RETENTION);
+    /// Forgets what was done so long ago that no record from before can arrive any more.
+    pub(crate) fn prune_relocations(&mut self, now: Duration) {
+        let is_recent = |at: &Duration| now < *at + RELOCATION_RETENTION;
+        self.reassignments.deleted.retain(|_, at| is_recent(at));
+        self.reassignments.cancelled.retain(|_, at| is_recent(at));
     }
 
     /// Applies the cancellation of a job that is none of this shard. The job may be stored in the
     /// pool to which its queue was reassigned, now or later. Returns whether it was a misplaced one,
     /// which is cancelled here too.
     pub(crate) fn cancel_elsewhere(&mut self, now: Duration, id: JobId, by: &Requester) -> bool {
-        if !self.reassignments.versions.contains_key(&by.queue) {
-            return false;
+        let Some(config_version) = self.reassigned_by(&by.queue) else { return false };
+        if self.reassignments.cancelled.insert(id, now).is_none() {
+            let by = by.clone();
+            self.actions.push(Action::RelocateCancellation { job: id, by, config_version });
         }
-        self.actions.push(Action::RelocateCancellation { job: id, by: by.clone() });
         let misplaced = self.reassignments.misplaced(id).filter(|job| job.belongs_to(by));
         let Some(accepted) = misplaced.cloned() else { return false };
         self.reassignments.misplaced.remove(&id);
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -262,7 +262,7 @@
                 self.release_expired(now);
                 self.remove_ended_jobs(now);
                 self.prune_ended_incarnations(now);
-                self.prune_deleted_acceptances(now);
+                self.prune_relocations(now);
                 self.placement_due |=
                     !self.waiting.is_empty() && now >= self.last_placement + MAX_PLACEMENT_INTERVAL;
             }
--- a/crates/crosspath_schedule/tests/schedule/reassignment.rs
+++ b/crates/crosspath_schedule/tests/schedule/reassignment.rs
@@ -167,10 +167,12 @@
 
 /// A daemon with the earlier configuration knows no other pool.
 #[test]
-fn a_cancellation_of_a_job_that_is_stored_elsewhere_is_relocated() {
+fn a_cancellation_of_a_job_that_is_stored_elsewhere_is_relocated_once() {
     let mut harness = harness();
-    harness.send(Event::Cancelled(JOB, requester()));
-    assert_eq!(relocated_cancellations(&harness), 1);
+    for _ in 0..3 {
+        harness.send(Event::Cancelled(JOB, requester()));
+    }
+    assert_eq!(relocated_cancellations(&harness), 1, "the owner there may send it back");
 }
 
 #[test]
