Leave out a checkpoint only if it exceeds a record

A checkpoint between 32 KiB, the size of a part, and the limit on records was left out of a task's progress, though it fits into a part of its own; a later owner would have started the task from its beginning.

--- a/crates/crosspath_schedule/src/parts.rs
+++ b/crates/crosspath_schedule/src/parts.rs
@@ -1,9 +1,9 @@
 //! Division of a job's progress into records.
 //!
-//! The store limits the size of a record, and a job can have more tasks than the progress of fits
-//! into one. The progress is therefore divided into parts of consecutive tasks, and a part that
-//! grows beyond [`MAX_PART_BYTES`] is divided further. The first part is in the job's progress
-//! record; each other one has a record of its own, which is written only when its content changes.
+//! The store limits the size of a record, and the progress of a job with many tasks exceeds it. The
+//! progress is therefore divided into parts of consecutive tasks, and a part that grows beyond
+//! [`MAX_PART_BYTES`] is divided further. The first part is in the job's progress record; each other
+//! one has a record of its own, which is written only when its content changes.
 //!
 //! The records of one commit may be stored by several appends, of which the later ones may fail. So
 //! the parts of a running job go before its progress record, and a part before the ones that begin
@@ -23,6 +23,10 @@
 /// Size in bytes of what a record holds beside the progress of tasks: its key, and the state of the
 /// job.
 const RECORD_OVERHEAD_BYTES: usize = 256;
+/// Upper bound of the size of a number, or of a short row of fields with one, in bytes.
+const NUMBER_BYTES: usize = 40;
+/// Size of the field names of a task's progress, in bytes.
+const FIELDS_BYTES: usize = 48;
 
 /// Progress of a task, with its position among all tasks of its job.
 #[derive(Debug, Clone)]
@@ -48,11 +52,6 @@
     }
 }
 
-/// Upper bound of the size of a number, or of a short row of fields with one, in bytes.
-const NUMBER_BYTES: usize = 40;
-/// Size of the field names of a task's progress, in bytes.
-const FIELDS_BYTES: usize = 48;
-
 /// Size of a text as JSON, in bytes.
 fn json_size(text: &str) -> usize {
     let size = |byte: u8| match byte {
@@ -95,10 +94,11 @@
         mut entries: Vec<Entry>,
         max_record_bytes: usize,
     ) -> Vec<Record> {
-        let max = MAX_PART_BYTES.min(max_record_bytes.saturating_sub(RECORD_OVERHEAD_BYTES));
+        let max_content = max_record_bytes.saturating_sub(RECORD_OVERHEAD_BYTES);
         for entry in &mut entries {
-            drop_oversized_checkpoint(job, entry, max);
+            drop_oversized_checkpoint(job, entry, max_content);
         }
+        let max = MAX_PART_BYTES.min(max_content);
         let mut records = Vec::new();
         for first in self.committed.keys().rev().copied().collect::<Vec<_>>() {
             let part = entries.split_off(entries.partition_point(|entry| entry.position < first));
--- a/crates/crosspath_schedule/tests/schedule/parts.rs
+++ b/crates/crosspath_schedule/tests/schedule/parts.rs
@@ -221,6 +221,27 @@
     assert_eq!((checkpoint("0.0.0"), checkpoint("0.0.1")), (None, Some("00ff".into())));
 }
 
+#[test]
+fn a_checkpoint_that_exceeds_a_part_and_fits_into_a_record_is_stored() {
+    let mut harness = Harness::with_workers(&["a"]);
+    harness.submit(vec![step(2, 0)]);
+    harness.advance(ms(60));
+    let starts = harness.take_starts();
+    let large: Arc<str> = "x".repeat(100_000).into();
+    let stopped = Ended {
+        checkpoint: Some(Arc::clone(&large)),
+        ..ended(1, starts[0].task, starts[0].run, Outcome::Stopped)
+    };
+    harness.polled("a", vec![running(starts[1].task, starts[1].run)], vec![stopped]);
+    harness.advance(ms(60));
+    let mut next = Harness::new(2);
+    let accepted = Record::Accepted(JOB, accepted(vec![step(2, 0)]));
+    let records = committed_records(&harness.actions);
+    next.take_over([accepted].into_iter().chain(records).collect(), &["a"]);
+    let progress = next.scheduler.progress(JOB, WALL_MS).expect("a known job");
+    assert_eq!(progress.tasks["0.0.0"].checkpoint, Some(large));
+}
+
 /// The members of a gang end together, and their progress may be in different records.
 #[test]
 fn a_gang_of_which_one_member_is_stored_as_done_is_not_started_again() {
