A job that is misplaced in two shards is deleted from one

By its logs each of them was misplaced in two shards at once; each relocation found the job with the other owner, took it for stored there, and deleted its own record.

Now a search for a relocation ignores jobs that are themselves misplaced: the job is stored in the queue's pool by whichever is first, and once for both. A job of a removed queue, which has no pool to go to, stays in the lowest shard.

Test: node/reassignment.rs a_job_that_is_misplaced_in_two_pools..., which fails before (the job is denied).

--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::node::Node;
 use crate::pending::{Deadlines, Outcome};
 use crate::rpc::{self, Reply, Request};
-use crate::search::{self, Candidates, Location, Search};
+use crate::search::{self, Candidates, Location, Misplaced, Search};
 
 /// Fraction of a caller's timeout that is spent on attempts to determine a job's state, or whether
 /// it is stored. Less than half, since the caller should have its answer by then.
@@ -101,6 +101,7 @@
             version: self.node.table().map_or(0, |table| table.version),
             store_since: None,
             except: None,
+            misplaced: Misplaced::Counts,
         }
     }
 
@@ -223,6 +224,7 @@
             version: *version,
             store_since: Some(*since),
             except,
+            misplaced: if except.is_some() { Misplaced::Ignored } else { Misplaced::Counts },
         };
         if let Some(answer) = self.resubmitted(&search, within).await {
             return Ok(answer);
@@ -312,8 +314,16 @@
         except: u32,
     ) -> Search<'a> {
         let version = self.node.table().map_or(0, |table| table.version);
-        let except = Some(except);
-        Search { node: &self.node, queue, requester, job, version, store_since: None, except }
+        Search {
+            node: &self.node,
+            queue,
+            requester,
+            job,
+            version,
+            store_since: None,
+            except: Some(except),
+            misplaced: Misplaced::CountsBelow(except),
+        }
     }
 
     /// Appends a cancellation to all shards where the job may be, apart from `except`; returns whether
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -70,6 +70,9 @@
         /// What the sender knows of the queue's pool; senders of earlier versions do not tell it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         assigned: Option<Assigned>,
+        /// Whether a job that the owner is about to relocate counts as unknown.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        ignores_misplaced: bool,
     },
     /// Queries the number of a queue's jobs that are queued.
     #[serde(rename = "waiting")]
@@ -424,10 +427,10 @@
 /// Handles a request of a peer, or of this daemon to itself.
 pub(crate) async fn handle(node: &Arc<Node>, request: Request) -> Reply {
     match request {
-        Request::State { shard, job, requester, assigned } => {
+        Request::State { shard, job, requester, assigned, ignores_misplaced } => {
             let owned = node.owned();
-            let handle = owned.get(&shard);
-            handle.map_or(Reply::NotOwner, |handle| handle.find(job, &requester, assigned))
+            let Some(handle) = owned.get(&shard) else { return Reply::NotOwner };
+            handle.find(job, &requester, assigned, ignores_misplaced)
         }
         Request::QueuedJobs { shard, queue } => {
             let owned = node.owned();
--- a/crates/crosspath_node/src/search.rs
+++ b/crates/crosspath_node/src/search.rs
@@ -64,6 +64,30 @@
     pub(crate) store_since: Option<u64>,
     /// Shard that is left out, because the job is relocated from there.
     pub(crate) except: Option<u32>,
+    pub(crate) misplaced: Misplaced,
+}
+
+/// Whether a job counts as found in a shard from which it is to be relocated. Two owners that relocate
+/// one job must not both rely on the other.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Misplaced {
+    /// It does: its owner will store it in the queue's pool.
+    Counts,
+    /// It does not: the job is about to be stored in the queue's pool, whoever does it first.
+    Ignored,
+    /// It does in shards below this one: there is no pool to store it in, and it stays in the lowest
+    /// one.
+    CountsBelow(u32),
+}
+
+impl Misplaced {
+    fn is_ignored_in(self, shard: u32) -> bool {
+        match self {
+            Self::Counts => false,
+            Self::Ignored => true,
+            Self::CountsBelow(limit) => shard >= limit,
+        }
+    }
 }
 
 /// Pools in which jobs of the queue may be, as far as they are known.
@@ -129,7 +153,8 @@
         let mut is_recorded = false;
         loop {
             let (job, requester) = (self.job, self.requester.clone());
-            let request = Request::State { shard, job, requester, assigned };
+            let ignores_misplaced = self.misplaced.is_ignored_in(shard);
+            let request = Request::State { shard, job, requester, assigned, ignores_misplaced };
             match rpc::call_holder(self.node, shard, request).await {
                 Some(Reply::State(state)) => return Some(state),
                 Some(Reply::NotReassigned) if !is_recorded => {
--- a/crates/crosspath_node/src/shard.rs
+++ b/crates/crosspath_node/src/shard.rs
@@ -115,10 +115,13 @@
         job: JobId,
         requester: &Requester,
         assigned: Option<Assigned>,
+        ignores_misplaced: bool,
     ) -> Reply {
         let shared = scheduler(&self.scheduler);
         let Some(scheduler) = shared.as_ref() else { return Reply::NotOwner };
-        let own = scheduler.accepted(job).is_some_and(|accepted| accepted.belongs_to(requester));
+        let accepted = scheduler.accepted(job);
+        let accepted = accepted.filter(|_| !ignores_misplaced || !scheduler.is_misplaced(job));
+        let own = accepted.is_some_and(|accepted| accepted.belongs_to(requester));
         if let Some(state) = scheduler.state(job).filter(|_| own) {
             return Reply::State(Some(state));
         }
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -523,9 +523,10 @@
         self.store.down.store(down, Ordering::SeqCst);
     }
 
-    /// Leaves this daemon's reads of the operators' log without an answer from the next one on.
-    pub(crate) fn silence_operator_log(&self) {
-        self.store.operators_silent.store(true, Ordering::SeqCst);
+    /// Leaves this daemon's reads of the operators' log that begin from now on without an answer, or
+    /// answers them again.
+    pub(crate) fn silence_operator_log(&self, silent: bool) {
+        self.store.operators_silent.store(silent, Ordering::SeqCst);
     }
 
     /// Removes the records of the operators' log that this daemon has not read, except the newest.
--- a/crates/crosspath_node/tests/node/reassignment.rs
+++ b/crates/crosspath_node/tests/node/reassignment.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use crosspath_border::ingress::{Cancelled, Lookup, Submitted};
-use crosspath_border::store::{Partition, Stored, Topic};
+use crosspath_border::store::{NewRecord, Partition, Stored, Topic};
 use crosspath_fakes::memory_store::MemoryStore;
 use crosspath_job::progress::State;
 use crosspath_node::assignment::Assignment;
 use crosspath_node::map::Map;
 
-use crate::common::{Daemon, SETTLE_TIME, SHARDS, log_with_one_pool, write_config};
+use crate::common::{Daemon, SETTLE_TIME, SHARDS, append, log_with_one_pool, write_config};
 
 /// Interval between checks of a condition, and number of checks before the test fails.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -181,7 +181,7 @@
     tokio::time::sleep(SETTLE_TIME).await;
     write_config(&log, "2 >batch,counter").await;
     wait_for_pool(&older, "batch").await;
-    older.silence_operator_log();
+    older.silence_operator_log(true);
     tokio::time::sleep(CHECK_INTERVAL * 5).await;
     write_config(&log, "3 >counter,batch").await;
     let newer = Daemon::start_small("entry-2", &log).await;
@@ -204,7 +204,7 @@
         let second = Daemon::start("entry-2", &log).await;
         tokio::time::sleep(SETTLE_TIME).await;
         let (older, newer) = if is_first_older { (&first, &second) } else { (&second, &first) };
-        older.silence_operator_log();
+        older.silence_operator_log(true);
         tokio::time::sleep(CHECK_INTERVAL * 5).await;
         write_config(&log, "2 >batch,counter").await;
         wait_for_pool(newer, "batch").await;
@@ -222,6 +222,39 @@
     }
 }
 
+/// Both owners relocate the job, and each finds it with the other one.
+#[tokio::test]
+async fn a_job_that_is_misplaced_in_two_pools_is_not_deleted_from_both() {
+    let log = log_with_two_pools().await;
+    let (newer, older) = daemons_with_different_configurations(&log).await;
+    // Both shards learn that the queue was reassigned: away, and back.
+    submit_until_accepted(&newer, 1).await;
+    let batch = shards_with_job(&log, 1)[0];
+    write_config(&log, "3 >counter,batch").await;
+    wait_for_pool(&newer, "counter").await;
+    submit_until_accepted(&newer, 2).await;
+    let counter = shards_with_job(&log, 2)[0];
+    assert_ne!(batch, counter);
+    // The acceptance by the second configuration arrives late, after the one by the first.
+    let records = log.records(Partition { topic: Topic::Shards, number: batch });
+    let accepted = records.iter().find(|record| record.key == "job/0000000000000001");
+    let accepted = accepted.expect("the job in the second pool").value.clone();
+    write_config(&log, "4 >batch,counter").await;
+    wait_for_pool(&newer, "batch").await;
+    write_config(&log, "5 >counter,batch").await;
+    wait_for_pool(&newer, "counter").await;
+    // Nothing can be relocated until the configuration is confirmed.
+    newer.silence_operator_log(true);
+    assert_eq!(older.submit_now(3).await, Submitted::Accepted);
+    let late = NewRecord { key: "job/0000000000000003".into(), value: accepted };
+    append(&log, Partition { topic: Topic::Shards, number: batch }, &[late]).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    newer.silence_operator_log(false);
+    tokio::time::sleep(CONFIG_PROPAGATION).await;
+    assert_eq!(newer.state_now(3).await, Lookup::State(State::Queued));
+    assert_eq!(shards_with_job(&log, 3), [counter]);
+}
+
 /// A cancellation that goes to the earlier pool only would be acknowledged without effect, and a
 /// state found there only would be that there is no such job.
 #[tokio::test]
--- a/crates/crosspath_schedule/src/reassignment.rs
+++ b/crates/crosspath_schedule/src/reassignment.rs
@@ -75,6 +75,12 @@
         self.reassignments.versions.get(queue).copied()
     }
 
+    /// Whether the job is being relocated.
+    #[must_use]
+    pub fn is_misplaced(&self, job: JobId) -> bool {
+        self.reassignments.misplaced(job).is_some()
+    }
+
     /// Applies the record of a reassignment.
     pub(crate) fn queue_reassigned(&mut self, queue: Arc<str>, config_version: u64) {
         let version = self.reassignments.versions.entry(Arc::clone(&queue)).or_default();
