Derive what a search ignores, one constructor for equal deadlines

Found in the last read of this change; behaviour stays as it is.

- Search::misplaced followed from `except` and `store_since` and was set by hand in three places: it is a method now, and its enum is gone.
- Three copies of deadlines that are all one time: Deadlines::until.
- take_batch cloned all queued records to measure them, at each append: Limits::appends takes anything that holds a record.

--- a/crates/crosspath_border/src/store.rs
+++ b/crates/crosspath_border/src/store.rs
@@ -64,6 +64,12 @@
     }
 }
 
+impl AsRef<Self> for NewRecord {
+    fn as_ref(&self) -> &Self {
+        self
+    }
+}
+
 impl From<&Record> for NewRecord {
     fn from(record: &Record) -> Self {
         Self { key: record.key(), value: record.value().into() }
@@ -93,12 +99,12 @@
     /// Divides records, in their order, into as few appends as the limit on their size allows. A
     /// record that is larger than that is left alone in one, which the store will reject.
     #[must_use]
-    pub fn appends(self, records: &[NewRecord]) -> Vec<&[NewRecord]> {
+    pub fn appends<T: AsRef<NewRecord>>(self, records: &[T]) -> Vec<&[T]> {
         let mut appends = Vec::new();
         let mut first = 0;
         let mut bytes = 0;
         for (at, record) in records.iter().enumerate() {
-            let size = Self::LENGTH_BYTES + record.size();
+            let size = Self::LENGTH_BYTES + record.as_ref().size();
             if at > first && bytes + size > self.append_bytes {
                 appends.push(&records[first..at]);
                 (first, bytes) = (at, 0);
--- a/crates/crosspath_node/src/appender.rs
+++ b/crates/crosspath_node/src/appender.rs
@@ -156,8 +156,7 @@
 /// withdrawn.
 fn take_batch(queued: &mut Vec<Pending>, limits: Limits) -> Vec<Pending> {
     let limits = Limits { append_bytes: limits.append_bytes.min(MAX_APPEND_BYTES), ..limits };
-    let records: Vec<_> = queued.iter().map(|pending| pending.record.clone()).collect();
-    let fitting = limits.appends(&records).first().map_or(0, |append| append.len());
+    let fitting = limits.appends(queued).first().map_or(0, |append| append.len());
     queued.drain(..fitting).filter(Pending::begin_send).collect()
 }
 
--- a/crates/crosspath_node/src/gateway.rs
+++ b/crates/crosspath_node/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::node::Node;
 use crate::pending::{Deadlines, Outcome};
 use crate::rpc::{self, Reply, Request};
-use crate::search::{self, Candidates, Location, Misplaced, Search};
+use crate::search::{self, Candidates, Location, Search};
 
 /// Fraction of a caller's timeout that is spent on attempts to determine a job's state, or whether
 /// it is stored. Less than half, since the caller should have its answer by then.
@@ -101,7 +101,6 @@
             version: self.node.table().map_or(0, |table| table.version),
             store_since: None,
             except: None,
-            misplaced: Misplaced::Counts,
         }
     }
 
@@ -224,7 +223,6 @@
             version: *version,
             store_since: Some(*since),
             except,
-            misplaced: if except.is_some() { Misplaced::Ignored } else { Misplaced::Counts },
         };
         if let Some(answer) = self.resubmitted(&search, within).await {
             return Ok(answer);
@@ -322,7 +320,6 @@
             version,
             store_since: None,
             except: Some(except),
-            misplaced: Misplaced::CountsBelow(except),
         }
     }
 
@@ -350,7 +347,7 @@
             return false;
         }
         let record = NewRecord::from(&Record::Cancelled(job, by.clone()));
-        let deadlines = Deadlines { send_by: deadline, refuse_at: deadline, unknown_at: deadline };
+        let deadlines = Deadlines::until(deadline);
         let shards = candidates.shards.into_iter().map(|candidate| candidate.shard);
         let appends = shards
             .filter(|shard| *shard != except)
@@ -458,7 +455,7 @@
         };
         let record = NewRecord::from(&Record::Cancelled(job, requester(access)));
         // Appending a cancellation is attempted as long as the caller waits.
-        let deadlines = Deadlines { send_by: deadline, refuse_at: deadline, unknown_at: deadline };
+        let deadlines = Deadlines::until(deadline);
         let appends = shards
             .iter()
             .map(|shard| appender::append(&self.node, *shard, record.clone(), deadlines));
--- a/crates/crosspath_node/src/pending.rs
+++ b/crates/crosspath_node/src/pending.rs
@@ -27,6 +27,13 @@
     pub unknown_at: Duration,
 }
 
+impl Deadlines {
+    /// Attempts until one time, whatever is known of the record.
+    pub(crate) fn until(deadline: Duration) -> Self {
+        Self { send_by: deadline, refuse_at: deadline, unknown_at: deadline }
+    }
+}
+
 /// What is known about whether a record was stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -74,6 +81,12 @@
     (Pending { record, deadlines, unconfirmed: false, decided, answer }, waiter)
 }
 
+impl AsRef<NewRecord> for Pending {
+    fn as_ref(&self) -> &NewRecord {
+        &self.record
+    }
+}
+
 impl Pending {
     /// Marks the record as sent; returns false if the caller has withdrawn it. To be called once.
     #[must_use]
--- a/crates/crosspath_node/src/search.rs
+++ b/crates/crosspath_node/src/search.rs
@@ -64,30 +64,6 @@
     pub(crate) store_since: Option<u64>,
     /// Shard that is left out, because the job is relocated from there.
     pub(crate) except: Option<u32>,
-    pub(crate) misplaced: Misplaced,
-}
-
-/// Whether a job counts as found in a shard from which it is to be relocated. Two owners that relocate
-/// one job must not both rely on the other.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Misplaced {
-    /// It does: its owner will store it in the queue's pool.
-    Counts,
-    /// It does not: the job is about to be stored in the queue's pool, whoever does it first.
-    Ignored,
-    /// It does in shards below this one: there is no pool to store it in, and it stays in the lowest
-    /// one.
-    CountsBelow(u32),
-}
-
-impl Misplaced {
-    fn is_ignored_in(self, shard: u32) -> bool {
-        match self {
-            Self::Counts => false,
-            Self::Ignored => true,
-            Self::CountsBelow(limit) => shard >= limit,
-        }
-    }
 }
 
 /// Pools in which jobs of the queue may be, as far as they are known.
@@ -99,6 +75,13 @@
 }
 
 impl Search<'_> {
+    /// Whether the job counts as unknown in a shard from which it is to be relocated. Two owners that
+    /// relocate one job must not both rely on the other: it is about to be stored in the queue's
+    /// pool, whoever does it first, or if there is none, it stays in the lowest shard.
+    fn ignores_misplaced(&self, shard: u32) -> bool {
+        self.except.is_some_and(|own| self.store_since.is_some() || shard > own)
+    }
+
     /// Finds the shards where the job may be, in its queue's current pool and in earlier ones.
     pub(crate) async fn candidates(&self, deadline: Duration) -> Candidates {
         let incomplete = !assignment::wait_until_known(self.node, deadline).await;
@@ -153,7 +136,7 @@
         let mut is_recorded = false;
         loop {
             let (job, requester) = (self.job, self.requester.clone());
-            let ignores_misplaced = self.misplaced.is_ignored_in(shard);
+            let ignores_misplaced = self.ignores_misplaced(shard);
             let request = Request::State { shard, job, requester, assigned, ignores_misplaced };
             match rpc::call_holder(self.node, shard, request).await {
                 Some(Reply::State(state)) => return Some(state),
@@ -175,7 +158,7 @@
         let reassignment = Reassignment { config_version: self.version };
         let record = Record::Reassigned(Arc::clone(&self.queue.name), reassignment);
         let record = NewRecord::from(&record);
-        let deadlines = Deadlines { send_by: deadline, refuse_at: deadline, unknown_at: deadline };
+        let deadlines = Deadlines::until(deadline);
         let outcome = appender::append(self.node, shard, record, deadlines).await;
         log::info!(
             "event=reassignment_recorded queue={} shard={shard} config_version={} outcome={outcome:?}",
