Log why a long-running task has no worker

The logs did not tell whether a long-running task waits because workers with room are withheld from it, because a round of placement does not come to it, or because no worker of its slice can take it.

No decision changes.

--- a/crates/crosspath_fleet/src/moves.rs
+++ b/crates/crosspath_fleet/src/moves.rs
@@ -151,6 +151,7 @@
             return;
         }
         self.logged_at = now;
+        let spare = view.vms.iter().filter(|vm| view.is_spare(vm)).count();
         for (name, pool) in &view.pools {
             let balance = balances.get(name).cloned().unwrap_or_default();
             let Balance { size, target, cold_percent, .. } = balance;
@@ -159,7 +160,7 @@
             let free = free.reduce(|sum, free| sum.plus(&free)).unwrap_or_default();
             let lacks = pool.lacks;
             log::info!(
-                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={} usable={} free_millis={} free_mb={} waiting_mb={} cold_percent={cold_percent} lacks_cpu={} lacks_memory={} lacks_gpus={} fragmented={} ineligible={}",
+                "event=pool pool={name} has={size} wants={target} running_millis={} waiting_millis={} blocked_millis={} usable={} free_millis={} free_mb={} waiting_mb={} cold_percent={cold_percent} unplaced_long_running={} spare={spare} lacks_cpu={} lacks_memory={} lacks_gpus={} fragmented={} ineligible={}",
                 pool.running_millis,
                 pool.waiting_millis,
                 pool.blocked_millis,
@@ -167,6 +168,7 @@
                 free.cpu_millis,
                 free.mem_mb,
                 pool.waiting.mem_mb,
+                pool.unplaced_long_running,
                 lacks.cpu,
                 lacks.memory,
                 lacks.gpus,
--- a/crates/crosspath_schedule/src/lib.rs
+++ b/crates/crosspath_schedule/src/lib.rs
@@ -40,6 +40,7 @@
 mod throttle;
 mod tickets;
 mod vacate;
+mod waits;
 pub mod warm_up;
 mod worker;
 
--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -161,7 +161,10 @@
         let mut unplaced = 0;
         self.unplaced_millis = 0;
         self.unplaced_long_running = 0;
-        for (rank, key) in self.placement_order(now) {
+        self.unreached = 0;
+        let order = self.placement_order(now);
+        let total = order.len();
+        for (position, (rank, key)) in order.into_iter().enumerate() {
             if key.gang {
                 let gang = (key.task.job, key.task.occurrence, key.task.step);
                 if attempted_gang != Some(gang) {
@@ -202,6 +205,7 @@
             self.unplaced_long_running += u32::from(!key.finite);
             unplaced += 1;
             if unplaced >= MAX_CONSECUTIVE_UNPLACED {
+                self.unreached = total - position - 1;
                 return;
             }
         }
@@ -425,7 +429,7 @@
     }
 
     /// Whether a worker gets no new tasks because of its suspicion score.
-    fn is_quarantined(&self, now: Duration, worker: &Worker) -> bool {
+    pub(crate) fn is_quarantined(&self, now: Duration, worker: &Worker) -> bool {
         self.quarantine_enabled && worker.suspicion_at(now) >= QUARANTINE_THRESHOLD
     }
 
@@ -534,7 +538,7 @@
 }
 
 /// Number of runs of the same step and occurrence on a worker.
-fn siblings_on(worker: &Worker, id: TaskId) -> u32 {
+pub(crate) fn siblings_on(worker: &Worker, id: TaskId) -> u32 {
     let first = TaskId { index: 0, ..id };
     let last = TaskId { index: u32::MAX, ..id };
     let runs = worker.runs.range((first, 0)..=(last, u64::MAX));
--- a/crates/crosspath_schedule/src/scheduler.rs
+++ b/crates/crosspath_schedule/src/scheduler.rs
@@ -94,6 +94,10 @@
     pub(crate) unplaced_millis: u64,
     /// Number of long-running tasks among those.
     pub(crate) unplaced_long_running: u32,
+    /// Number of waiting tasks that the last placement round did not come to.
+    pub(crate) unreached: usize,
+    /// When waits of long-running tasks were last logged.
+    pub(crate) waits_logged_at: Duration,
     /// Whether workers with a high suspicion score get no new work in this round.
     pub(crate) quarantine_enabled: bool,
     /// When the last placement round took place.
@@ -136,6 +140,8 @@
             placement_due: false,
             unplaced_millis: 0,
             unplaced_long_running: 0,
+            unreached: 0,
+            waits_logged_at: Duration::ZERO,
             quarantine_enabled: false,
             last_placement: Duration::ZERO,
             review_due: false,
@@ -263,6 +269,7 @@
                 self.remove_ended_jobs(now);
                 self.prune_ended_incarnations(now);
                 self.prune_relocations(now);
+                self.log_waits(now);
                 self.placement_due |=
                     !self.waiting.is_empty() && now >= self.last_placement + MAX_PLACEMENT_INTERVAL;
             }
