Failing tests: a long-running task waits behind every pool that lacks more VMs

Two of 21 tasks with one task a VM have no VM, another pool is overloaded and no VM is spare: the pool stays at 19 VMs for ever. And with spare VMs, all go to the pool with the larger deficit. A third one holds: a task that no VM can take does not drain other pools.

--- a/crates/crosspath_fleet/tests/fleet/common.rs
+++ b/crates/crosspath_fleet/tests/fleet/common.rs
@@ -55,6 +55,10 @@
     pub(crate) waiting: BTreeMap<Arc<str>, u64>,
     /// Part of that demand that is long-running.
     pub(crate) long_running_millis: BTreeMap<Arc<str>, u64>,
+    /// Number of long-running tasks without a worker, by pool.
+    pub(crate) unplaced_long_running: BTreeMap<Arc<str>, u32>,
+    /// Number of VMs over which each pool has to spread a step.
+    pub(crate) min_vms: BTreeMap<Arc<str>, u32>,
     down_until: BTreeMap<Arc<str>, Duration>,
     pub(crate) orders: Vec<(Duration, Arc<str>, Order)>,
     /// Percentage of its capacity that each cold VM does not give yet.
@@ -83,6 +87,8 @@
             long_running: BTreeMap::new(),
             waiting: BTreeMap::new(),
             long_running_millis: BTreeMap::new(),
+            unplaced_long_running: BTreeMap::new(),
+            min_vms: BTreeMap::new(),
             down_until: BTreeMap::new(),
             orders: Vec::new(),
             cold_percent: BTreeMap::new(),
@@ -142,11 +148,21 @@
             running_millis: vms.iter().map(|vm| vm.used_millis).sum(),
             waiting_millis: self.waiting.get(pool).copied().unwrap_or(0),
             long_running_millis: self.long_running_millis.get(pool).copied().unwrap_or(0),
+            unplaced_long_running: self.unplaced_long_running.get(pool).copied().unwrap_or(0),
+            min_vms: self.min_vms.get(pool).copied().unwrap_or(0),
             vms,
             ..report::Pool::default()
         }
     }
 
+    /// Ends the finite tasks on VMs that are to be vacated.
+    pub(crate) fn vacate(&mut self) {
+        for vm in self.planner.vms_to_vacate(&self.view.vms).into_values().flatten() {
+            let long_running = self.long_running.get(&vm).copied().unwrap_or(0);
+            self.tasks.insert(vm, long_running);
+        }
+    }
+
     /// Number of VMs in maintenance.
     pub(crate) fn in_maintenance(&self) -> usize {
         let under_way = self.orders.iter().filter(|(at, _, order)| {
--- a/crates/crosspath_fleet/tests/fleet/main.rs
+++ b/crates/crosspath_fleet/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod domains;
 mod evacuation;
+mod long_running;
 mod moves;
 mod remaining;
 mod size;
