Report isolated long-running tasks without a worker

A long-running task with three losses is to be isolated. If each worker runs a task of its step, none can be reserved for it, and it waits. It was left out of the count of long-running tasks without a worker, so the planner fetched no VM.

The test failed before (0 tasks reported instead of 1).

--- a/crates/crosspath_schedule/src/place.rs
+++ b/crates/crosspath_schedule/src/place.rs
@@ -188,6 +188,7 @@
                 Attempt::NoIsolation => {
                     self.unplaced_millis =
                         self.unplaced_millis.saturating_add(key.resources.cpu_millis);
+                    self.unplaced_long_running += u32::from(!key.finite);
                     continue;
                 }
                 Attempt::NoCapacity if key.unconstrained => {
--- a/crates/crosspath_schedule/tests/schedule/losses.rs
+++ b/crates/crosspath_schedule/tests/schedule/losses.rs
@@ -424,3 +424,23 @@
     let progress = harness.scheduler.progress(JOB, 0).expect("a job");
     assert!(progress.tasks["0.0.0"].lost.is_empty(), "{progress:?}");
 }
+
+/// Each worker runs a task of the step, so that none can isolate the other one.
+#[test]
+fn an_isolated_long_running_task_that_no_worker_can_take_is_reported() {
+    let mut harness = Harness::new(2);
+    let step = Step { long_running: true, max_per_worker: 1, ..step(2, 2) };
+    let progress = records_with_losses(3, 1_000).into_iter().find_map(|record| match record {
+        Record::Progress(_, progress) => Some(progress),
+        _ => None,
+    });
+    let progress = Record::Progress(JOB, progress.expect("progress"));
+    harness.take_over(vec![Record::Accepted(JOB, accepted(vec![step])), progress], &["a"]);
+    let sibling = running(crate::common::task(0, 1), 7);
+    for _ in 0..120 {
+        harness.polled("a", vec![sibling.clone()], Vec::new());
+        harness.advance(ms(100));
+    }
+    assert_eq!(harness.take_starts(), Vec::new());
+    assert_eq!(harness.scheduler.report(harness.now).unplaced_long_running, 1);
+}
