Count a pool's target up to the fleet's size

VMs are divided by the share of its target that each pool misses. A pool with sixty times the work that the fleet can do misses nearly all of its target whatever it gets, so that each VM went to it, and the other pools kept their smallest size: two VMs, which smaller tasks kept filling. A target beyond the number of VMs now counts as that number, so the pool's share falls as it gets VMs.

The test failed before (2 VMs instead of 6 or more).

--- a/crates/crosspath_fleet/src/allocation.rs
+++ b/crates/crosspath_fleet/src/allocation.rs
@@ -18,11 +18,14 @@
 }
 
 impl Request {
-    /// Unmet share of the target with `allocated` VMs, weighted by priority.
-    fn weighted_deficit(&self, allocated: u32) -> f64 {
-        let missing = f64::from(self.target.saturating_sub(allocated));
+    /// Unmet share of the target with `allocated` of `total` VMs, weighted by priority. A target
+    /// beyond the total counts as the total: otherwise the share that a pool with far more work
+    /// than there are VMs misses hardly falls with each VM, and it would get all of them.
+    fn weighted_deficit(&self, allocated: u32, total: u32) -> f64 {
+        let target = self.target.min(total).max(1);
+        let missing = f64::from(target.saturating_sub(allocated));
         let weight = if self.priority == 0 { TOP_PRIORITY_WEIGHT } else { 1.0 };
-        weight * missing / f64::from(self.target.max(1))
+        weight * missing / f64::from(target)
     }
 }
 
@@ -39,8 +42,8 @@
     while remaining > 0 {
         let short = requests.iter().filter(|(pool, request)| allocated[*pool] < request.target);
         let largest_deficit = short.max_by(|(a, one), (b, other)| {
-            one.weighted_deficit(allocated[*a])
-                .total_cmp(&other.weighted_deficit(allocated[*b]))
+            one.weighted_deficit(allocated[*a], total)
+                .total_cmp(&other.weighted_deficit(allocated[*b], total))
                 .then_with(|| b.cmp(a))
         });
         let Some((pool, _)) = largest_deficit else { break };
--- a/crates/crosspath_fleet/tests/fleet/moves.rs
+++ b/crates/crosspath_fleet/tests/fleet/moves.rs
@@ -236,3 +236,23 @@
     });
     assert_eq!(sizes, [8, 12], "eight VMs at half their capacity lack four");
 }
+
+/// One pool asks for fifty times the fleet. By the share of its target that is missing, it would
+/// get all VMs but the smallest size of the other pool.
+#[test]
+fn an_overloaded_pool_leaves_vms_to_one_that_needs_a_few() {
+    let mut vms: Vec<_> = (0..38).map(|n| vm(&format!("c{n:02}"), "counter")).collect();
+    vms.extend((0..2).map(|n| vm(&format!("m{n:02}"), "meter")));
+    let mut harness = Harness::new(vms);
+    for vm in harness.view.vms.clone() {
+        harness.tasks.insert(vm.name, 32);
+    }
+    harness.waiting.insert("counter".into(), 2_000 * VM_MILLIS);
+    harness.waiting.insert("meter".into(), 6 * VM_MILLIS);
+    for _ in 0..40 {
+        harness.round();
+        harness.vacate();
+    }
+    assert!(harness.pool_size("meter") >= 6, "{}", harness.pool_size("meter"));
+    assert!(harness.pool_size("counter") >= 20, "{}", harness.pool_size("counter"));
+}
