--- a/crates/crosspathd/tests/crowd/main.rs
+++ b/crates/crosspathd/tests/crowd/main.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod process;
 mod site;
+mod streams;
 
 /// Held by the test that runs.
 static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
--- a/crates/crosspathd/tests/crowd/platform.rs
+++ b/crates/crosspathd/tests/crowd/platform.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use crosspath_http::client::{Client, Method};
-use crosspath_platform_stand_in::store::{PARTITIONS, Route, Store};
+use crosspath_platform_stand_in::store::{Mode, PARTITIONS, Route, Store};
 use crosspath_platform_stand_in::worker::{Observer, Worker};
 use http::{Request, header};
 use serde_json::json;
@@ -16,6 +16,7 @@
 use crate::ONE_AT_A_TIME;
 use crate::crowd::{Crowd, Payload, pieces};
 use crate::process::{Bounds, OBSERVATION, Usage};
+use crate::streams;
 
 /// Limits of the daemon, as in its settings.
 const BOUNDS: Bounds = Bounds { memory_mb: 64, descriptors: 256 };
@@ -23,6 +24,8 @@
 const CROWD: usize = 500;
 /// Connections of a crowd that sends its bodies in very small chunks.
 const SMALL_CHUNKS_CROWD: usize = 100;
+/// Connections of a crowd that sends its bodies over HTTP/2, many over each.
+const HTTP2_CONNECTIONS: usize = 50;
 /// Connections of a crowd of which each is cheap, at one port.
 const CONNECTIONS: usize = 400;
 /// Connections of a crowd that sends bodies to the port for peers.
@@ -56,7 +59,7 @@
     metrics: SocketAddr,
     child: Child,
     jobs: u64,
-    _store: Arc<Store>,
+    store: Arc<Store>,
     _worker: Worker,
     _directory: TempDir,
 }
@@ -108,18 +111,9 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        let (_store, _worker, _directory) = (store, worker, directory);
-        let mut daemon = Self {
-            callers,
-            readiness,
-            peers,
-            metrics,
-            child,
-            jobs: 0,
-            _store,
-            _worker,
-            _directory,
-        };
+        let (store, _worker, _directory) = (store, worker, directory);
+        let mut daemon =
+            Self { callers, readiness, peers, metrics, child, jobs: 0, store, _worker, _directory };
         let started = tokio::time::timeout(HANG_TIMEOUT, async {
             while daemon.submit().await != Some(200) {
                 tokio::time::sleep(POLL_INTERVAL).await;
@@ -184,6 +178,59 @@
     check_bodies(CROWD, &pieces).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_over_http2_that_stop_short_are_bounded() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut daemon = Daemon::start().await;
+    let (size, requests) = (HTTP2_CONNECTIONS, CROWD / HTTP2_CONNECTIONS);
+    let _crowd = streams::Crowd::send(daemon.callers, size, requests, BODY_BYTES).await;
+    daemon.check().await;
+}
+
+/// Whole submission of the largest size, with as many steps as fit.
+fn many_steps() -> Bytes {
+    let mut body = "{\"steps\":[{}".to_owned();
+    while body.len() + ",{}]}".len() <= BODY_BYTES {
+        body.push_str(",{}");
+    }
+    body.push_str("]}");
+    format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len()).into()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn submissions_of_many_steps_are_bounded() {
+    check_bodies(CROWD, &pieces(&many_steps(), 16)).await;
+}
+
+/// Whole submission of the largest size that is valid: a small job, padded.
+fn padded_submission() -> Bytes {
+    let job = json!({ "spec": "{}", "steps": [{ "count": 1, "cpu": 10, "mem_mb": 1 }] });
+    let job = job.to_string();
+    let body = format!("{job}{}", " ".repeat(BODY_BYTES - job.len()));
+    format!("{HEAD}x-deadline-ms: 30000\r\ncontent-length: {BODY_BYTES}\r\n\r\n{body}").into()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_submissions_that_wait_for_the_store_are_bounded() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut daemon = Daemon::start().await;
+    daemon.store.set_mode(Mode::Silent);
+    let crowd = Crowd::send(daemon.callers, CROWD, &pieces(&padded_submission(), 16)).await;
+    let mut usage = Usage::default();
+    tokio::time::sleep(OBSERVATION).await;
+    usage.observe(daemon.child.id());
+    daemon.store.set_mode(Mode::Up);
+    drop(crowd);
+    let served = tokio::time::timeout(HANG_TIMEOUT, async {
+        while daemon.submit().await != Some(200) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    });
+    let status = served.await.ok().map(|()| 200);
+    usage.observe(daemon.child.id());
+    usage.check(BOUNDS, status);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_in_large_chunks_that_stop_short_are_bounded() {
     let request = Payload { bytes: BODY_BYTES, chunk: Some(64 * 1024) }.unfinished(HEAD);
