Bound what all clients hold together

What callers saw: daemons ran out of memory, or stopped to answer, while many clients, each within the limits of a request, sent bodies or heads that stop just short of their end and kept their connections.

Cause: size and time were limited for each request, never in sum. Each chunk of a body pinned the buffer that it arrived in. Listeners took 10,000 connections each, more than a VM has descriptors, and at that limit waited in accept for one to end; a connection on which nothing arrives has no time limit. HTTP/2 had windows of 1 MiB for 200 streams of each connection.

Why it works: the server loop hands each body to its handler together with one budget for all of them, so that no port can read a body outside of it. At the limit the oldest incomplete body is given up (503, Retry-After, nothing was done), so that requests that are sent at once get through. All limits follow from the memory and the descriptors in the settings. Peers have a budget of their own. The jsonrpsee server gets bodies that were read within it. A peer's 503 comes before it has read the request, so an append that gets it was certainly not stored.

--- a/crates/crosspath_caller/src/lib.rs
+++ b/crates/crosspath_caller/src/lib.rs
@@ -18,13 +18,13 @@
 
 use async_trait::async_trait;
 use crosspath_http::Body;
+use crosspath_http::body::Inbound;
 use crosspath_http::server::{self, Limits, Stage};
 use crosspath_route::answer::Final;
 use crosspath_route::claim::Verdict;
 use crosspath_route::key::Key;
 use crosspath_state::name::CallerName;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -79,7 +79,8 @@
     stop: watch::Receiver<Stage>,
     handler: Arc<H>,
 ) {
-    let handle = move |request: Request<Incoming>, _: SocketAddr| {
+    let limits = Limits { refusal_headers: response::REFUSAL_HEADERS, ..limits };
+    let handle = move |request: Request<Inbound>, _: SocketAddr| {
         let handler = Arc::clone(&handler);
         async move { respond(request, body_limits, &*handler).await }
     };
@@ -87,7 +88,7 @@
 }
 
 async fn respond<H: Handler>(
-    request: Request<Incoming>,
+    request: Request<Inbound>,
     body_limits: BodyLimits,
     handler: &H,
 ) -> Response<Body> {
--- a/crates/crosspath_caller/src/request.rs
+++ b/crates/crosspath_caller/src/request.rs
@@ -3,18 +3,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crosspath_http::body::{self, BodyError};
+use crosspath_http::body::{self, BodyError, Inbound};
 use crosspath_route::key::{InvalidKey, Key};
 use crosspath_state::name::{CallerName, ServiceName};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, header};
-use hyper::body::{Body as _, Incoming};
 use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
 
 use crate::headers::{PAYMENT_KEY, REQUEST_TIMEOUT_MS, strip_hop_by_hop};
 use crate::{BodyLimits, Handler};
 
 const OUTCOMES: &str = "/v1/outcomes/";
+/// Reason of a request that was refused since all clients together hold too much.
+pub(crate) const NO_ROOM: &str = "no_room";
 
 /// Validated request for a service.
 #[derive(Debug, Clone)]
@@ -83,6 +84,7 @@
                 BodyError::TooLarge { .. } => "body_too_large",
                 BodyError::TooSlow { .. } => "body_too_slow",
                 BodyError::Truncated => "body_cut",
+                BodyError::NoRoom { .. } => NO_ROOM,
             },
         }
     }
@@ -94,7 +96,7 @@
 }
 
 pub(crate) async fn read<H: Handler>(
-    request: Request<Incoming>,
+    request: Request<Inbound>,
     body_limits: BodyLimits,
     handler: &H,
 ) -> Result<Parsed, Rejection> {
@@ -109,7 +111,7 @@
     let service = service(&parts, handler)?;
     let key = key(&parts.headers)?;
     let timeout = timeout(&parts.headers)?;
-    let declared = incoming.size_hint().lower();
+    let declared = incoming.announced_bytes();
     let limit = body_limits.body_bytes;
     let too_large = Err(BodyError::TooLarge { limit });
     let fits = if declared > limit { too_large } else { Ok(()) };
--- a/crates/crosspath_caller/src/response.rs
+++ b/crates/crosspath_caller/src/response.rs
@@ -2,13 +2,14 @@
 
 use crosspath_http::Body;
 use crosspath_http::body::{self, BodyError};
+use crosspath_http::server::RETRY_AFTER_S;
 use crosspath_route::answer::{Answer, Final, NotRun, Unknown};
 use crosspath_route::claim::{Recorded, Verdict};
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
 
 use crate::Reply;
-use crate::request::Rejection;
+use crate::request::{NO_ROOM, Rejection};
 
 /// Response header with the outcome of the request.
 pub const OUTCOME: &str = "crosspath-outcome";
@@ -17,6 +18,9 @@
 /// or replayed whole.
 pub const REASON: &str = "crosspath-reason";
 
+/// Headers of the response to a request that is refused before it is read.
+pub(crate) const REFUSAL_HEADERS: &[(&str, &str)] = &[(OUTCOME, "not_run"), (REASON, NO_ROOM)];
+
 const ANSWERED: &str = "upstream";
 const REPLAYED: &str = "recorded";
 
@@ -110,12 +114,17 @@
             BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             BodyError::Truncated => StatusCode::BAD_REQUEST,
+            BodyError::NoRoom { .. } => StatusCode::SERVICE_UNAVAILABLE,
         },
     };
     let reason = rejection.reason();
     let outcome = "not_run";
     let error_body = ErrorBody { outcome, reason, message: rejection.to_string() };
-    with_outcome_headers(body::json(status, &error_body), outcome, Some(reason))
+    let mut response = body::json(status, &error_body);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    }
+    with_outcome_headers(response, outcome, Some(reason))
 }
 
 fn with_outcome_headers(
--- a/crates/crosspath_fakes/src/platform.rs
+++ b/crates/crosspath_fakes/src/platform.rs
@@ -7,6 +7,7 @@
 
 use crosspath_http::Body;
 use crosspath_http::body;
+use crosspath_http::body::Inbound;
 use crosspath_http::server::{self, Limits, Stage};
 use crosspath_log::{Append, Appended};
 use crosspath_state::name::{JobName, VmName};
@@ -14,7 +15,6 @@
 use crosspath_vm_list::Entry;
 use crosspath_worker::JobState;
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::TcpListener;
@@ -92,7 +92,7 @@
         let platform = listener.local_addr().context(StartSnafu { address: config.platform })?;
         let (stop, stopped) = watch::channel(Stage::Serving);
         let serving = Arc::clone(&inner);
-        let handle = move |request: Request<Incoming>, _: SocketAddr| {
+        let handle = move |request: Request<Inbound>, _: SocketAddr| {
             let inner = Arc::clone(&serving);
             async move { inner.handle(request).await }
         };
@@ -170,7 +170,7 @@
 }
 
 impl Inner {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(self: Arc<Self>, request: Request<Inbound>) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
         let Ok(bytes) = body::read(incoming, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
             return empty_response(StatusCode::BAD_REQUEST);
--- /dev/null
+++ b/crates/crosspath_http/src/budget.rs
@@ -0,0 +1,195 @@
+//! Memory that the bodies of all connections hold together.
+//!
+//! A body is charged as its bytes arrive and until the last copy of it is dropped, so that requests
+//! that wait for an answer count as well. When the budget is exhausted, the body that has been
+//! incomplete for the longest time is given up: a client that sends its body at once gets through,
+//! however many others stop before the end of theirs.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use snafu::Snafu;
+use tokio::sync::Notify;
+
+use crate::pressure::{Pressure, Reason};
+
+/// Budget if none is configured, for servers with few clients.
+const DEFAULT_BUDGET_BYTES: usize = 64 * 1024 * 1024;
+
+/// The budget cannot cover what was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("no memory is left for the request now"))]
+pub struct Exhausted;
+
+#[derive(Debug)]
+struct Unfinished {
+    buffer: Vec<u8>,
+    given_up: Arc<Notify>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    used: usize,
+    next: u64,
+    /// Incomplete bodies, the oldest first.
+    unfinished: BTreeMap<u64, Unfinished>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    max: usize,
+    state: Mutex<State>,
+    pressure: Pressure,
+}
+
+/// Limit on the memory of bodies. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    shared: Arc<Shared>,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new(DEFAULT_BUDGET_BYTES, Pressure::default())
+    }
+}
+
+impl Budget {
+    /// Creates a budget of `max` bytes.
+    #[must_use]
+    pub fn new(max: usize, pressure: Pressure) -> Self {
+        Self { shared: Arc::new(Shared { max, state: Mutex::default(), pressure }) }
+    }
+
+    /// Charges the budget with `bytes` until the charge is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if that exceeds the budget even without the incomplete bodies.
+    pub fn charge(&self, bytes: usize) -> Result<Charge, Exhausted> {
+        let mut state = self.shared.lock();
+        let fits = self.shared.make_room(&mut state, bytes, None);
+        if !fits {
+            self.shared.pressure.count(Reason::RequestRefused);
+            return Err(Exhausted);
+        }
+        state.used += bytes;
+        Ok(Charge { shared: Arc::clone(&self.shared), bytes })
+    }
+
+    /// Begins a body that has not arrived yet.
+    pub(crate) fn begin(&self) -> Buffer {
+        let given_up = Arc::new(Notify::new());
+        let mut state = self.shared.lock();
+        let id = state.next;
+        state.next += 1;
+        let unfinished = Unfinished { buffer: Vec::new(), given_up: Arc::clone(&given_up) };
+        state.unfinished.insert(id, unfinished);
+        Buffer { shared: Arc::clone(&self.shared), id, given_up }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives up incomplete bodies, the oldest first, until `bytes` more fit. Returns whether they do
+    /// and the body `keep` is still there.
+    fn make_room(&self, state: &mut State, bytes: usize, keep: Option<u64>) -> bool {
+        while state.used.saturating_add(bytes) > self.max {
+            let Some((id, oldest)) = state.unfinished.pop_first() else { return false };
+            state.used -= oldest.buffer.capacity();
+            oldest.given_up.notify_one();
+            self.pressure.count(Reason::BodyGivenUp);
+            if keep == Some(id) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn release(&self, bytes: usize) {
+        self.lock().used -= bytes;
+    }
+}
+
+/// Part of the budget that is in use until it is dropped.
+#[derive(Debug)]
+pub struct Charge {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.shared.release(self.bytes);
+    }
+}
+
+/// Bytes of a complete body, charged until they are dropped.
+struct Whole {
+    bytes: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Whole {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Body that is incomplete. The budget has its bytes, so that it can drop them at once.
+#[derive(Debug)]
+pub(crate) struct Buffer {
+    shared: Arc<Shared>,
+    id: u64,
+    given_up: Arc<Notify>,
+}
+
+impl Buffer {
+    /// Appends a copy of `chunk`; of at most `max` bytes in all.
+    pub(crate) fn append(&self, chunk: &[u8], max: usize) -> Result<(), Exhausted> {
+        let mut state = self.shared.lock();
+        let Some(body) = state.unfinished.get(&self.id) else { return Err(Exhausted) };
+        let (length, capacity) = (body.buffer.len(), body.buffer.capacity());
+        let needed = length + chunk.len();
+        if needed > capacity {
+            let grown = (2 * capacity).min(max).max(needed);
+            if !self.shared.make_room(&mut state, grown - capacity, Some(self.id)) {
+                return Err(Exhausted);
+            }
+            let Some(body) = state.unfinished.get_mut(&self.id) else { return Err(Exhausted) };
+            body.buffer.reserve_exact(grown - length);
+            let charged = body.buffer.capacity() - capacity;
+            state.used += charged;
+        }
+        let Some(body) = state.unfinished.get_mut(&self.id) else { return Err(Exhausted) };
+        body.buffer.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    /// Returns once the body has been given up.
+    pub(crate) async fn given_up(&self) {
+        self.given_up.notified().await;
+    }
+
+    /// Takes the complete body.
+    pub(crate) fn finish(self) -> Result<Bytes, Exhausted> {
+        let Some(body) = self.shared.lock().unfinished.remove(&self.id) else {
+            return Err(Exhausted);
+        };
+        let charge = Charge { shared: Arc::clone(&self.shared), bytes: body.buffer.capacity() };
+        Ok(Bytes::from_owner(Whole { bytes: body.buffer, _charge: charge }))
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        if let Some(body) = state.unfinished.remove(&self.id) {
+            state.used -= body.buffer.capacity();
+        }
+    }
+}
--- a/crates/crosspath_metrics/src/lib.rs
+++ b/crates/crosspath_metrics/src/lib.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use crosspath_http::pressure::Pressure;
 use crosspath_state::job::Class;
 use crosspath_state::name::CallerName;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -54,6 +55,7 @@
     applied_revision: Gauge<u64, AtomicU64>,
     appends: Family<ReasonLabel, Counter>,
     heartbeats: Family<ReasonLabel, Counter>,
+    pressure: Pressure,
 }
 
 fn new_histogram() -> Histogram {
@@ -77,6 +79,7 @@
             applied_revision: Gauge::default(),
             appends: Family::default(),
             heartbeats: Family::default(),
+            pressure: Pressure::default(),
         };
         metrics.register();
         metrics
@@ -84,6 +87,12 @@
 }
 
 impl Metrics {
+    /// Counters of what listeners give up at their limits.
+    #[must_use]
+    pub fn pressure(&self) -> &Pressure {
+        &self.pressure
+    }
+
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let seconds = || Unit::Seconds;
@@ -105,6 +114,7 @@
         registry.register("log_appends", appends, self.appends.clone());
         let beats = "Heartbeats sent to peers, by result";
         registry.register("peer_beats", beats, self.heartbeats.clone());
+        self.pressure.register(&mut registry);
     }
 
     /// Counts a request as in flight. Each call is paired with one of [`Metrics::end_request`].
--- a/crates/crosspath_node/src/daemon.rs
+++ b/crates/crosspath_node/src/daemon.rs
@@ -12,6 +12,7 @@
 use crosspath_border::vm::Fleet;
 use crosspath_border::worker::Runner;
 use crosspath_http::body;
+use crosspath_http::budget::Budget;
 use crosspath_http::server::{self, Limits, Stage};
 use http::Response;
 use snafu::{ResultExt as _, Snafu};
@@ -32,6 +33,15 @@
 /// Part of the grace period that remains when requests still in flight are cut off.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 
+/// Sixteenths of the connections that the listener for callers gets.
+const CALLERS_SIXTEENTHS: usize = 8;
+/// Sixteenths of the connections that the listener for peers gets. There may be hundreds of peers.
+const PEERS_SIXTEENTHS: usize = 6;
+/// Sixteenths of the connections that the listener for the balancer's probes gets.
+const READINESS_SIXTEENTHS: usize = 1;
+/// Sixteenths of the connections that the listener for metrics gets.
+const METRICS_SIXTEENTHS: usize = 1;
+
 type Serving = Pin<Box<dyn Future<Output = ()> + Send>>;
 type Serve = fn(TcpListener, Limits, watch::Receiver<Stage>, Arc<dyn Handler>) -> Serving;
 
@@ -138,16 +148,34 @@
     let [callers, readiness, peers, metrics] = listeners;
     let handler: Arc<dyn Handler> = Arc::new(Gateway::new(Arc::clone(node)));
     let internal_stage = node.internal_stage.subscribe();
-    let readiness =
-        serve_readiness(readiness, Limits::default(), internal_stage.clone(), Arc::clone(&handler));
-    drop(tokio::spawn(readiness));
-    drop(tokio::spawn(rpc::serve(peers, internal_stage.clone(), Arc::clone(node))));
-    drop(tokio::spawn(serve_metrics(metrics, internal_stage, Arc::clone(node))));
-    tokio::spawn(serve_callers(callers, Limits::default(), node.stage.subscribe(), handler))
+    let capacity = node.settings.capacity;
+    let pressure = &node.metrics.pressure;
+    let caller_bodies = Budget::new(capacity.caller_body_bytes(), pressure.clone());
+    let peer_bodies = Budget::new(capacity.peer_body_bytes(), pressure.clone());
+    let limits = |sixteenths, budget: &Budget| Limits {
+        connections: capacity.connections(sixteenths),
+        budget: budget.clone(),
+        pressure: pressure.clone(),
+        ..Limits::default()
+    };
+    let readiness_limits = limits(READINESS_SIXTEENTHS, &caller_bodies);
+    let stage = internal_stage.clone();
+    drop(tokio::spawn(serve_readiness(readiness, readiness_limits, stage, Arc::clone(&handler))));
+    let peer_limits = limits(PEERS_SIXTEENTHS, &peer_bodies);
+    drop(tokio::spawn(rpc::serve(peers, peer_limits, internal_stage.clone(), Arc::clone(node))));
+    let metrics_limits = limits(METRICS_SIXTEENTHS, &caller_bodies);
+    drop(tokio::spawn(serve_metrics(metrics, metrics_limits, internal_stage, Arc::clone(node))));
+    let caller_limits = limits(CALLERS_SIXTEENTHS, &caller_bodies);
+    tokio::spawn(serve_callers(callers, caller_limits, node.stage.subscribe(), handler))
 }
 
-async fn serve_metrics(listener: TcpListener, stop: watch::Receiver<Stage>, node: Arc<Node>) {
-    server::serve(listener, Limits::default(), stop, move |_, _| {
+async fn serve_metrics(
+    listener: TcpListener,
+    limits: Limits,
+    stop: watch::Receiver<Stage>,
+    node: Arc<Node>,
+) {
+    server::serve(listener, limits, stop, move |_, _| {
         let cold_workers = node.owned().values().map(Handle::cold_workers).sum();
         node.metrics.shards.set_cold_workers(cold_workers);
         let text = node.metrics.encode();
--- a/crates/crosspath_node/src/metrics.rs
+++ b/crates/crosspath_node/src/metrics.rs
@@ -8,6 +8,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use crosspath_http::pressure::Pressure;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
@@ -63,6 +64,8 @@
     pub(crate) shards: ShardMetrics,
     /// Metrics of refused submissions.
     pub(crate) admission: AdmissionMetrics,
+    /// Counters of what listeners give up at their limits.
+    pub(crate) pressure: Pressure,
 }
 
 fn histogram() -> Histogram {
@@ -83,7 +86,9 @@
         shards.register(&mut registry);
         let admission = AdmissionMetrics::default();
         admission.register(&mut registry);
-        Self { registry: Mutex::new(registry), latency, paths, fleet, shards, admission }
+        let pressure = Pressure::default();
+        pressure.register(&mut registry);
+        Self { registry: Mutex::new(registry), latency, paths, fleet, shards, admission, pressure }
     }
 }
 
--- a/crates/crosspath_node/src/rpc.rs
+++ b/crates/crosspath_node/src/rpc.rs
@@ -8,7 +8,7 @@
 
 use crosspath_border::operator::Config;
 use crosspath_border::store::{Error, NewRecord};
-use crosspath_http::body::{self, Body};
+use crosspath_http::body::{self, Body, BodyError, Inbound};
 use crosspath_http::client::{Client, Error as CallError, Method};
 use crosspath_http::server::{self, Limits, Stage};
 use crosspath_job::JobId;
@@ -19,7 +19,6 @@
 use crosspath_schedule::domains::Down;
 use crosspath_schedule::report;
 use http::{Request as HttpRequest, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -383,6 +382,10 @@
         Ok(Reply::NotAppended { certain: true }) | Err(CallError::NotSent { .. }) => {
             Err(Failure::Failed(Error::NotReached))
         }
+        // A peer answers so only before it has read the request.
+        Err(CallError::Status { status: StatusCode::SERVICE_UNAVAILABLE, .. }) => {
+            Err(Failure::Failed(Error::NotReached))
+        }
         Ok(Reply::Unsent) => Err(Failure::Unsent),
         Ok(Reply::NotAppended { certain: false }) => Err(Failure::Unanswered),
         _ => Err(Failure::Failed(Error::NoAnswer)),
@@ -390,18 +393,26 @@
 }
 
 /// Serves the calls of peers until `stop` says to end.
-pub(crate) async fn serve(listener: TcpListener, stop: watch::Receiver<Stage>, node: Arc<Node>) {
-    server::serve(listener, Limits::default(), stop, move |request, _| {
+pub(crate) async fn serve(
+    listener: TcpListener,
+    limits: Limits,
+    stop: watch::Receiver<Stage>,
+    node: Arc<Node>,
+) {
+    server::serve(listener, limits, stop, move |request, _| {
         let node = Arc::clone(&node);
         async move { handle_request(&node, request).await }
     })
     .await;
 }
 
-async fn handle_request(node: &Arc<Node>, request: HttpRequest<Incoming>) -> Response<Body> {
+async fn handle_request(node: &Arc<Node>, request: HttpRequest<Inbound>) -> Response<Body> {
     let is_relayed = node.peers.paths().is_enabled() && request.uri().path() == relay::PATH;
     let payload = match body::read(request.into_body(), MAX_BODY, TIMEOUT).await {
         Ok(payload) => payload,
+        Err(error @ BodyError::NoRoom { .. }) => {
+            return body::json(StatusCode::SERVICE_UNAVAILABLE, &error.to_string());
+        }
         Err(error) => {
             log::warn!("event=peer_question_unread error=\"{error}\"");
             return body::json(StatusCode::BAD_REQUEST, &error.to_string());
--- a/crates/crosspath_node/src/settings.rs
+++ b/crates/crosspath_node/src/settings.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crosspath_border::store::Limits;
+use crosspath_http::capacity::Capacity;
 use serde::Deserialize;
 use snafu::{ResultExt as _, Snafu};
 
@@ -18,6 +19,12 @@
 /// one task, are smaller.
 const MIN_RECORD_BYTES: usize = 16 * 1024;
 
+/// Minimum of `limits.memory_mb`, with which the peers' share holds one request of the largest size.
+const MIN_MEMORY_MB: u64 = 16;
+
+/// Minimum of `limits.descriptors`, of which the daemon itself needs some dozens.
+const MIN_DESCRIPTORS: u64 = 128;
+
 /// Content of the settings file.
 #[derive(Debug, Clone, Deserialize)]
 struct Options {
@@ -38,6 +45,16 @@
     relays: Option<bool>,
     #[serde(default)]
     admission: Admission,
+    #[serde(default)]
+    limits: LimitOptions,
+}
+
+/// Limits of the process on its VM; each has a default.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+struct LimitOptions {
+    memory_mb: Option<u64>,
+    descriptors: Option<u64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -177,6 +194,8 @@
     pub relays: bool,
     /// Which submissions are refused while a pool is full.
     pub admission: Admission,
+    /// Memory and descriptors of the process, from which the limits of its listeners follow.
+    pub capacity: Capacity,
 }
 
 /// Error in loading the settings.
@@ -259,6 +278,7 @@
         failure_domains,
         relays,
         admission,
+        limits,
     } = options;
     require(!name.is_empty(), "name", name.to_string(), "write the VM's name")?;
     require(
@@ -286,6 +306,20 @@
         log_limits.append_bytes.to_string(),
         "write platform.record_bytes or more, or leave it out",
     )?;
+    let memory_mb = limits.memory_mb;
+    require(
+        memory_mb.is_none_or(|memory_mb| memory_mb >= MIN_MEMORY_MB),
+        "limits.memory_mb",
+        memory_mb.unwrap_or_default().to_string(),
+        "write 16 or more, or leave it out",
+    )?;
+    let descriptors = limits.descriptors;
+    require(
+        descriptors.is_none_or(|descriptors| descriptors >= MIN_DESCRIPTORS),
+        "limits.descriptors",
+        descriptors.unwrap_or_default().to_string(),
+        "write 128 or more, or leave it out",
+    )?;
     let max_lease_ms = leases.longest_hold_ms;
     require(
         max_lease_ms >= 1_000,
@@ -355,5 +389,6 @@
         failure_domains,
         relays: relays.unwrap_or(tolerated > 0),
         admission,
+        capacity: Capacity::new(memory_mb, descriptors),
     })
 }
--- a/crates/crosspath_node/tests/node/common.rs
+++ b/crates/crosspath_node/tests/node/common.rs
@@ -20,6 +20,7 @@
     self, Poll, PollReply, Runner, Running, Start, Started, Target, Timestamped,
 };
 use crosspath_fakes::memory_store::MemoryStore;
+use crosspath_http::capacity::Capacity;
 use crosspath_http::server::{Limits, Stage};
 use crosspath_job::record::Policy;
 use crosspath_job::spec::{Resources, Spec, Step};
@@ -421,6 +422,7 @@
             failure_domains: FailureDomains::default(),
             relays,
             admission,
+            capacity: Capacity::default(),
         };
         let store = Arc::new(FaultyStore {
             log: Arc::clone(log),
--- a/crates/crosspath_operator/src/lib.rs
+++ b/crates/crosspath_operator/src/lib.rs
@@ -24,13 +24,13 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use crosspath_http::body::Inbound;
 use crosspath_http::server::{self, Limits, Stage};
 use crosspath_settings::{Operator, Right};
 use crosspath_state::record::{Change, Revision};
 use crosspath_state::resource::Id;
 use crosspath_state::{Conflict, State};
 use http::Request;
-use hyper::body::Incoming;
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::sync::watch as channel;
@@ -144,7 +144,7 @@
     handler: Arc<H>,
 ) {
     let stop_stage = stop.clone();
-    let respond = move |request: Request<Incoming>, _: SocketAddr| {
+    let respond = move |request: Request<Inbound>, _: SocketAddr| {
         let (handler, access, stop) = (Arc::clone(&handler), access.clone(), stop_stage.clone());
         async move { route::respond(request, body_limits, &access, handler, stop).await }
     };
--- a/crates/crosspath_operator/src/response.rs
+++ b/crates/crosspath_operator/src/response.rs
@@ -2,6 +2,7 @@
 
 use crosspath_http::Body;
 use crosspath_http::body::{self, BodyError};
+use crosspath_http::server::RETRY_AFTER_S;
 use crosspath_state::Conflict;
 use crosspath_state::record::Revision;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -49,6 +50,7 @@
             Self::Body { source: BodyError::TooLarge { .. } } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Body { source: BodyError::TooSlow { .. } } => StatusCode::REQUEST_TIMEOUT,
             Self::Body { source: BodyError::Truncated } => StatusCode::BAD_REQUEST,
+            Self::Body { source: BodyError::NoRoom { .. } } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Commit { source } => commit_status(source),
         }
     }
@@ -89,7 +91,10 @@
             }
             _ => {}
         }
-        let response = body::json(self.status(), &problem);
+        let mut response = body::json(self.status(), &problem);
+        if matches!(self, Self::Body { source: BodyError::NoRoom { .. } }) {
+            response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+        }
         match revision {
             Some(revision) => with_etag(response, revision),
             None => response,
--- a/crates/crosspath_operator/src/route.rs
+++ b/crates/crosspath_operator/src/route.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crosspath_http::Body;
-use crosspath_http::body;
+use crosspath_http::body::{self, Inbound};
 use crosspath_http::server::Stage;
 use crosspath_settings::Right;
 use crosspath_state::record::{Change, Expected, Revision};
@@ -11,7 +11,6 @@
 use crosspath_state::wave;
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::{OptionExt as _, ResultExt as _, ensure};
@@ -41,7 +40,7 @@
 }
 
 pub(crate) async fn respond<H: Handler>(
-    request: Request<Incoming>,
+    request: Request<Inbound>,
     body_limits: BodyLimits,
     access: &Access,
     handler: Arc<H>,
@@ -58,7 +57,7 @@
 }
 
 async fn dispatch<H: Handler>(
-    request: Request<Incoming>,
+    request: Request<Inbound>,
     body_limits: BodyLimits,
     access: &Access,
     handler: &Arc<H>,
--- a/crates/crosspath_peer/src/lib.rs
+++ b/crates/crosspath_peer/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use link::{BuildError, RpcLink};
 pub use message::{Claim, Heartbeat, HeartbeatReply, LookUp, Settle, StateCopy, Transfer};
-pub use server::{Access, serve};
+pub use server::{Access, MAX_MESSAGE_BYTES, serve};
 
 /// No reply from a peer; the peer may have handled the call.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
--- a/crates/crosspath_peer/src/server.rs
+++ b/crates/crosspath_peer/src/server.rs
@@ -3,16 +3,17 @@
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use crosspath_http::Body;
-use crosspath_http::body;
+use crosspath_http::body::{self, BodyError, Inbound};
 use crosspath_http::server::{self, Limits, Stage};
 use crosspath_route::claim::Verdict;
 use crosspath_settings::token::Hash;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt as _, Full};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::{Methods, Server, ServerConfig, StopHandle, stop_channel};
 use tokio::net::TcpListener;
@@ -23,7 +24,8 @@
 use crate::api::ApiServer;
 use crate::message::{Claim, Heartbeat, HeartbeatReply, LookUp, Settle, StateCopy, Transfer};
 
-const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+/// Maximum size of a request and of a response, in bytes.
+pub const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
 
 /// Access control: a peer needs both the token and a listed address.
 #[derive(Debug, Clone)]
@@ -35,7 +37,7 @@
 }
 
 impl Access {
-    fn admits(&self, request: &Request<Incoming>, peer: SocketAddr) -> bool {
+    fn admits(&self, request: &Request<Inbound>, peer: SocketAddr) -> bool {
         let value = request.headers().get(header::AUTHORIZATION);
         let value = value.and_then(|value| value.to_str().ok());
         let token = value.and_then(|value| value.strip_prefix("Bearer "));
@@ -79,12 +81,13 @@
     limits: Limits,
     stop: watch::Receiver<Stage>,
     access: Access,
+    body_timeout: Duration,
     handler: Arc<H>,
 ) {
     let (stop_handle, _keep) = stop_channel();
     let methods: Methods = RpcHandler(handler).into_rpc().into();
     let access = Arc::new(access);
-    let handle = move |request: Request<Incoming>, peer: SocketAddr| {
+    let handle = move |request: Request<Inbound>, peer: SocketAddr| {
         let (methods, stop_handle) = (methods.clone(), stop_handle.clone());
         let admitted = access.admits(&request, peer);
         async move {
@@ -92,7 +95,17 @@
                 log::warn!("event=peer_refused peer={peer}");
                 return empty(StatusCode::UNAUTHORIZED);
             }
-            call(methods, stop_handle, request).await
+            let (head, body) = request.into_parts();
+            match body::read(body, MAX_MESSAGE_BYTES.into(), body_timeout).await {
+                Ok(body) => {
+                    let request = Request::from_parts(head, Full::new(body));
+                    call(methods, stop_handle, request).await
+                }
+                Err(error) => {
+                    log::warn!("event=peer_request_unread peer={peer} error=\"{error}\"");
+                    empty(unread_status(error))
+                }
+            }
         }
     };
     server::serve(listener, limits, stop, handle).await;
@@ -101,7 +114,7 @@
 async fn call(
     methods: Methods,
     stop_handle: StopHandle,
-    request: Request<Incoming>,
+    request: Request<Full<Bytes>>,
 ) -> Response<Body> {
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
@@ -119,6 +132,15 @@
     }
 }
 
+fn unread_status(error: BodyError) -> StatusCode {
+    match error {
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Truncated => StatusCode::BAD_REQUEST,
+        BodyError::NoRoom { .. } => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
 fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(body::full(""));
     *response.status_mut() = status;
--- a/crates/crosspath_settings/src/options.rs
+++ b/crates/crosspath_settings/src/options.rs
@@ -73,7 +73,14 @@
 #[derive(Debug, Clone, Default, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct LimitOptions {
-    /// Maximum number of connections to each listener; default 10,000.
+    /// Memory of the process, in MiB; default 160, at least 64. A quarter of it is for bodies that
+    /// arrive or wait for an answer, a quarter for connections.
+    pub memory_mb: Option<u64>,
+    /// Maximum number of open descriptors; default 4,100, at least 256. Half of them are for
+    /// connections to the listeners.
+    pub descriptors: Option<u64>,
+    /// Maximum number of connections to each listener; default and upper limit are the listener's
+    /// part of what `memory_mb` and `descriptors` allow: 424 for callers by default.
     pub connections: Option<u32>,
     /// Maximum size of a request's head, in bytes; default 16,384, at least 8,192.
     pub header_bytes: Option<u32>,
--- a/crates/crosspath_settings/src/settings.rs
+++ b/crates/crosspath_settings/src/settings.rs
@@ -15,6 +15,8 @@
 
 const MIN_PEER_TOKEN_BYTES: usize = 16;
 const MIN_HEADER_BYTES: u32 = 8 * 1024;
+const MIN_MEMORY_MB: u64 = 64;
+const MIN_DESCRIPTORS: u64 = 256;
 
 /// Right of an operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -76,8 +78,12 @@
 /// Limits on requests to one daemon and on what it keeps in memory.
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// Maximum number of connections to each listener.
-    pub connections: u32,
+    /// Memory of the process, in MiB; `None` is that of the smallest VM.
+    pub memory_mb: Option<u64>,
+    /// Maximum number of open descriptors; `None` is that of the smallest VM.
+    pub descriptors: Option<u64>,
+    /// Maximum number of connections to each listener; `None` is what memory and descriptors allow.
+    pub connections: Option<u32>,
     /// Maximum size of a request's head, in bytes.
     pub header_bytes: u32,
     /// Maximum size of a request's body, in bytes.
@@ -213,7 +219,9 @@
 
     fn limits(&self, options: &LimitOptions) -> Result<Limits, Error> {
         let limits = Limits {
-            connections: options.connections.unwrap_or(10_000),
+            memory_mb: options.memory_mb,
+            descriptors: options.descriptors,
+            connections: options.connections,
             header_bytes: options.header_bytes.unwrap_or(16 * 1024),
             body_bytes: options.body_bytes.unwrap_or(1024 * 1024),
             header_timeout: ms(options.header_timeout_ms, 5_000),
@@ -234,8 +242,14 @@
         self.require(in_range, "limits.batch_ceiling_percent", percent, "write 1 to 100")?;
         let every = limits.batch_floor_every;
         self.require(every >= 2, "limits.batch_floor_every", every, "write 2 or more")?;
-        let connections = limits.connections;
+        let connections = limits.connections.unwrap_or(1);
         self.require(connections > 0, "limits.connections", connections, "write 1 or more")?;
+        let memory_mb = limits.memory_mb.unwrap_or(MIN_MEMORY_MB);
+        let enough = memory_mb >= MIN_MEMORY_MB;
+        self.require(enough, "limits.memory_mb", memory_mb, "write 64 or more")?;
+        let descriptors = limits.descriptors.unwrap_or(MIN_DESCRIPTORS);
+        let enough = descriptors >= MIN_DESCRIPTORS;
+        self.require(enough, "limits.descriptors", descriptors, "write 256 or more")?;
         Ok(limits)
     }
 
--- a/crates/crosspathd/src/daemon.rs
+++ b/crates/crosspathd/src/daemon.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crosspath_http::budget::Budget;
+use crosspath_http::capacity::Capacity;
 use crosspath_http::server::{Limits, Stage};
 use crosspath_log::HttpLog;
 use crosspath_operator as operator;
@@ -25,6 +27,12 @@
 use crate::{driver, follower, membership, snapshotter, watcher};
 
 const MAX_OPERATOR_BODY_BYTES: u64 = 1024 * 1024;
+/// Sixteenths of the connections that the listener for callers gets.
+const CALLERS_SIXTEENTHS: usize = 8;
+/// Sixteenths of the connections that the listener for operators gets.
+const OPERATORS_SIXTEENTHS: usize = 3;
+/// Sixteenths of the connections that the listener for peers gets.
+const PEERS_SIXTEENTHS: usize = 5;
 
 /// The daemon could not start.
 #[derive(Debug, Snafu)]
@@ -127,29 +135,51 @@
     peers: TcpListener,
 ) -> tokio::task::JoinHandle<()> {
     let settings = &core.settings;
-    let limits = Limits {
-        connections: settings.limits.connections as usize,
-        header_bytes: settings.limits.header_bytes as usize,
-        header_timeout: settings.limits.header_timeout,
-    };
+    let capacity = Capacity::new(settings.limits.memory_mb, settings.limits.descriptors);
+    let pressure = core.metrics.pressure();
+    // One body of the largest size always fits.
+    let largest = usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX);
+    let bodies = Budget::new(capacity.caller_body_bytes().max(largest), pressure.clone());
     let body_timeout = settings.limits.body_timeout;
     let addresses: BTreeSet<_> = settings.peers.iter().map(|peer| peer.address.ip()).collect();
     let access = Access { token: Hash::of(&settings.peer_token), addresses };
     let handler = Arc::new(PeerHandler(Arc::clone(core)));
     let ended = EndedOnly::of(&core.stage);
-    drop(tokio::spawn(crosspath_peer::serve(peers, limits.clone(), ended, access, handler)));
+    // One message of a peer always fits.
+    let peer_body_bytes =
+        capacity.peer_body_bytes().max(crosspath_peer::MAX_MESSAGE_BYTES as usize);
+    let peer_bodies = Budget::new(peer_body_bytes, pressure.clone());
+    let limits = listener_limits(core, capacity.connections(PEERS_SIXTEENTHS), &peer_bodies);
+    let timeout = body_timeout.max(call_timeout(settings));
+    drop(tokio::spawn(crosspath_peer::serve(peers, limits, ended, access, timeout, handler)));
     let access = operator::Access::new(settings.operator_accounts.clone());
     let bounds = operator::BodyLimits { body_bytes: MAX_OPERATOR_BODY_BYTES, body_timeout };
     let (stop, handler) = (core.stage.subscribe(), Arc::new(Api(Arc::clone(core))));
-    let serving = operator::serve(operators, limits.clone(), bounds, stop, access, handler);
+    let limits = listener_limits(core, capacity.connections(OPERATORS_SIXTEENTHS), &bodies);
+    let serving = operator::serve(operators, limits, bounds, stop, access, handler);
     drop(tokio::spawn(serving));
     let bounds =
         crosspath_caller::BodyLimits { body_bytes: settings.limits.body_bytes, body_timeout };
     let handler = Arc::new(CallerHandler(Arc::new(Gateway::new(Arc::clone(core)))));
     let stop = core.stage.subscribe();
+    let limits = listener_limits(core, capacity.connections(CALLERS_SIXTEENTHS), &bodies);
     tokio::spawn(crosspath_caller::serve(callers, limits, bounds, stop, handler))
 }
 
+/// Limits of a listener with at most `connections` connections.
+fn listener_limits(core: &Core, connections: usize, bodies: &Budget) -> Limits {
+    let settings = &core.settings.limits;
+    let configured = settings.connections.map_or(usize::MAX, |connections| connections as usize);
+    Limits {
+        connections: configured.min(connections),
+        header_bytes: settings.header_bytes as usize,
+        header_timeout: settings.header_timeout,
+        budget: bodies.clone(),
+        pressure: core.metrics.pressure().clone(),
+        refusal_headers: &[],
+    }
+}
+
 /// Stage that changes only from serving to ended, without a finishing stage. Peers are served until
 /// the end, because they may still settle claims at this daemon.
 struct EndedOnly;
