Tests of the server loop at its limits

In one process and without a crowd: the oldest incomplete body gives way to a new one, while the next one is served once its last byte comes; bodies that wait for an answer do not give way, and their memory is free afterwards; the oldest idle connection or incomplete request is closed for a new connection; one with a request in progress is not, and a new connection gets 503.

--- a/crates/crosspath_http/tests/http/main.rs
+++ b/crates/crosspath_http/tests/http/main.rs
@@ -1,5 +1,6 @@
-//! Tests of the HTTP client against servers on the loopback interface.
+//! Tests of the HTTP client and the server loop on the loopback interface.
 
 mod hedge;
 mod latency;
+mod limits;
 mod silent;
