Close no connection with a complete request, and none that has just begun

Whether bodies can make room is known before any is given up; the announced length counts. Connections are accounted with 32 KiB each (48 before), so that 1,000 peers fit at a VM of 512 MB. A relay's 503 counts as a refusal.

--- a/crates/crosspath_http/src/body.rs
+++ b/crates/crosspath_http/src/body.rs
@@ -75,8 +75,13 @@
     }
 
     async fn collect(mut self, limit: u64) -> Result<Bytes, BodyError> {
-        let max = usize::try_from(limit).unwrap_or(usize::MAX);
-        let buffer = self.budget.begin();
+        let announced = self.announced_bytes();
+        if announced > limit {
+            return TooLargeSnafu { limit }.fail();
+        }
+        let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+        let buffer = self.budget.begin(size(announced)).context(NoRoomSnafu)?;
+        let max = if announced > 0 { size(announced) } else { size(limit) };
         let mut length = 0;
         loop {
             let frame = tokio::select! {
@@ -94,8 +99,8 @@
             buffer.append(&chunk, max).context(NoRoomSnafu)?;
         }
         let whole = buffer.finish().context(NoRoomSnafu)?;
-        if let Some(activity) = &self.activity {
-            activity.begin();
+        if self.activity.as_ref().is_some_and(|activity| !activity.begin()) {
+            return Err(BodyError::NoRoom { source: Exhausted });
         }
         Ok(whole)
     }
@@ -122,7 +127,7 @@
     collected.unwrap_or_else(|_| TooSlowSnafu { limit: timeout }.fail())
 }
 
-/// Body of a response whose request is in progress until it is sent.
+/// Body of a response that its client has not taken yet.
 pub(crate) struct Outbound {
     pub(crate) body: Body,
     pub(crate) _activity: Arc<Activity>,
--- a/crates/crosspath_http/src/budget.rs
+++ b/crates/crosspath_http/src/budget.rs
@@ -30,7 +30,10 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Bytes in use, also by incomplete bodies.
     used: usize,
+    /// Bytes of incomplete bodies.
+    incomplete: usize,
     next: u64,
     /// Incomplete bodies, the oldest first.
     unfinished: BTreeMap<u64, Unfinished>,
@@ -69,24 +72,31 @@
     /// [`Exhausted`] if that exceeds the budget even without the incomplete bodies.
     pub fn charge(&self, bytes: usize) -> Result<Charge, Exhausted> {
         let mut state = self.shared.lock();
-        let fits = self.shared.make_room(&mut state, bytes, None);
-        if !fits {
-            self.shared.pressure.count(Reason::RequestRefused);
+        let room = self.shared.make_room(&mut state, bytes, None);
+        state.used += room.map_or(0, |_| bytes);
+        drop(state);
+        let Some(given_up) = room else {
+            self.shared.count(Reason::RequestRefused, 1);
             return Err(Exhausted);
-        }
-        state.used += bytes;
+        };
+        self.shared.count(Reason::BodyGivenUp, given_up);
         Ok(Charge { shared: Arc::clone(&self.shared), bytes })
     }
 
-    /// Begins a body that has not arrived yet.
-    pub(crate) fn begin(&self) -> Buffer {
+    /// Begins a body that has not arrived yet, of which the head announces `bytes`.
+    pub(crate) fn begin(&self, bytes: usize) -> Result<Buffer, Exhausted> {
         let given_up = Arc::new(Notify::new());
         let mut state = self.shared.lock();
+        if (state.used - state.incomplete).saturating_add(bytes) > self.shared.max {
+            drop(state);
+            self.shared.count(Reason::RequestRefused, 1);
+            return Err(Exhausted);
+        }
         let id = state.next;
         state.next += 1;
         let unfinished = Unfinished { buffer: Vec::new(), given_up: Arc::clone(&given_up) };
         state.unfinished.insert(id, unfinished);
-        Buffer { shared: Arc::clone(&self.shared), id, given_up }
+        Ok(Buffer { shared: Arc::clone(&self.shared), id, given_up })
     }
 }
 
@@ -95,19 +105,37 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Gives up incomplete bodies, the oldest first, until `bytes` more fit. Returns whether they do
-    /// and the body `keep` is still there.
-    fn make_room(&self, state: &mut State, bytes: usize, keep: Option<u64>) -> bool {
+    /// Gives up incomplete bodies, the oldest first, until `bytes` more fit, and gives up none if
+    /// they never do. Returns how many were given up; `None` if the bytes do not fit, or if the body
+    /// `keep` would have to be given up for them.
+    fn make_room(&self, state: &mut State, bytes: usize, keep: Option<u64>) -> Option<usize> {
+        let kept = keep.and_then(|id| state.unfinished.get(&id));
+        let kept = kept.map_or(0, |body| body.buffer.capacity());
+        let lasting = state.used - state.incomplete + kept;
+        if lasting.saturating_add(bytes) > self.max {
+            return None;
+        }
+        let mut given_up = 0;
         while state.used.saturating_add(bytes) > self.max {
-            let Some((id, oldest)) = state.unfinished.pop_first() else { return false };
+            // A body without bytes would free nothing.
+            let mut holding = state.unfinished.iter().filter(|(_, body)| !body.buffer.is_empty());
+            let oldest = holding.next().map(|(id, _)| *id)?;
+            if keep == Some(oldest) {
+                return None;
+            }
+            let oldest = state.unfinished.remove(&oldest)?;
             state.used -= oldest.buffer.capacity();
+            state.incomplete -= oldest.buffer.capacity();
             oldest.given_up.notify_one();
-            self.pressure.count(Reason::BodyGivenUp);
-            if keep == Some(id) {
-                return false;
-            }
+            given_up += 1;
+        }
+        Some(given_up)
+    }
+
+    fn count(&self, reason: Reason, events: usize) {
+        for _ in 0..events {
+            self.pressure.count(reason);
         }
-        true
     }
 
     fn release(&self, bytes: usize) {
@@ -152,22 +180,42 @@
     /// Appends a copy of `chunk`; of at most `max` bytes in all.
     pub(crate) fn append(&self, chunk: &[u8], max: usize) -> Result<(), Exhausted> {
         let mut state = self.shared.lock();
-        let Some(body) = state.unfinished.get(&self.id) else { return Err(Exhausted) };
-        let (length, capacity) = (body.buffer.len(), body.buffer.capacity());
-        let needed = length + chunk.len();
-        if needed > capacity {
-            let grown = (2 * capacity).min(max).max(needed);
-            if !self.shared.make_room(&mut state, grown - capacity, Some(self.id)) {
-                return Err(Exhausted);
+        let grown = self.grow(&mut state, chunk.len(), max);
+        if let (Some(_), Some(body)) = (grown, state.unfinished.get_mut(&self.id)) {
+            body.buffer.extend_from_slice(chunk);
+        }
+        drop(state);
+        match grown {
+            Some(given_up) => {
+                self.shared.count(Reason::BodyGivenUp, given_up);
+                Ok(())
+            }
+            None => {
+                self.shared.count(Reason::BodyGivenUp, 1);
+                Err(Exhausted)
             }
-            let Some(body) = state.unfinished.get_mut(&self.id) else { return Err(Exhausted) };
-            body.buffer.reserve_exact(grown - length);
-            let charged = body.buffer.capacity() - capacity;
-            state.used += charged;
         }
-        let Some(body) = state.unfinished.get_mut(&self.id) else { return Err(Exhausted) };
-        body.buffer.extend_from_slice(chunk);
-        Ok(())
+    }
+
+    /// Makes room for `bytes` more. Returns how many other bodies were given up for it; `None` if
+    /// this one has to be, or was.
+    fn grow(&self, state: &mut State, bytes: usize, max: usize) -> Option<usize> {
+        let body = state.unfinished.get(&self.id)?;
+        let (length, capacity) = (body.buffer.len(), body.buffer.capacity());
+        let needed = length + bytes;
+        if needed <= capacity {
+            return Some(0);
+        }
+        let doubled = (2 * capacity).min(max).max(needed);
+        let lasting = state.used - state.incomplete;
+        let grown = if lasting + doubled <= self.shared.max { doubled } else { needed };
+        let given_up = self.shared.make_room(state, grown - capacity, Some(self.id))?;
+        let body = state.unfinished.get_mut(&self.id)?;
+        body.buffer.reserve_exact(grown - length);
+        let charged = body.buffer.capacity() - capacity;
+        state.used += charged;
+        state.incomplete += charged;
+        Some(given_up)
     }
 
     /// Returns once the body has been given up.
@@ -177,9 +225,10 @@
 
     /// Takes the complete body.
     pub(crate) fn finish(self) -> Result<Bytes, Exhausted> {
-        let Some(body) = self.shared.lock().unfinished.remove(&self.id) else {
-            return Err(Exhausted);
-        };
+        let mut state = self.shared.lock();
+        let body = state.unfinished.remove(&self.id).ok_or(Exhausted)?;
+        state.incomplete -= body.buffer.capacity();
+        drop(state);
         let charge = Charge { shared: Arc::clone(&self.shared), bytes: body.buffer.capacity() };
         Ok(Bytes::from_owner(Whole { bytes: body.buffer, _charge: charge }))
     }
@@ -190,6 +239,7 @@
         let mut state = self.shared.lock();
         if let Some(body) = state.unfinished.remove(&self.id) {
             state.used -= body.buffer.capacity();
+            state.incomplete -= body.buffer.capacity();
         }
     }
 }
--- a/crates/crosspath_http/src/capacity.rs
+++ b/crates/crosspath_http/src/capacity.rs
@@ -10,7 +10,7 @@
 const DEFAULT_DESCRIPTORS: u64 = 4_100;
 /// Memory of a connection with a head of the largest size: its buffers for reading the head and the
 /// next piece of a body, and its task.
-const CONNECTION_BYTES: usize = 48 * 1024;
+const CONNECTION_BYTES: usize = 32 * 1024;
 
 /// Memory and descriptors of a process.
 #[derive(Debug, Clone, Copy)]
--- a/crates/crosspath_http/src/server.rs
+++ b/crates/crosspath_http/src/server.rs
@@ -1,14 +1,14 @@
 //! Server loop of all listeners.
 //!
 //! The loop limits the number of connections, the memory of all bodies together and the time for each
-//! request head. At the limit of connections, a new one takes the place of one on which no request is
-//! complete. On a planned shutdown it lets requests in flight finish.
+//! request head. At the limit of connections, a new one takes the place of one for which no handler is
+//! at work. On a planned shutdown it lets requests in flight finish.
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt as _;
@@ -133,7 +133,10 @@
     slot: &Slot,
     peer: SocketAddr,
 ) {
+    // The connection comes first, so that a request which it reads once it is to be closed is
+    // still refused.
     tokio::select! {
+        biased;
         ended = connection => {
             if let Err(error) = ended {
                 log::debug!("event=connection_ended peer={peer} error={error:?}");
@@ -144,8 +147,7 @@
     slot.end();
 }
 
-/// Passes a request to the handler. It counts as in progress from the end of its body until the
-/// response is sent.
+/// Passes a request to the handler, which counts as at work from the end of the request's body on.
 fn respond<F, H>(
     request: Request<Incoming>,
     activity: Arc<Activity>,
@@ -156,24 +158,23 @@
     F: Future<Output = Response<Body>>,
     H: FnOnce(Request<Inbound>) -> F,
 {
-    if request.body().is_end_stream() {
-        activity.begin();
-    }
+    let may_begin = !request.body().is_end_stream() || activity.begin();
     // A connection of HTTP/1 has one head at a time, for which its own limit accounts.
     let is_multiplexed = request.version() == Version::HTTP_2;
     let charge = limits.budget.charge(if is_multiplexed { limits.header_bytes } else { 0 });
     let inbound = |incoming| Inbound::new(incoming, limits.budget.clone(), Arc::clone(&activity));
+    let charge = charge.ok().filter(|_| may_begin);
     let response = charge.map(|charge| (charge, handler(request.map(inbound))));
     let refusal_headers = limits.refusal_headers;
     async move {
-        let Ok((_charge, response)) = response else { return refusal(refusal_headers) };
+        let Some((_charge, response)) = response else { return refusal(refusal_headers) };
         let response = response.await;
-        activity.begin();
+        activity.respond();
         response.map(|body| Outbound { body, _activity: activity }.boxed_unsync())
     }
 }
 
-/// Response to a request for which no memory is left; it had no effect.
+/// Response to a request for which no memory or connection is left; it had no effect.
 fn refusal(headers: &[(&'static str, &'static str)]) -> Response<Body> {
     let mut response = Response::new(body::full(""));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -229,7 +230,7 @@
         Err(error) => {
             log::warn!("event=accept_failed error={error}");
             // A lack of descriptors is the usual cause.
-            connections.close_oldest();
+            connections.close_one(Instant::now());
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             None
         }
--- a/crates/crosspath_node/src/relay.rs
+++ b/crates/crosspath_node/src/relay.rs
@@ -214,8 +214,11 @@
         Ok(Forwarded::Full) => Relayed::Refused,
         Ok(reply) => decode(reply).map_or(Relayed::RelaySilent(Miss::NoAnswer), Relayed::Answered),
         Err(CallError::NotSent { .. }) => Relayed::RelaySilent(Miss::NotReached),
-        // A daemon that does not relay calls.
-        Err(CallError::Status { status: StatusCode::BAD_REQUEST, .. }) => Relayed::Refused,
+        // A daemon that does not relay calls, or that has no memory for the request now.
+        Err(CallError::Status {
+            status: StatusCode::BAD_REQUEST | StatusCode::SERVICE_UNAVAILABLE,
+            ..
+        }) => Relayed::Refused,
         Err(_) => Relayed::RelaySilent(Miss::NoAnswer),
     }
 }
--- a/crates/crosspath_settings/src/options.rs
+++ b/crates/crosspath_settings/src/options.rs
@@ -80,7 +80,7 @@
     /// connections to the listeners.
     pub descriptors: Option<u64>,
     /// Maximum number of connections to each listener; default and upper limit are the listener's
-    /// part of what `memory_mb` and `descriptors` allow: 424 for callers by default.
+    /// part of what `memory_mb` and `descriptors` allow: 640 for callers by default.
     pub connections: Option<u32>,
     /// Maximum size of a request's head, in bytes; default 16,384, at least 8,192.
     pub header_bytes: Option<u32>,
