--- a/crates/crosspath_http/src/server.rs
+++ b/crates/crosspath_http/src/server.rs
@@ -133,8 +133,8 @@
     slot: &Slot,
     peer: SocketAddr,
 ) {
-    // The connection comes first, so that a request which it reads once it is to be closed is
-    // still refused.
+    // The connection is polled first, so that a request that has arrived by the time of its end is
+    // answered.
     tokio::select! {
         biased;
         ended = connection => {
--- a/crates/crosspath_schedule/src/waits.rs
+++ b/crates/crosspath_schedule/src/waits.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use crosspath_job::TaskId;
 use crosspath_job::spec::Step;
 
 use crate::place::{Key, siblings_on};
@@ -30,18 +29,19 @@
     /// Its VM is needed elsewhere, or its data centre is evacuated.
     Vacating,
     Quarantined,
-    /// It runs an isolated task or is reserved for one.
+    /// It runs an isolated task or is reserved for one; for a task that is to be isolated, it has
+    /// runs on probation.
     Isolating,
     /// It lacks the label or the advice that the step requires.
     Requirement,
     /// It runs as many tasks of the step as one worker may.
     Siblings,
-    /// None: the next round of placement can use it.
-    None,
+    /// None applies: the next round of placement can use the worker.
+    Eligible,
 }
 
 impl Exclusion {
-    const COUNT: usize = Self::None as usize + 1;
+    const COUNT: usize = Self::Eligible as usize + 1;
 }
 
 impl Scheduler {
@@ -70,7 +70,7 @@
         let Some(step) = self.step_of(id) else { return };
         let mut workers = [0_usize; Exclusion::COUNT];
         for worker in self.workers.values().filter(|worker| key.resources.fits(&worker.free())) {
-            workers[self.exclusion(now, worker, id, step) as usize] += 1;
+            workers[self.exclusion(now, worker, key, step) as usize] += 1;
         }
         let count = |exclusion: Exclusion| workers[exclusion as usize];
         log::info!(
@@ -89,12 +89,17 @@
             count(Exclusion::Isolating),
             count(Exclusion::Requirement),
             count(Exclusion::Siblings),
-            count(Exclusion::None)
+            count(Exclusion::Eligible)
         );
     }
 
-    fn exclusion(&self, now: Duration, worker: &Worker, id: TaskId, step: &Step) -> Exclusion {
-        let reserved = self.reserved_for_isolation.contains(&worker.entry.id);
+    fn exclusion(&self, now: Duration, worker: &Worker, key: &Key, step: &Step) -> Exclusion {
+        let id = key.task;
+        let isolates = if key.isolated {
+            !self.can_isolate(worker)
+        } else {
+            worker.isolates() || self.reserved_for_isolation.contains(&worker.entry.id)
+        };
         let has_label = step.requires.as_ref().is_none_or(|label| worker.has_label(label));
         let is_full = step.max_per_worker > 0 && siblings_on(worker, id) >= step.max_per_worker;
         match () {
@@ -103,12 +108,12 @@
             () if now < worker.cooldown_until => Exclusion::Paused,
             () if self.must_be_vacated(worker) => Exclusion::Vacating,
             () if self.is_quarantined(now, worker) => Exclusion::Quarantined,
-            () if reserved || worker.isolates() => Exclusion::Isolating,
+            () if isolates => Exclusion::Isolating,
             () if !has_label || !self.tickets.allows(id, &worker.entry.id) => {
                 Exclusion::Requirement
             }
             () if is_full => Exclusion::Siblings,
-            () => Exclusion::None,
+            () => Exclusion::Eligible,
         }
     }
 }
