Read a body that is too large up to the limit before it is refused

Cause: since a body was refused by its announced length before any of it was read. The connection is then closed with unread bytes, which resets it, and the client may lose the 413.

--- a/crates/crosspath_http/src/body.rs
+++ b/crates/crosspath_http/src/body.rs
@@ -75,13 +75,12 @@
     }
 
     async fn collect(mut self, limit: u64) -> Result<Bytes, BodyError> {
-        let announced = self.announced_bytes();
-        if announced > limit {
-            return TooLargeSnafu { limit }.fail();
-        }
+        // A body that is too large is read up to the limit all the same: a connection that is closed
+        // with unread bytes is reset, and the client may lose the response.
+        let announced = self.announced_bytes().min(limit);
         let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
         let buffer = self.budget.begin(size(announced)).context(NoRoomSnafu)?;
-        let max = if announced > 0 { size(announced) } else { size(limit) };
+        let max = size(if announced > 0 { announced } else { limit });
         let mut length = 0;
         loop {
             let frame = tokio::select! {
