Count the bytes of incomplete bodies apart from those that last

Budget held the sum and one part of it: the other part was derived in three places, and both were adjusted by hand wherever a body came or went. It holds the two parts now, and an incomplete body is removed in one place.

--- a/crates/crosspath_http/src/budget.rs
+++ b/crates/crosspath_http/src/budget.rs
@@ -30,15 +30,28 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Bytes in use, also by incomplete bodies.
-    used: usize,
-    /// Bytes of incomplete bodies.
+    /// Bytes of charges and of complete bodies.
+    lasting: usize,
+    /// Bytes of incomplete bodies, which can be given up.
     incomplete: usize,
     next: u64,
     /// Incomplete bodies, the oldest first.
     unfinished: BTreeMap<u64, Unfinished>,
 }
 
+impl State {
+    fn used(&self) -> usize {
+        self.lasting.saturating_add(self.incomplete)
+    }
+
+    /// Removes an incomplete body; `None` if it was given up.
+    fn remove(&mut self, id: u64) -> Option<Unfinished> {
+        let body = self.unfinished.remove(&id)?;
+        self.incomplete -= body.buffer.capacity();
+        Some(body)
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     max: usize,
@@ -73,7 +86,7 @@
     pub fn charge(&self, bytes: usize) -> Result<Charge, Exhausted> {
         let mut state = self.shared.lock();
         let room = self.shared.make_room(&mut state, bytes, None);
-        state.used += room.map_or(0, |_| bytes);
+        state.lasting += room.map_or(0, |_| bytes);
         drop(state);
         let Some(given_up) = room else {
             self.shared.count(Reason::RequestRefused, 1);
@@ -87,7 +100,7 @@
     pub(crate) fn begin(&self, bytes: usize) -> Result<Buffer, Exhausted> {
         let given_up = Arc::new(Notify::new());
         let mut state = self.shared.lock();
-        if (state.used - state.incomplete).saturating_add(bytes) > self.shared.max {
+        if state.lasting.saturating_add(bytes) > self.shared.max {
             drop(state);
             self.shared.count(Reason::RequestRefused, 1);
             return Err(Exhausted);
@@ -111,22 +124,18 @@
     fn make_room(&self, state: &mut State, bytes: usize, keep: Option<u64>) -> Option<usize> {
         let kept = keep.and_then(|id| state.unfinished.get(&id));
         let kept = kept.map_or(0, |body| body.buffer.capacity());
-        let lasting = state.used - state.incomplete + kept;
-        if lasting.saturating_add(bytes) > self.max {
+        if state.lasting.saturating_add(kept).saturating_add(bytes) > self.max {
             return None;
         }
         let mut given_up = 0;
-        while state.used.saturating_add(bytes) > self.max {
+        while state.used().saturating_add(bytes) > self.max {
             // A body without bytes would free nothing.
             let mut holding = state.unfinished.iter().filter(|(_, body)| !body.buffer.is_empty());
             let oldest = holding.next().map(|(id, _)| *id)?;
             if keep == Some(oldest) {
                 return None;
             }
-            let oldest = state.unfinished.remove(&oldest)?;
-            state.used -= oldest.buffer.capacity();
-            state.incomplete -= oldest.buffer.capacity();
-            oldest.given_up.notify_one();
+            state.remove(oldest)?.given_up.notify_one();
             given_up += 1;
         }
         Some(given_up)
@@ -139,7 +148,7 @@
     }
 
     fn release(&self, bytes: usize) {
-        self.lock().used -= bytes;
+        self.lock().lasting -= bytes;
     }
 }
 
@@ -207,13 +216,11 @@
             return Some(0);
         }
         let doubled = (2 * capacity).min(max).max(needed);
-        let lasting = state.used - state.incomplete;
-        let grown = if lasting + doubled <= self.shared.max { doubled } else { needed };
+        let grown = if state.lasting + doubled <= self.shared.max { doubled } else { needed };
         let given_up = self.shared.make_room(state, grown - capacity, Some(self.id))?;
         let body = state.unfinished.get_mut(&self.id)?;
         body.buffer.reserve_exact(grown - length);
         let charged = body.buffer.capacity() - capacity;
-        state.used += charged;
         state.incomplete += charged;
         Some(given_up)
     }
@@ -226,20 +233,17 @@
     /// Takes the complete body.
     pub(crate) fn finish(self) -> Result<Bytes, Exhausted> {
         let mut state = self.shared.lock();
-        let body = state.unfinished.remove(&self.id).ok_or(Exhausted)?;
-        state.incomplete -= body.buffer.capacity();
+        let body = state.remove(self.id).ok_or(Exhausted)?;
+        let bytes = body.buffer.capacity();
+        state.lasting += bytes;
         drop(state);
-        let charge = Charge { shared: Arc::clone(&self.shared), bytes: body.buffer.capacity() };
+        let charge = Charge { shared: Arc::clone(&self.shared), bytes };
         Ok(Bytes::from_owner(Whole { bytes: body.buffer, _charge: charge }))
     }
 }
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        let mut state = self.shared.lock();
-        if let Some(body) = state.unfinished.remove(&self.id) {
-            state.used -= body.buffer.capacity();
-            state.incomplete -= body.buffer.capacity();
-        }
+        drop(self.shared.lock().remove(self.id));
     }
 }
